--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Wraps CMake. SANITIZE=address|thread|undefined builds in its own folder.
+JOBS ?= $(shell nproc)
+SANITIZE ?=
+BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
+LABEL ?= $(if $(SANITIZE),-L unit)
+
+.PHONY: all setup build test format check_format lint demo soak bench capacity clean
+
+all: build
+
+setup:
+	bash .ci/packages
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(LABEL)
+
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' | grep -v /gen-cpp/)
+
+format:
+	clang-format -i $(SOURCES)
+
+check_format:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: build
+	bash .ci/lint $(BUILD)
+
+demo: build
+	bash testsuite/demo.sh $(BUILD)/bin
+
+soak: build
+	bash testsuite/soak.sh $(BUILD)/bin
+
+bench: build
+	$(BUILD)/bin/gcove_bench
+
+capacity: build
+	$(BUILD)/bin/gcove_capacity
+
+clean:
+	cmake --build $(BUILD) --target clean
--- /dev/null
+++ b/src/core/core_test.cpp
@@ -0,0 +1,116 @@
+#include <gooseberrycove/error.hpp>
+#include <gooseberrycove/event.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/settings.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace gooseberrycove;
+
+TEST_CASE("error table is indexed by kind")
+{
+    int index = 0;
+    for (error_answer const& row : all_error_answers())
+        CHECK(static_cast<int>(row.kind) == index++);
+}
+
+TEST_CASE("request ids survive a round trip and reject other text")
+{
+    request_id const id{0x0123456789abcdef, 0xfedcba9876543210};
+    CHECK(parse_request_id(to_string(id)) == id);
+    CHECK_FALSE(parse_request_id("xyz"));
+    CHECK_FALSE(parse_request_id(to_string(id) + "0"));
+}
+
+TEST_CASE("a full ring refuses new work but keeps room for answers")
+{
+    ring<int> queue(4);
+    CHECK(queue.try_push(1, 2));
+    CHECK(queue.try_push(2, 2));
+    CHECK_FALSE(queue.try_push(3, 2));
+    CHECK(queue.try_push(3));
+    CHECK(queue.try_push(4));
+    CHECK_FALSE(queue.try_push(5));
+    std::vector<int> out;
+    queue.pop_all(out);
+    CHECK(out == std::vector<int>{1, 2, 3, 4});
+}
+
+TEST_CASE("a closed ring delivers what is queued, then ends the reader")
+{
+    ring<int> queue(4);
+    CHECK(queue.try_push(1));
+    queue.close();
+    CHECK_FALSE(queue.try_push(2));
+    std::vector<int> out;
+    CHECK(queue.pop_until(out, clock_now()));
+    CHECK(out.size() == 1);
+    CHECK_FALSE(queue.pop_until(out, clock_now() + std::chrono::hours(1)));
+}
+
+TEST_CASE("a push from another thread wakes the reader")
+{
+    ring<int> queue(4);
+    std::thread writer([&] { queue.try_push(7); });
+    std::vector<int> out;
+    queue.pop_until(out, clock_now() + std::chrono::hours(1));
+    writer.join();
+    CHECK(out == std::vector<int>{7});
+}
+
+TEST_CASE("log fields from outside cannot forge a line")
+{
+    event_line line(event::request_refused);
+    line.field("path", "/a b\nE0501 \"x\"").field("n", 3);
+    CHECK(line.text() ==
+          "E0201 request_refused path=\"/a b E0501 \\\"x\\\"\" n=3");
+}
+
+namespace
+{
+
+std::vector<setting> const schema{
+    {"daemon", "listen", setting_type::address, "", true, 0, 0, "", false},
+    {"daemon", "size", setting_type::number, "5", false, 1, 10, "", false},
+    {"daemon", "seeds", setting_type::addresses, "", false, 0, 0, "", false}};
+
+std::string fault_of(std::string_view content)
+{
+    try
+    {
+        settings_builder(schema).file("a.ini", content).build();
+    }
+    catch (settings_error const& fault)
+    {
+        return fault.what();
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("settings faults name file, line, key and what is allowed")
+{
+    CHECK(fault_of("[daemon]\nlisten = 127.0.0.1:80\n").empty());
+    CHECK(fault_of("[daemon]\n") ==
+          "a.ini: daemon.listen: required, missing\n");
+    CHECK(fault_of("[daemon]\nlisten = localhost:80\n") ==
+          "a.ini:2: daemon.listen: 'localhost:80' is not allowed, allowed: "
+          "ip:port\n");
+    CHECK(fault_of("[daemon]\nlisten = 127.0.0.1:80\nsize = 11\n") ==
+          "a.ini:3: daemon.size: '11' is not allowed, allowed: an integer "
+          "from 1 to 10\n");
+    CHECK(fault_of("[daemon]\nlisten = 127.0.0.1:80\nspeed = 1\n") ==
+          "a.ini:3: daemon.speed: unknown key, allowed: listen size seeds\n");
+}
+
+TEST_CASE("a flag overrides the settings file")
+{
+    settings const values = settings_builder(schema)
+                                .file("a.ini", "[daemon]\nlisten=127.0.0.1:1")
+                                .override_value("daemon.size=9")
+                                .build();
+    CHECK(values.number("daemon", "size") == 9);
+}
--- /dev/null
+++ b/src/include/gooseberrycove/config.hpp
@@ -0,0 +1,118 @@
+#ifndef GOOSEBERRYCOVE_CONFIG_HPP
+#define GOOSEBERRYCOVE_CONFIG_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrycove::config
+{
+
+struct priority
+{
+    std::string name;
+    int rank = 0;
+    duration target{0};
+    double worth = 1;
+};
+
+/// Share of a service's capacity declared for one priority, 0 to 1.
+struct priority_share
+{
+    priority_index priority = 0;
+    double min_share = 0;
+};
+
+struct service
+{
+    std::string name;
+    /// Slots of healthy capacity that ejection must leave in use.
+    std::uint32_t floor_slots = 0;
+    /// Slots of each server that only the most urgent priority may use.
+    std::uint32_t reserved_slots = 1;
+    /// Time after an announcement in which latency is no evidence.
+    duration warmup{0};
+    /// Priorities that the service accepts.
+    std::vector<priority_share> shares;
+};
+
+/// A route as found by tables::match(); the views live as long as the tables.
+struct route_view
+{
+    std::string_view name;
+    std::string_view service;
+    priority_index priority = 0;
+    bool repeatable = true;
+    duration timeout{0};
+};
+
+using key_hash = std::array<std::uint8_t, 16>;
+
+/// A caller account as found by tables::account().
+struct account_view
+{
+    std::string_view name;
+    /// First 16 bytes of SHA-256 of the secret.
+    key_hash hash{};
+    /// Requests per second and bucket size; 0 means unlimited.
+    float rate = 0;
+    float burst = 0;
+};
+
+struct table_data;
+
+/// One version of the configuration, immutable and shared between threads.
+class tables
+{
+public:
+    tables();
+    explicit tables(std::shared_ptr<table_data const> data);
+
+    std::uint64_t version() const;
+
+    /// The longest pattern that matches wins; a pattern ending in `*` matches
+    /// every path that starts with the text before it. Method `*` matches any.
+    std::optional<route_view> match(std::string_view method,
+                                    std::string_view path) const;
+
+    std::optional<account_view> account(std::string_view name) const;
+
+    /// Returns nullptr for an unknown service.
+    service const* find_service(std::string_view name) const;
+
+    /// Ordered by rank; the position is the priority_index.
+    std::span<priority const> priorities() const;
+
+    table_data const& data() const { return *m_data; }
+
+private:
+    std::shared_ptr<table_data const> m_data;
+};
+
+using tables_ptr = std::shared_ptr<tables const>;
+
+/// A committed patch, as stored and as sent between daemons.
+struct delta
+{
+    std::uint64_t version = 0;
+    std::string patch_id;
+    std::string author;
+    /// RFC 7386 JSON Merge Patch.
+    std::string patch;
+};
+
+/// Told to other duties when a version comes into force.
+struct in_force
+{
+    tables_ptr current;
+};
+
+} // namespace gooseberrycove::config
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/duty.hpp
@@ -0,0 +1,34 @@
+#ifndef GOOSEBERRYCOVE_DUTY_HPP
+#define GOOSEBERRYCOVE_DUTY_HPP
+
+#include <gooseberrycove/ring.hpp>
+
+#include <vector>
+
+namespace gooseberrycove
+{
+
+/// Loop of a duty that waits only on its ring. Returns when the ring is closed
+/// and empty.
+///
+/// \param handle  called as handle(message, now) for each message
+/// \param tick    called as tick(now) after each batch and at its own deadline;
+///                returns the time of the next call
+template <class Message, class Handle, class Tick>
+void run_duty(ring<Message>& inbox, Handle handle, Tick tick)
+{
+    std::vector<Message> batch;
+    time_point next = clock_now();
+    while (inbox.pop_until(batch, next))
+    {
+        time_point const now = clock_now();
+        for (Message& message : batch)
+            handle(message, now);
+        batch.clear();
+        next = tick(now);
+    }
+}
+
+} // namespace gooseberrycove
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/error.hpp
@@ -0,0 +1,92 @@
+#ifndef GOOSEBERRYCOVE_ERROR_HPP
+#define GOOSEBERRYCOVE_ERROR_HPP
+
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace gooseberrycove
+{
+
+/// What is known about the execution of a request at a backend server.
+enum class outcome
+{
+    not_run, ///< certainly not executed
+    ran,     ///< executed, and this is the backend server's own answer
+    unknown  ///< may or may not have been executed
+};
+
+std::string_view to_string(outcome value);
+
+/// Closed list of error kinds. The table in error.cpp gives each kind its
+/// HTTP status, outcome and retry hint.
+enum class error_kind
+{
+    none,
+    bad_request,
+    unauthenticated,
+    wrong_token,
+    forbidden,
+    no_route,
+    in_progress,
+    stale_version,
+    too_large,
+    key_reused,
+    invalid_patch,
+    rate_limited,
+    cancelled,
+    internal,
+    server_failed,
+    answer_cut,
+    overloaded,
+    no_server,
+    deadline_unmet,
+    draining,
+    store_unavailable,
+    timed_out,
+    outcome_unknown,
+    wrong_protocol
+};
+
+/// How an error kind is answered.
+struct error_answer
+{
+    error_kind kind = error_kind::none;
+    std::string_view name;
+    int status = 0;
+    outcome result = outcome::unknown;
+    /// Value of Retry-After in seconds; 0 sends no such header.
+    int retry_after_s = 0;
+    std::string_view title;
+};
+
+/// The row of the table for \p kind.
+error_answer const& answer_of(error_kind kind);
+
+/// All rows, in the order of error_kind.
+std::span<error_answer const> all_error_answers();
+
+/// RFC 9457 problem document with the members type, title, status, detail,
+/// kind, outcome and request_id.
+std::string problem_document(error_kind kind, std::string_view detail,
+                             std::string_view request);
+
+/// Exception that carries an error kind across a call boundary.
+class error : public std::runtime_error
+{
+public:
+    error(error_kind kind, std::string const& detail)
+        : std::runtime_error(detail), m_kind(kind)
+    {
+    }
+
+    error_kind kind() const noexcept { return m_kind; }
+
+private:
+    error_kind m_kind;
+};
+
+} // namespace gooseberrycove
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/event.hpp
@@ -0,0 +1,127 @@
+#ifndef GOOSEBERRYCOVE_EVENT_HPP
+#define GOOSEBERRYCOVE_EVENT_HPP
+
+#include <glog/logging.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace gooseberrycove
+{
+
+/// Numbered log events, catalogued in docs/events.md. A number is never used
+/// for another event. Hundreds: 1 process, 2 routing, 3 admission, 4 dispatch,
+/// 5 health, 6 members, 7 config, 8 claims, 9 store, 10 peer, 11 admin.
+enum class event : std::uint16_t
+{
+    process_started = 100,
+    process_draining = 101,
+    process_stopped = 102,
+    settings_reloaded = 103,
+    ring_full = 104,
+
+    request_routed = 200,
+    request_refused = 201,
+    request_retried = 202,
+    request_hedged = 203,
+    request_answered = 204,
+
+    work_queued = 300,
+    work_refused = 301,
+    work_started = 302,
+    server_chosen = 303,
+
+    dispatch_finished = 400,
+
+    server_alarm = 500,
+    server_ejected = 501,
+    server_probation = 502,
+    server_readmitted = 503,
+    alarm_cleared = 504,
+    ejection_refused_by_floor = 505,
+
+    peer_joined = 600,
+    peer_suspected = 601,
+    peer_dead = 602,
+    peer_left = 603,
+    server_announced = 604,
+    server_draining = 605,
+    server_gone = 606,
+    server_placed = 607,
+
+    config_in_force = 700,
+    config_patch_committed = 701,
+    config_patch_refused = 702,
+    config_pulled = 703,
+    config_ambiguous = 704,
+
+    claim_taken = 800,
+    claim_refused = 801,
+    claim_replayed = 802,
+    claim_settled = 803,
+    claim_fenced = 804,
+    claim_recorded = 805,
+    claim_released = 806,
+
+    store_call_failed = 900,
+    store_recovered = 901,
+
+    peer_refused = 1000,
+    peer_connection_lost = 1001,
+
+    admin_refused = 1100,
+    admin_action = 1101
+};
+
+/// Text that starts each event's log line: `E0501 server_ejected`.
+std::string event_tag(event what);
+
+/// Name without the number.
+std::string_view event_name(event what);
+
+/// Appends ` key=value`; values with blanks or quotes are quoted.
+class event_line
+{
+public:
+    explicit event_line(event what) : m_text(event_tag(what)) {}
+
+    event_line& field(std::string_view key, std::string_view value);
+    event_line& field(std::string_view key, char const* value)
+    {
+        return field(key, std::string_view(value));
+    }
+    event_line& field(std::string_view key, std::int64_t value);
+    event_line& field(std::string_view key, std::uint64_t value);
+    event_line& field(std::string_view key, int value)
+    {
+        return field(key, static_cast<std::int64_t>(value));
+    }
+    event_line& field(std::string_view key, unsigned value)
+    {
+        return field(key, static_cast<std::uint64_t>(value));
+    }
+    event_line& field(std::string_view key, double value);
+
+    std::string const& text() const { return m_text; }
+
+private:
+    std::string m_text;
+};
+
+inline void log_info(event_line const& line)
+{
+    LOG(INFO) << line.text();
+}
+inline void log_warning(event_line const& line)
+{
+    LOG(WARNING) << line.text();
+}
+inline void log_error(event_line const& line)
+{
+    LOG(ERROR) << line.text();
+}
+
+} // namespace gooseberrycove
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/health.hpp
@@ -0,0 +1,68 @@
+#ifndef GOOSEBERRYCOVE_HEALTH_HPP
+#define GOOSEBERRYCOVE_HEALTH_HPP
+
+#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <string>
+
+namespace gooseberrycove::health
+{
+
+/// How one attempt at a backend server ended, as evidence.
+enum class sample_class : std::uint8_t
+{
+    success,
+    failure,
+    shed ///< explicit refusal by the server; no evidence of a fault
+};
+
+/// Result of one attempt at a backend server homed here.
+struct sample
+{
+    std::string server;
+    std::string service;
+    sample_class what = sample_class::success;
+    duration latency{0};
+    time_point at;
+};
+
+/// A backend server was announced, changed its slots or left.
+struct server_known
+{
+    std::string server;
+    std::string service;
+    std::uint32_t slots = 0;
+    duration warmup{0};
+    bool gone = false;
+};
+
+/// Status of a backend server of the same service at another home.
+struct sibling_report
+{
+    server_status status;
+    daemon_ref home;
+    time_point received;
+};
+
+/// Result of a probe of an idle server; weak evidence.
+struct probe_result
+{
+    std::string server;
+    bool ok = false;
+    duration latency{0};
+};
+
+/// The health state of a server homed here changed, or its counts did.
+struct verdict
+{
+    server_status status;
+    /// Why the state is what it is, for logs and for the operator.
+    std::string reason;
+    /// Ask siblings for fresh reports at once, to confirm an alarm.
+    bool wants_reports = false;
+};
+
+} // namespace gooseberrycove::health
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/members.hpp
@@ -0,0 +1,135 @@
+#ifndef GOOSEBERRYCOVE_MEMBERS_HPP
+#define GOOSEBERRYCOVE_MEMBERS_HPP
+
+#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrycove::members
+{
+
+enum class peer_state : std::uint8_t
+{
+    alive,
+    suspect,
+    dead,
+    leaving
+};
+
+struct peer_record
+{
+    daemon_ref daemon;
+    std::string name;
+    std::string data_centre;
+    /// `ip:port` of the peer port, TCP and UDP.
+    std::string address;
+    /// `ip:port` of the administration port.
+    std::string admin_address;
+    peer_state state = peer_state::alive;
+    /// Raised by the daemon itself to refute a suspicion.
+    std::uint64_t refutation = 0;
+    std::uint64_t config_version = 0;
+};
+
+enum class server_state : std::uint8_t
+{
+    serving,
+    draining,
+    gone
+};
+
+/// Directory entry of one backend server, owned by its home.
+struct server_record
+{
+    std::string server;
+    std::string service;
+    std::uint32_t slots = 0;
+    server_state state = server_state::serving;
+    health_state health = health_state::healthy;
+    double score = 0;
+    daemon_ref home;
+    /// Rises with each change by the same home incarnation.
+    std::uint64_t sequence = 0;
+};
+
+/// What a backend server tells its home.
+struct announcement
+{
+    std::string server;
+    std::string service;
+    /// `ip:port` at which the backend server takes work.
+    std::string address;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 0;
+    std::uint64_t incarnation = 0;
+    server_state state = server_state::serving;
+    duration lease{0};
+    /// Share of slots in use as the server reports it; weak evidence.
+    double load = 0;
+};
+
+/// Datagram between daemons.
+enum class packet_kind : std::uint8_t
+{
+    ping,
+    ack,
+    ping_request,
+    status
+};
+
+struct packet
+{
+    packet_kind kind = packet_kind::ping;
+    daemon_ref sender;
+    std::string sender_address;
+    std::uint64_t number = 0;
+    /// Target of an indirect probe.
+    std::string probe_address;
+    std::uint64_t config_version = 0;
+    std::vector<peer_record> peers;
+    std::vector<server_record> servers;
+    std::vector<server_status> statuses;
+};
+
+/// Full exchange over a stream, on join and after a digest mismatch.
+struct sync
+{
+    daemon_ref sender;
+    std::string sender_address;
+    bool reply_wanted = false;
+    std::uint64_t digest = 0;
+    std::vector<peer_record> peers;
+    std::vector<server_record> servers;
+};
+
+/// One backend server as routing sees it.
+struct candidate
+{
+    std::string server;
+    std::uint32_t slots = 0;
+    server_state state = server_state::serving;
+    health_state health = health_state::healthy;
+    double score = 0;
+    daemon_ref home;
+    std::string home_address;
+    std::string home_data_centre;
+    bool home_alive = true;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+};
+
+/// Candidates of one service; sent whenever one of them changes.
+struct service_view
+{
+    std::string service;
+    std::vector<candidate> candidates;
+};
+
+using service_view_ptr = std::shared_ptr<service_view const>;
+
+} // namespace gooseberrycove::members
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/ring.hpp
@@ -0,0 +1,120 @@
+#ifndef GOOSEBERRYCOVE_RING_HPP
+#define GOOSEBERRYCOVE_RING_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace gooseberrycove
+{
+
+/// Bounded queue of messages from many threads to one duty's thread.
+///
+/// Based on a mutex and a condition variable: a waiting thread sleeps in the
+/// kernel and never spins. A loop that waits on sockets installs a waker
+/// instead of calling pop_until().
+template <class Message>
+class ring
+{
+public:
+    explicit ring(std::size_t capacity) : m_slots(capacity) {}
+
+    ring(ring const&) = delete;
+    ring& operator=(ring const&) = delete;
+
+    /// Called after a push into an empty ring, outside the lock. Install it
+    /// before other threads push.
+    void set_waker(std::function<void()> waker) { m_waker = std::move(waker); }
+
+    /// Returns false, and leaves \p message as it was, when fewer than
+    /// \p reserve + 1 slots are free or the ring is closed. New work passes a
+    /// reserve so that answers always find room.
+    bool try_push(Message&& message, std::size_t reserve = 0)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_closed || m_size + reserve >= m_slots.size())
+                return false;
+            m_slots[(m_first + m_size) % m_slots.size()] = std::move(message);
+            ++m_size;
+            if (m_size > 1)
+                return true;
+        }
+        m_ready.notify_one();
+        if (m_waker)
+            m_waker();
+        return true;
+    }
+
+    /// Moves all queued messages to the end of \p out without waiting.
+    void pop_all(std::vector<Message>& out)
+    {
+        std::lock_guard lock(m_mutex);
+        take(out);
+    }
+
+    /// Waits until a message is queued, the ring is closed or \p until has
+    /// passed, then moves all queued messages to the end of \p out. Returns
+    /// false when the ring is closed and empty.
+    bool pop_until(std::vector<Message>& out, time_point until)
+    {
+        std::unique_lock lock(m_mutex);
+        m_ready.wait_until(lock, until,
+                           [this] { return m_size > 0 || m_closed; });
+        bool const open = m_size > 0 || !m_closed;
+        take(out);
+        return open;
+    }
+
+    /// Refuses further pushes and wakes the reader.
+    void close()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_closed = true;
+        }
+        m_ready.notify_all();
+        if (m_waker)
+            m_waker();
+    }
+
+    std::size_t capacity() const { return m_slots.size(); }
+
+private:
+    void take(std::vector<Message>& out)
+    {
+        for (; m_size > 0; --m_size)
+        {
+            out.push_back(std::move(m_slots[m_first]));
+            m_slots[m_first] = Message{};
+            m_first = (m_first + 1) % m_slots.size();
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_ready;
+    std::vector<Message> m_slots;
+    std::size_t m_first = 0;
+    std::size_t m_size = 0;
+    bool m_closed = false;
+    std::function<void()> m_waker;
+};
+
+/// Requests in flight that one daemon admits, from callers and from peers.
+inline constexpr std::size_t max_in_flight = 4096;
+
+/// Capacity of a ring that carries requests and their answers. The half above
+/// max_in_flight keeps room for answers and control messages.
+inline constexpr std::size_t request_ring_capacity = 2 * max_in_flight;
+
+/// Free slots that new work leaves to answers.
+inline constexpr std::size_t answer_reserve = max_in_flight;
+
+} // namespace gooseberrycove
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/store.hpp
@@ -0,0 +1,110 @@
+#ifndef GOOSEBERRYCOVE_STORE_HPP
+#define GOOSEBERRYCOVE_STORE_HPP
+
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/types.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace gooseberrycove::store
+{
+
+struct row
+{
+    std::string key;
+    /// 0 means that the row is absent. Rises with each write of the key.
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+struct condition
+{
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+struct put
+{
+    std::string key;
+    std::string value;
+};
+
+/// All conditions hold and all changes apply, or none does.
+struct transaction
+{
+    std::vector<condition> conditions;
+    std::vector<put> puts;
+    std::vector<std::string> deletes;
+};
+
+struct get_row
+{
+    std::string key;
+};
+
+struct scan_rows
+{
+    std::string prefix;
+    std::string after;
+    std::size_t limit = 100;
+};
+
+struct get_object
+{
+    std::string name;
+};
+
+struct put_object
+{
+    std::string name;
+    std::string content;
+};
+
+using operation =
+    std::variant<get_row, scan_rows, transaction, get_object, put_object>;
+
+enum class status
+{
+    ok,
+    condition_failed, ///< nothing was written; rows holds the failed rows
+    not_found,
+    refused, ///< down or over rate; nothing was written
+    unknown  ///< no reply: a write may or may not have taken effect
+};
+
+struct reply
+{
+    /// Repeats request::number.
+    std::uint64_t number = 0;
+    status result = status::unknown;
+    std::vector<row> rows;
+    std::string content;
+};
+
+/// One call to the platform. The reply is delivered by calling `deliver` on
+/// the store thread; it pushes into the asking duty's ring.
+struct request
+{
+    std::uint64_t number = 0;
+    operation what;
+    duration timeout{2'000'000};
+    std::function<void(reply&&)> deliver;
+};
+
+using inbox = ring<request>;
+
+/// Calls that may wait in the store's ring; further ones are refused.
+inline constexpr std::size_t inbox_capacity = 1024;
+
+/// Runs until \p requests is closed; finishes calls in flight first.
+/// \param base_url  `http://ip:port` of the platform's service
+/// \param client    name sent as X-Client
+void run(inbox& requests, std::string_view base_url, std::string_view client);
+
+} // namespace gooseberrycove::store
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/work.hpp
@@ -0,0 +1,100 @@
+#ifndef GOOSEBERRYCOVE_WORK_HPP
+#define GOOSEBERRYCOVE_WORK_HPP
+
+#include <gooseberrycove/error.hpp>
+#include <gooseberrycove/types.hpp>
+
+#include <string>
+#include <vector>
+
+namespace gooseberrycove
+{
+
+/// Names the claim under which a non-repeatable request runs. An empty id
+/// means that the request needs no claim.
+struct claim_ref
+{
+    std::string id;
+    std::uint64_t epoch = 0;
+};
+
+/// One attempt to run a caller's request at a home daemon.
+struct work
+{
+    request_id id;
+    /// Distinguishes the attempts of one request; a result repeats it.
+    std::uint32_t attempt = 0;
+    std::string account;
+    std::string service;
+    std::string route;
+    priority_index priority = 0;
+    bool repeatable = true;
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::string content_type;
+    std::string body;
+    std::string idempotency_key;
+    std::string traceparent;
+    time_point deadline;
+    claim_ref claim;
+    /// Backend server chosen by routing; the home may use another one of the
+    /// same service that it is home to when this is empty.
+    std::string server;
+    /// Daemon that gets the result. Equal to this daemon for local work.
+    daemon_ref origin;
+    /// Peer address of the origin, `ip:port`.
+    std::string origin_address;
+};
+
+/// Load and health of one backend server as its home sees it.
+enum class health_state : std::uint8_t
+{
+    healthy,
+    ejected,
+    probation
+};
+
+std::string_view to_string(health_state value);
+
+struct server_status
+{
+    std::string server;
+    std::string service;
+    std::uint32_t slots = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+    health_state health = health_state::healthy;
+    /// Strength of the evidence against the server, in nats; larger is worse.
+    double score = 0;
+    /// Decayed counts and moments of real work, for comparison with siblings.
+    double samples = 0;
+    double failures = 0;
+    double mean_log_latency = 0;
+    /// Rises with each report of the same home incarnation.
+    std::uint64_t sequence = 0;
+};
+
+/// Result of one attempt.
+struct work_result
+{
+    request_id id;
+    std::uint32_t attempt = 0;
+    /// none when the backend server answered completely.
+    error_kind kind = error_kind::none;
+    outcome result = outcome::unknown;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    std::string server;
+    std::string detail;
+    /// Time from dispatch to the complete answer; zero when not dispatched.
+    duration service_time{0};
+    /// Status of the servers of this service at the home, for later choices.
+    std::vector<server_status> statuses;
+    daemon_ref home;
+};
+
+} // namespace gooseberrycove
+
+#endif
