Declare the messages between the slices

Cause: the slices are built in parallel and meet only at their messages. Each slice's header now declares what its ring carries. The build links libinih, because libINIReader does not carry its C functions.

--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -11,7 +11,7 @@
 find_package(Catch2 2 REQUIRED)
 pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
-pkg_check_modules(INIREADER REQUIRED IMPORTED_TARGET INIReader)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 find_program(CCACHE ccache)
--- /dev/null
+++ b/src/include/gooseberrycove/admission.hpp
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_HPP
+#define GOOSEBERRYCOVE_ADMISSION_HPP
+
+#include <gooseberrycove/claims.hpp>
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/dispatch.hpp>
+#include <gooseberrycove/health.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <variant>
+
+namespace gooseberrycove::admission
+{
+
+/// Withdraws an attempt: queued work is removed, running work is cancelled.
+struct cancel
+{
+    request_id id;
+    std::uint32_t attempt = 0;
+    daemon_ref origin;
+};
+
+/// Stops taking new work; running and queued work is finished.
+struct drain
+{
+};
+
+/// Messages that the admission duty takes.
+using message = std::variant<std::monostate, work, cancel, dispatch::finished,
+                             members::homed_server, config::in_force,
+                             claims::fence, health::verdict, drain>;
+using inbox = ring<message>;
+
+} // namespace gooseberrycove::admission
+
+#endif
--- a/src/include/gooseberrycove/claims.hpp
+++ b/src/include/gooseberrycove/claims.hpp
@@ -2,10 +2,15 @@
 #define GOOSEBERRYCOVE_CLAIMS_HPP
 
 #include <gooseberrycove/error.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/store.hpp>
 #include <gooseberrycove/types.hpp>
 #include <gooseberrycove/work.hpp>
 
+#include <functional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace gooseberrycove::claims
@@ -90,6 +95,36 @@
     work_result result;
 };
 
+/// Asks for a key that only this run of this daemon may execute; usable while
+/// the platform's table service is out.
+struct mint_request
+{
+    std::string account;
+    std::function<void(std::string&& key)> deliver;
+};
+
+/// State of a claim, for a caller that asks later.
+struct claim_state
+{
+    /// none: finished, see recorded. in_progress, outcome_unknown,
+    /// store_unavailable, or no_route when no such claim exists.
+    error_kind kind = error_kind::none;
+    work_result recorded;
+};
+
+struct state_request
+{
+    std::string account;
+    std::string key;
+    std::function<void(claim_state&&)> deliver;
+};
+
+/// Messages that the claims duty takes.
+using message = std::variant<std::monostate, claim_request, claim_end,
+                             fence_answer, members::live_daemons, mint_request,
+                             state_request, store::reply>;
+using inbox = ring<message>;
+
 } // namespace gooseberrycove::claims
 
 #endif
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -1,14 +1,19 @@
 #ifndef GOOSEBERRYCOVE_CONFIG_HPP
 #define GOOSEBERRYCOVE_CONFIG_HPP
 
+#include <gooseberrycove/error.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/store.hpp>
 #include <gooseberrycove/types.hpp>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace gooseberrycove::config
@@ -113,6 +118,84 @@
     tables_ptr current;
 };
 
+/// One fault of a patch.
+struct fault
+{
+    /// JSON pointer into the patch.
+    std::string path;
+    std::string what;
+};
+
+/// Result of a patch_request.
+struct patch_outcome
+{
+    /// none, stale_version, invalid_patch or store_unavailable; internal with
+    /// an unknown outcome when the commit could not be settled in time.
+    error_kind kind = error_kind::none;
+    /// Version in force after the patch, or the one that made it stale.
+    std::uint64_t version = 0;
+    std::vector<fault> faults;
+    /// Patches since the stale base, at most 100.
+    std::vector<delta> since;
+    std::string detail;
+};
+
+struct patch_request
+{
+    std::uint64_t base = 0;
+    std::string patch;
+    std::string patch_id;
+    std::string author;
+    std::function<void(patch_outcome&&)> deliver;
+};
+
+/// Asks for the whole document in force as JSON text.
+struct document_request
+{
+    std::function<void(std::uint64_t version, std::string&& document)> deliver;
+};
+
+struct history_request
+{
+    std::uint64_t since = 0;
+    std::function<void(std::vector<delta>&&)> deliver;
+};
+
+/// A peer holds this version; learned from a ping or a push.
+struct peer_version
+{
+    std::string address;
+    std::uint64_t version = 0;
+};
+
+/// Addresses of live peers, for pushing; sent when they change.
+struct live_peers
+{
+    std::vector<std::string> addresses;
+};
+
+/// A peer asks for the deltas after a version.
+struct pull
+{
+    std::string sender_address;
+    std::uint64_t after = 0;
+};
+
+/// Deltas in order of version. With `snapshot` set they follow that document.
+struct deltas
+{
+    std::string sender_address;
+    std::uint64_t snapshot_version = 0;
+    std::string snapshot;
+    std::vector<delta> list;
+};
+
+/// Messages that the config duty takes.
+using message = std::variant<std::monostate, patch_request, document_request,
+                             history_request, peer_version, live_peers, pull,
+                             deltas, store::reply>;
+using inbox = ring<message>;
+
 } // namespace gooseberrycove::config
 
 #endif
--- /dev/null
+++ b/src/include/gooseberrycove/dispatch.hpp
@@ -0,0 +1,66 @@
+#ifndef GOOSEBERRYCOVE_DISPATCH_HPP
+#define GOOSEBERRYCOVE_DISPATCH_HPP
+
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace gooseberrycove::dispatch
+{
+
+/// Sends one piece of work to one backend server.
+struct start
+{
+    /// Chosen by admission; repeated by finished.
+    std::uint64_t ticket = 0;
+    std::string server;
+    /// `ip:port` of the backend server.
+    std::string address;
+    work what;
+};
+
+/// Closes the connection of a transfer whose caller has left.
+struct cancel
+{
+    std::uint64_t ticket = 0;
+};
+
+/// Asks a backend server's probe endpoint.
+struct probe
+{
+    std::string server;
+    std::string address;
+};
+
+enum class result_class : std::uint8_t
+{
+    answered,        ///< complete answer with any HTTP status
+    connect_failed,  ///< no byte was sent: not run
+    refused_not_run, ///< 503 with `X-Outcome: not_run`
+    cut,             ///< the connection ended before the answer was complete
+    timed_out,
+    cancelled
+};
+
+struct finished
+{
+    std::uint64_t ticket = 0;
+    result_class what = result_class::cut;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    std::string detail;
+    duration latency{0};
+};
+
+/// Messages that the dispatch duty takes.
+using message = std::variant<std::monostate, start, cancel, probe>;
+using inbox = ring<message>;
+
+} // namespace gooseberrycove::dispatch
+
+#endif
--- a/src/include/gooseberrycove/health.hpp
+++ b/src/include/gooseberrycove/health.hpp
@@ -1,10 +1,12 @@
 #ifndef GOOSEBERRYCOVE_HEALTH_HPP
 #define GOOSEBERRYCOVE_HEALTH_HPP
 
+#include <gooseberrycove/ring.hpp>
 #include <gooseberrycove/types.hpp>
 #include <gooseberrycove/work.hpp>
 
 #include <string>
+#include <variant>
 
 namespace gooseberrycove::health
 {
@@ -32,6 +34,8 @@
 {
     std::string server;
     std::string service;
+    /// `ip:port` for probes.
+    std::string address;
     std::uint32_t slots = 0;
     duration warmup{0};
     bool gone = false;
@@ -63,6 +67,11 @@
     bool wants_reports = false;
 };
 
+/// Messages that the health duty takes.
+using message = std::variant<std::monostate, sample, server_known,
+                             sibling_report, probe_result>;
+using inbox = ring<message>;
+
 } // namespace gooseberrycove::health
 
 #endif
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -1,11 +1,16 @@
 #ifndef GOOSEBERRYCOVE_MEMBERS_HPP
 #define GOOSEBERRYCOVE_MEMBERS_HPP
 
+#include <gooseberrycove/health.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/store.hpp>
 #include <gooseberrycove/types.hpp>
 #include <gooseberrycove/work.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace gooseberrycove::members
@@ -130,6 +135,74 @@
 
 using service_view_ptr = std::shared_ptr<service_view const>;
 
+/// A backend server announced itself over HTTP.
+struct announced
+{
+    announcement what;
+    /// Called with the granted lease.
+    std::function<void(duration lease)> deliver;
+};
+
+/// Load of a server homed here, from admission.
+struct server_load
+{
+    std::string server;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+};
+
+/// The configuration version in force in this process.
+struct own_version
+{
+    std::uint64_t version = 0;
+};
+
+struct listing
+{
+    std::vector<peer_record> peers;
+    std::vector<server_record> servers;
+    std::vector<server_status> statuses;
+};
+
+struct list_request
+{
+    std::function<void(listing&&)> deliver;
+};
+
+/// The operator drains or undrains a server homed here.
+struct drain_request
+{
+    std::string server;
+    bool drain = true;
+    /// Called with false when the server is not homed here.
+    std::function<void(bool found)> deliver;
+};
+
+/// This daemon is leaving; tells the peers.
+struct leave
+{
+};
+
+/// A server homed here is new, changed or gone; for admission and health.
+struct homed_server
+{
+    announcement what;
+    bool gone = false;
+};
+
+/// Liveness of the daemons as seen here; for claims.
+struct live_daemons
+{
+    /// Daemons that are alive or suspect, in their current incarnation.
+    std::vector<daemon_ref> daemons;
+};
+
+/// Messages that the members duty takes.
+using message = std::variant<std::monostate, announced, packet, sync,
+                             health::verdict, server_load, own_version,
+                             list_request, drain_request, store::reply, leave>;
+using inbox = ring<message>;
+
 } // namespace gooseberrycove::members
 
 #endif
--- /dev/null
+++ b/src/include/gooseberrycove/peer.hpp
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRYCOVE_PEER_HPP
+#define GOOSEBERRYCOVE_PEER_HPP
+
+#include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/claims.hpp>
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <string>
+#include <variant>
+
+namespace gooseberrycove::peer
+{
+
+/// Everything that daemons tell each other. A packet goes as a datagram, the
+/// rest over a stream.
+using payload =
+    std::variant<std::monostate, work, work_result, admission::cancel,
+                 claims::fence, claims::fence_answer, config::pull,
+                 config::deltas, config::peer_version, members::sync,
+                 members::packet>;
+
+struct outgoing
+{
+    /// Peer address of the receiver, `ip:port`.
+    std::string address;
+    payload what;
+};
+
+/// Messages that the peer duty takes.
+using message = std::variant<std::monostate, outgoing>;
+using inbox = ring<message>;
+
+} // namespace gooseberrycove::peer
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/routing.hpp
@@ -0,0 +1,78 @@
+#ifndef GOOSEBERRYCOVE_ROUTING_HPP
+#define GOOSEBERRYCOVE_ROUTING_HPP
+
+#include <gooseberrycove/claims.hpp>
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/work.hpp>
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gooseberrycove::routing
+{
+
+/// A caller's request as the front end read it.
+struct caller_request
+{
+    request_id id;
+    /// `ACCOUNT:SECRET` of the Authorization header; empty when absent.
+    std::string credentials;
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::string content_type;
+    std::string body;
+    std::string idempotency_key;
+    std::string traceparent;
+    /// X-Deadline-Ms; zero when absent.
+    duration time_allowed{0};
+    time_point received;
+};
+
+/// The caller closed its connection.
+struct caller_gone
+{
+    request_id id;
+};
+
+/// Why each candidate would or would not be chosen, for the operator.
+struct explanation
+{
+    error_kind kind = error_kind::none;
+    std::string route;
+    std::string service;
+    std::string priority;
+    bool repeatable = true;
+    std::uint32_t floor_slots = 0;
+    std::uint32_t healthy_slots = 0;
+    struct entry
+    {
+        members::candidate who;
+        bool eligible = false;
+        std::string reason;
+    };
+    std::vector<entry> candidates;
+};
+
+struct explain_request
+{
+    std::string method;
+    std::string path;
+    std::string account;
+    std::function<void(explanation&&)> deliver;
+};
+
+/// Messages that the routing duty takes.
+using message =
+    std::variant<std::monostate, caller_request, caller_gone, work_result,
+                 claims::claim_result, claims::claim_released,
+                 members::service_view_ptr, config::in_force, explain_request>;
+using inbox = ring<message>;
+
+} // namespace gooseberrycove::routing
+
+#endif
