--- /dev/null
+++ b/src/wire/convert.cpp
@@ -0,0 +1,467 @@
+#include "convert.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::wire
+{
+
+namespace
+{
+
+/// Longest time to a deadline that is taken over from a peer.
+constexpr std::int64_t max_remaining_us = 3'600'000'000;
+
+/// Converts a number from outside to an enumeration of \p count values.
+template <class Enum>
+Enum to_enum(std::int8_t value, int count)
+{
+    if (value < 0 || value >= count)
+        throw error(error_kind::bad_request, "enumeration value out of range");
+    return static_cast<Enum>(value);
+}
+
+std::uint32_t to_count(std::int32_t value)
+{
+    if (value < 0)
+        throw error(error_kind::bad_request, "negative count");
+    return static_cast<std::uint32_t>(value);
+}
+
+constexpr int error_kind_count =
+    static_cast<int>(error_kind::wrong_protocol) + 1;
+
+gen::Daemon put(daemon_ref value)
+{
+    gen::Daemon out;
+    out.id = static_cast<std::int64_t>(value.id);
+    out.incarnation = static_cast<std::int64_t>(value.incarnation);
+    return out;
+}
+
+daemon_ref get(gen::Daemon const& in)
+{
+    return {static_cast<std::uint64_t>(in.id),
+            static_cast<std::uint64_t>(in.incarnation)};
+}
+
+gen::Claim put(claim_ref const& value)
+{
+    gen::Claim out;
+    out.id = value.id;
+    out.epoch = static_cast<std::int64_t>(value.epoch);
+    return out;
+}
+
+claim_ref get(gen::Claim const& in)
+{
+    return {in.id, static_cast<std::uint64_t>(in.epoch)};
+}
+
+template <class Thrift>
+void put_id(request_id id, Thrift& out)
+{
+    out.id_high = static_cast<std::int64_t>(id.high);
+    out.id_low = static_cast<std::int64_t>(id.low);
+}
+
+template <class Thrift>
+request_id get_id(Thrift const& in)
+{
+    return {static_cast<std::uint64_t>(in.id_high),
+            static_cast<std::uint64_t>(in.id_low)};
+}
+
+gen::Work put(work const& value, time_point now)
+{
+    gen::Work out;
+    put_id(value.id, out);
+    out.attempt = static_cast<std::int32_t>(value.attempt);
+    out.account = value.account;
+    out.service_name = value.service;
+    out.route = value.route;
+    out.priority = static_cast<std::int8_t>(value.priority);
+    out.repeatable = value.repeatable;
+    out.method = value.method;
+    out.target = value.target;
+    out.content_type = value.content_type;
+    out.body = value.body;
+    out.idempotency_key = value.idempotency_key;
+    out.traceparent = value.traceparent;
+    out.remaining_us = (value.deadline - now).count();
+    out.claim = put(value.claim);
+    out.server = value.server;
+    out.origin = put(value.origin);
+    out.origin_address = value.origin_address;
+    return out;
+}
+
+work get(gen::Work const& in, time_point now)
+{
+    work out;
+    out.id = get_id(in);
+    out.attempt = to_count(in.attempt);
+    out.account = in.account;
+    out.service = in.service_name;
+    out.route = in.route;
+    out.priority =
+        to_enum<priority_index>(in.priority, static_cast<int>(max_priorities));
+    out.repeatable = in.repeatable;
+    out.method = in.method;
+    out.target = in.target;
+    out.content_type = in.content_type;
+    out.body = in.body;
+    out.idempotency_key = in.idempotency_key;
+    out.traceparent = in.traceparent;
+    out.deadline =
+        now + duration(std::clamp<std::int64_t>(
+                  in.remaining_us, -max_remaining_us, max_remaining_us));
+    out.claim = get(in.claim);
+    out.server = in.server;
+    out.origin = get(in.origin);
+    out.origin_address = in.origin_address;
+    return out;
+}
+
+gen::ServerStatus put(server_status const& value)
+{
+    gen::ServerStatus out;
+    out.server = value.server;
+    out.service_name = value.service;
+    out.slots = static_cast<std::int32_t>(value.slots);
+    out.in_flight = static_cast<std::int32_t>(value.in_flight);
+    out.queued = static_cast<std::int32_t>(value.queued);
+    out.health = static_cast<std::int8_t>(value.health);
+    out.score = value.score;
+    out.samples = value.samples;
+    out.failures = value.failures;
+    out.mean_log_latency = value.mean_log_latency;
+    out.sequence = static_cast<std::int64_t>(value.sequence);
+    return out;
+}
+
+server_status get(gen::ServerStatus const& in)
+{
+    server_status out;
+    out.server = in.server;
+    out.service = in.service_name;
+    out.slots = to_count(in.slots);
+    out.in_flight = to_count(in.in_flight);
+    out.queued = to_count(in.queued);
+    out.health = to_enum<health_state>(in.health, 3);
+    out.score = in.score;
+    out.samples = in.samples;
+    out.failures = in.failures;
+    out.mean_log_latency = in.mean_log_latency;
+    out.sequence = static_cast<std::uint64_t>(in.sequence);
+    return out;
+}
+
+// Declared before the templates below, which call them by these names.
+gen::Delta put(config::delta const& value);
+gen::PeerRecord put(members::peer_record const& value);
+gen::ServerRecord put(members::server_record const& value);
+config::delta get(gen::Delta const& in);
+members::peer_record get(gen::PeerRecord const& in);
+members::server_record get(gen::ServerRecord const& in);
+
+template <class To, class From>
+std::vector<To> put_all(std::vector<From> const& values)
+{
+    std::vector<To> out;
+    out.reserve(values.size());
+    for (From const& value : values)
+        out.push_back(put(value));
+    return out;
+}
+
+template <class To, class From>
+std::vector<To> get_all(std::vector<From> const& values)
+{
+    std::vector<To> out;
+    out.reserve(values.size());
+    for (From const& value : values)
+        out.push_back(get(value));
+    return out;
+}
+
+gen::WorkResult put(work_result const& value)
+{
+    gen::WorkResult out;
+    put_id(value.id, out);
+    out.attempt = static_cast<std::int32_t>(value.attempt);
+    out.kind = static_cast<std::int8_t>(value.kind);
+    out.outcome = static_cast<std::int8_t>(value.result);
+    out.status = value.status;
+    out.content_type = value.content_type;
+    out.body = value.body;
+    out.server = value.server;
+    out.detail = value.detail;
+    out.service_time_us = value.service_time.count();
+    out.statuses = put_all<gen::ServerStatus>(value.statuses);
+    out.home = put(value.home);
+    return out;
+}
+
+work_result get(gen::WorkResult const& in)
+{
+    work_result out;
+    out.id = get_id(in);
+    out.attempt = to_count(in.attempt);
+    out.kind = to_enum<error_kind>(in.kind, error_kind_count);
+    out.result = to_enum<outcome>(in.outcome, 3);
+    out.status = in.status;
+    out.content_type = in.content_type;
+    out.body = in.body;
+    out.server = in.server;
+    out.detail = in.detail;
+    out.service_time = duration(in.service_time_us);
+    out.statuses = get_all<server_status>(in.statuses);
+    out.home = get(in.home);
+    return out;
+}
+
+gen::Delta put(config::delta const& value)
+{
+    gen::Delta out;
+    out.version = static_cast<std::int64_t>(value.version);
+    out.patch_id = value.patch_id;
+    out.author = value.author;
+    out.patch = value.patch;
+    return out;
+}
+
+config::delta get(gen::Delta const& in)
+{
+    return {static_cast<std::uint64_t>(in.version), in.patch_id, in.author,
+            in.patch};
+}
+
+gen::PeerRecord put(members::peer_record const& value)
+{
+    gen::PeerRecord out;
+    out.daemon = put(value.daemon);
+    out.name = value.name;
+    out.data_centre = value.data_centre;
+    out.address = value.address;
+    out.admin_address = value.admin_address;
+    out.state = static_cast<std::int8_t>(value.state);
+    out.refutation = static_cast<std::int64_t>(value.refutation);
+    out.config_version = static_cast<std::int64_t>(value.config_version);
+    return out;
+}
+
+members::peer_record get(gen::PeerRecord const& in)
+{
+    members::peer_record out;
+    out.daemon = get(in.daemon);
+    out.name = in.name;
+    out.data_centre = in.data_centre;
+    out.address = in.address;
+    out.admin_address = in.admin_address;
+    out.state = to_enum<members::peer_state>(in.state, 4);
+    out.refutation = static_cast<std::uint64_t>(in.refutation);
+    out.config_version = static_cast<std::uint64_t>(in.config_version);
+    return out;
+}
+
+gen::ServerRecord put(members::server_record const& value)
+{
+    gen::ServerRecord out;
+    out.server = value.server;
+    out.service_name = value.service;
+    out.slots = static_cast<std::int32_t>(value.slots);
+    out.state = static_cast<std::int8_t>(value.state);
+    out.health = static_cast<std::int8_t>(value.health);
+    out.score = value.score;
+    out.home = put(value.home);
+    out.sequence = static_cast<std::int64_t>(value.sequence);
+    return out;
+}
+
+members::server_record get(gen::ServerRecord const& in)
+{
+    members::server_record out;
+    out.server = in.server;
+    out.service = in.service_name;
+    out.slots = to_count(in.slots);
+    out.state = to_enum<members::server_state>(in.state, 3);
+    out.health = to_enum<health_state>(in.health, 3);
+    out.score = in.score;
+    out.home = get(in.home);
+    out.sequence = static_cast<std::uint64_t>(in.sequence);
+    return out;
+}
+
+/// Writes each kind of payload into its field of the message.
+struct payload_writer
+{
+    gen::Message& out;
+    time_point now;
+
+    void operator()(std::monostate) const {}
+
+    void operator()(work const& value) const
+    {
+        out.__set_work(put(value, now));
+    }
+
+    void operator()(work_result const& value) const
+    {
+        out.__set_work_result(put(value));
+    }
+
+    void operator()(admission::cancel const& value) const
+    {
+        gen::Cancel field;
+        put_id(value.id, field);
+        field.attempt = static_cast<std::int32_t>(value.attempt);
+        field.origin = put(value.origin);
+        out.__set_cancel(field);
+    }
+
+    void operator()(claims::fence const& value) const
+    {
+        gen::Fence field;
+        field.claim = put(value.claim);
+        field.home = put(value.home);
+        field.sender = put(value.sender);
+        field.sender_address = value.sender_address;
+        out.__set_fence(field);
+    }
+
+    void operator()(claims::fence_answer const& value) const
+    {
+        gen::FenceAnswer field;
+        field.claim = put(value.claim);
+        field.home = put(value.home);
+        field.state = static_cast<std::int8_t>(value.state);
+        field.result = put(value.result);
+        out.__set_fence_answer(field);
+    }
+
+    void operator()(config::pull const& value) const
+    {
+        gen::Pull field;
+        field.sender_address = value.sender_address;
+        field.after = static_cast<std::int64_t>(value.after);
+        out.__set_pull(field);
+    }
+
+    void operator()(config::deltas const& value) const
+    {
+        gen::Deltas field;
+        field.sender_address = value.sender_address;
+        field.snapshot_version =
+            static_cast<std::int64_t>(value.snapshot_version);
+        field.snapshot = value.snapshot;
+        field.entries = put_all<gen::Delta>(value.list);
+        out.__set_deltas(field);
+    }
+
+    void operator()(config::peer_version const& value) const
+    {
+        gen::PeerVersion field;
+        field.address = value.address;
+        field.version = static_cast<std::int64_t>(value.version);
+        out.__set_peer_version(field);
+    }
+
+    void operator()(members::sync const& value) const
+    {
+        gen::Sync field;
+        field.sender = put(value.sender);
+        field.sender_address = value.sender_address;
+        field.reply_wanted = value.reply_wanted;
+        field.digest = static_cast<std::int64_t>(value.digest);
+        field.peers = put_all<gen::PeerRecord>(value.peers);
+        field.servers = put_all<gen::ServerRecord>(value.servers);
+        out.__set_sync(field);
+    }
+
+    void operator()(members::packet const& value) const
+    {
+        gen::Packet field;
+        field.kind = static_cast<std::int8_t>(value.kind);
+        field.sender = put(value.sender);
+        field.sender_address = value.sender_address;
+        field.number = static_cast<std::int64_t>(value.number);
+        field.probe_address = value.probe_address;
+        field.config_version = static_cast<std::int64_t>(value.config_version);
+        field.peers = put_all<gen::PeerRecord>(value.peers);
+        field.servers = put_all<gen::ServerRecord>(value.servers);
+        field.statuses = put_all<gen::ServerStatus>(value.statuses);
+        out.__set_packet(field);
+    }
+};
+
+members::sync get(gen::Sync const& in)
+{
+    members::sync out;
+    out.sender = get(in.sender);
+    out.sender_address = in.sender_address;
+    out.reply_wanted = in.reply_wanted;
+    out.digest = static_cast<std::uint64_t>(in.digest);
+    out.peers = get_all<members::peer_record>(in.peers);
+    out.servers = get_all<members::server_record>(in.servers);
+    return out;
+}
+
+members::packet get(gen::Packet const& in)
+{
+    members::packet out;
+    out.kind = to_enum<members::packet_kind>(in.kind, 4);
+    out.sender = get(in.sender);
+    out.sender_address = in.sender_address;
+    out.number = static_cast<std::uint64_t>(in.number);
+    out.probe_address = in.probe_address;
+    out.config_version = static_cast<std::uint64_t>(in.config_version);
+    out.peers = get_all<members::peer_record>(in.peers);
+    out.servers = get_all<members::server_record>(in.servers);
+    out.statuses = get_all<server_status>(in.statuses);
+    return out;
+}
+
+} // namespace
+
+void to_thrift(peer::payload const& what, time_point now, gen::Message& out)
+{
+    std::visit(payload_writer{out, now}, what);
+}
+
+peer::payload from_thrift(gen::Message const& in, time_point now)
+{
+    if (in.__isset.work)
+        return get(in.work, now);
+    if (in.__isset.work_result)
+        return get(in.work_result);
+    if (in.__isset.cancel)
+        return admission::cancel{get_id(in.cancel), to_count(in.cancel.attempt),
+                                 get(in.cancel.origin)};
+    if (in.__isset.fence)
+        return claims::fence{get(in.fence.claim), get(in.fence.home),
+                             get(in.fence.sender), in.fence.sender_address};
+    if (in.__isset.fence_answer)
+        return claims::fence_answer{
+            get(in.fence_answer.claim), get(in.fence_answer.home),
+            to_enum<claims::fence_state>(in.fence_answer.state, 4),
+            get(in.fence_answer.result)};
+    if (in.__isset.pull)
+        return config::pull{in.pull.sender_address,
+                            static_cast<std::uint64_t>(in.pull.after)};
+    if (in.__isset.deltas)
+        return config::deltas{
+            in.deltas.sender_address,
+            static_cast<std::uint64_t>(in.deltas.snapshot_version),
+            in.deltas.snapshot, get_all<config::delta>(in.deltas.entries)};
+    if (in.__isset.peer_version)
+        return config::peer_version{
+            in.peer_version.address,
+            static_cast<std::uint64_t>(in.peer_version.version)};
+    if (in.__isset.sync)
+        return get(in.sync);
+    if (in.__isset.packet)
+        return get(in.packet);
+    return {};
+}
+
+} // namespace gooseberrycove::wire
