Add the peer, front and admin slices

Cause: daemons need streams and datagrams between them, an HTTP port for callers and one for operators and backend servers. Change: peer carries framed messages over one connection per pair and gives work back as not run when no byte of it was written, else as unknown. front holds the only file that includes RESTinio. admin maps the API to questions to other duties.

--- /dev/null
+++ b/src/admin/admin_thread.hpp
@@ -0,0 +1,42 @@
+#ifndef GOOSEBERRYCOVE_ADMIN_THREAD_HPP
+#define GOOSEBERRYCOVE_ADMIN_THREAD_HPP
+
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/key_set.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/metrics.hpp>
+#include <gooseberrycove/ring.hpp>
+#include <gooseberrycove/routing.hpp>
+
+#include <atomic>
+#include <string>
+#include <variant>
+
+namespace gooseberrycove::admin
+{
+
+/// The admin duty takes no messages; closing the ring ends it.
+using inbox = ring<std::monostate>;
+
+struct wiring
+{
+    /// `ip:port` for operators and backend servers.
+    std::string address;
+    std::string daemon_name;
+    key_set* admin_keys = nullptr;
+    key_set* announce_keys = nullptr;
+    metrics* counts = nullptr;
+    members::inbox* members = nullptr;
+    config::inbox* config = nullptr;
+    routing::inbox* routing = nullptr;
+    std::atomic<bool>* ready = nullptr;
+    std::atomic<bool>* draining = nullptr;
+};
+
+/// Runs until \p messages is closed.
+/// \throws error of kind internal when the address cannot be bound
+void run(inbox& messages, wiring const& to);
+
+} // namespace gooseberrycove::admin
+
+#endif
--- /dev/null
+++ b/src/admin/documents.cpp
@@ -0,0 +1,289 @@
+#include "documents.hpp"
+
+#include <gooseberrycove/settings.hpp>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace gooseberrycove::admin
+{
+
+namespace
+{
+
+using json = nlohmann::ordered_json;
+
+constexpr std::uint32_t max_slots = 10'000;
+constexpr std::uint32_t max_connections = 1'000'000;
+constexpr std::uint32_t min_lease_ms = 1'000;
+constexpr std::uint32_t max_lease_ms = 60'000;
+constexpr std::size_t max_name = 128;
+
+http::response as_json(json const& document, int status = 200)
+{
+    http::response out;
+    out.status = status;
+    out.content_type = "application/json";
+    out.body = document.dump(-1, ' ', false, json::error_handler_t::replace);
+    return out;
+}
+
+json to_json(std::span<config::delta const> patches)
+{
+    json list = json::array();
+    for (config::delta const& item : patches)
+    {
+        json entry{{"version", item.version},
+                   {"patch_id", item.patch_id},
+                   {"author", item.author}};
+        // A stored patch is valid JSON; keep the text should it not be.
+        json const patch = json::parse(item.patch, nullptr, false);
+        entry["patch"] = patch.is_discarded() ? json(item.patch) : patch;
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+std::string_view name_of(members::peer_state state)
+{
+    switch (state)
+    {
+    case members::peer_state::alive:
+        return "alive";
+    case members::peer_state::suspect:
+        return "suspect";
+    case members::peer_state::dead:
+        return "dead";
+    case members::peer_state::leaving:
+        break;
+    }
+    return "leaving";
+}
+
+std::string_view name_of(members::server_state state)
+{
+    switch (state)
+    {
+    case members::server_state::serving:
+        return "serving";
+    case members::server_state::draining:
+        return "draining";
+    case members::server_state::gone:
+        break;
+    }
+    return "gone";
+}
+
+[[noreturn]] void refuse(std::string_view member, std::string_view allowed)
+{
+    throw error(error_kind::bad_request,
+                fmt::format("/{}: allowed: {}", member, allowed));
+}
+
+std::string read_name(json const& from, char const* member)
+{
+    auto const found = from.find(member);
+    if (found == from.end() || !found->is_string())
+        refuse(member, "a text");
+    std::string value = *found;
+    if (value.empty() || value.size() > max_name)
+        refuse(member, "1 to 128 characters");
+    for (char const c : value)
+    {
+        bool const plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                           (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+                           c == '.' || c == ':' || c == '[' || c == ']';
+        if (!plain)
+            refuse(member, "letters, digits, - _ . : [ ]");
+    }
+    return value;
+}
+
+std::uint64_t read_number(json const& from, char const* member,
+                          std::uint64_t least, std::uint64_t most,
+                          std::uint64_t absent)
+{
+    auto const found = from.find(member);
+    if (found == from.end())
+        return absent;
+    if (!found->is_number_unsigned() || *found < least || *found > most)
+        refuse(member, fmt::format("an integer from {} to {}", least, most));
+    return *found;
+}
+
+} // namespace
+
+http::response refusal(error_kind kind, std::string_view detail)
+{
+    error_answer const& row = answer_of(kind);
+    http::response out;
+    out.status = row.status;
+    out.content_type = "application/problem+json";
+    out.body = problem_document(kind, detail, "");
+    if (row.retry_after_s > 0)
+        out.headers.emplace_back("Retry-After",
+                                 std::to_string(row.retry_after_s));
+    return out;
+}
+
+http::response to_response(config::patch_outcome const& what)
+{
+    if (what.kind == error_kind::none)
+    {
+        http::response out = as_json({{"version", what.version}});
+        out.headers.emplace_back("ETag", fmt::format("\"{}\"", what.version));
+        return out;
+    }
+    json document = json::parse(problem_document(what.kind, what.detail, ""));
+    if (what.kind == error_kind::stale_version)
+    {
+        document["version"] = what.version;
+        document["since"] = to_json(what.since);
+    }
+    if (what.kind == error_kind::invalid_patch)
+    {
+        json faults = json::array();
+        for (config::fault const& item : what.faults)
+            faults.push_back({{"path", item.path}, {"what", item.what}});
+        document["faults"] = std::move(faults);
+    }
+    http::response out = as_json(document, answer_of(what.kind).status);
+    out.content_type = "application/problem+json";
+    return out;
+}
+
+http::response history_response(std::span<config::delta const> patches)
+{
+    return as_json({{"patches", to_json(patches)}});
+}
+
+http::response servers_response(members::listing const& what)
+{
+    json list = json::array();
+    for (members::server_record const& item : what.servers)
+    {
+        json entry{{"server", item.server},
+                   {"service", item.service},
+                   {"state", name_of(item.state)},
+                   {"health", to_string(item.health)},
+                   {"score", item.score},
+                   {"slots", item.slots},
+                   {"home", fmt::format("{:016x}", item.home.id)}};
+        for (members::peer_record const& peer : what.peers)
+        {
+            if (peer.daemon.id != item.home.id)
+                continue;
+            entry["home_name"] = peer.name;
+            entry["home_admin"] = peer.admin_address;
+        }
+        for (server_status const& status : what.statuses)
+        {
+            if (status.server != item.server)
+                continue;
+            entry["in_flight"] = status.in_flight;
+            entry["queued"] = status.queued;
+        }
+        list.push_back(std::move(entry));
+    }
+    return as_json({{"servers", std::move(list)}});
+}
+
+http::response daemons_response(members::listing const& what)
+{
+    json list = json::array();
+    for (members::peer_record const& item : what.peers)
+        list.push_back({{"name", item.name},
+                        {"id", fmt::format("{:016x}", item.daemon.id)},
+                        {"incarnation", item.daemon.incarnation},
+                        {"data_centre", item.data_centre},
+                        {"address", item.address},
+                        {"admin", item.admin_address},
+                        {"state", name_of(item.state)},
+                        {"config_version", item.config_version}});
+    return as_json({{"daemons", std::move(list)}});
+}
+
+http::response services_response(std::span<routing::service_summary const> what)
+{
+    json list = json::array();
+    for (routing::service_summary const& item : what)
+        list.push_back({{"service", item.service},
+                        {"floor_slots", item.floor_slots},
+                        {"healthy_slots", item.healthy_slots},
+                        {"servers", item.servers},
+                        {"ejected", item.ejected}});
+    return as_json({{"services", std::move(list)}});
+}
+
+http::response explain_response(routing::explanation const& what)
+{
+    if (what.kind != error_kind::none)
+        return refusal(what.kind, "no routing decision for this request");
+    json list = json::array();
+    for (routing::explanation::entry const& item : what.candidates)
+        list.push_back({{"server", item.who.server},
+                        {"eligible", item.eligible},
+                        {"reason", item.reason},
+                        {"health", to_string(item.who.health)},
+                        {"state", name_of(item.who.state)},
+                        {"in_flight", item.who.in_flight},
+                        {"queued", item.who.queued},
+                        {"slots", item.who.slots},
+                        {"data_centre", item.who.home_data_centre}});
+    return as_json({{"route", what.route},
+                    {"service", what.service},
+                    {"priority", what.priority},
+                    {"repeatable", what.repeatable},
+                    {"floor_slots", what.floor_slots},
+                    {"healthy_slots", what.healthy_slots},
+                    {"candidates", std::move(list)}});
+}
+
+members::announcement read_announcement(std::string_view body)
+{
+    json const from = json::parse(body, nullptr, false);
+    if (!from.is_object())
+        throw error(error_kind::bad_request, "allowed: a JSON object");
+    members::announcement out;
+    out.server = read_name(from, "name");
+    out.service = read_name(from, "service");
+    out.address = read_name(from, "address");
+    if (!is_address(out.address))
+        refuse("address", "ip:port");
+    out.slots =
+        static_cast<std::uint32_t>(read_number(from, "slots", 1, max_slots, 1));
+    out.connections = static_cast<std::uint32_t>(
+        read_number(from, "connections", 1, max_connections, max_connections));
+    out.incarnation = read_number(from, "incarnation", 0, UINT64_MAX, 0);
+    out.lease = std::chrono::milliseconds(
+        read_number(from, "lease_ms", min_lease_ms, max_lease_ms, 6'000));
+    auto const state = from.find("state");
+    if (state != from.end() && *state != "serving" && *state != "draining")
+        refuse("state", "serving, draining");
+    if (state != from.end() && *state == "draining")
+        out.state = members::server_state::draining;
+    auto const load = from.find("load");
+    if (load != from.end() && !load->is_number())
+        refuse("load", "a number");
+    if (load != from.end())
+        out.load = *load;
+    return out;
+}
+
+std::uint64_t read_version(std::string_view if_match)
+{
+    std::string_view text = if_match;
+    if (text.size() >= 2 && text.front() == '"' && text.back() == '"')
+        text = text.substr(1, text.size() - 2);
+    std::uint64_t version = 0;
+    char const* const end = text.data() + text.size();
+    auto const parsed = std::from_chars(text.data(), end, version);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        throw error(error_kind::bad_request,
+                    "If-Match: allowed: the configuration version, as \"17\"");
+    return version;
+}
+
+} // namespace gooseberrycove::admin
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,159 @@
+#include <gooseberrycove/metrics.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace gooseberrycove
+{
+
+namespace
+{
+
+using counter_family = prometheus::Family<prometheus::Counter>;
+using gauge_family = prometheus::Family<prometheus::Gauge>;
+using histogram_family = prometheus::Family<prometheus::Histogram>;
+
+/// Seconds. Dense around the target of 3.9 ms for 99 in 100 requests.
+prometheus::Histogram::BucketBoundaries const added_latency_buckets{
+    0.0001, 0.00025, 0.0005, 0.001, 0.0015, 0.002, 0.0025, 0.003,
+    0.0035, 0.0039,  0.0045, 0.006, 0.01,   0.025, 0.1,    1};
+
+counter_family& add_counter(prometheus::Registry& registry, char const* name,
+                            char const* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+gauge_family& add_gauge(prometheus::Registry& registry, char const* name,
+                        char const* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+struct metrics::families
+{
+    prometheus::Registry registry;
+    counter_family& requests =
+        add_counter(registry, "gcove_requests_total",
+                    "Answers to callers by priority, outcome and status class");
+    histogram_family& added =
+        prometheus::BuildHistogram()
+            .Name("gcove_added_latency_seconds")
+            .Help("Time added to a request beside the backend server's time")
+            .Register(registry);
+    prometheus::Histogram& added_all = added.Add({}, added_latency_buckets);
+    counter_family& peer_bytes =
+        add_counter(registry, "gcove_peer_bytes_total",
+                    "Bytes exchanged with other daemons");
+    counter_family& refusals =
+        add_counter(registry, "gcove_refusals_total",
+                    "Refused requests and messages by place and error kind");
+    counter_family& ring_drops =
+        add_counter(registry, "gcove_ring_drops_total",
+                    "Messages dropped because a ring was full");
+    counter_family& retries =
+        add_counter(registry, "gcove_retries_total",
+                    "Further attempts of requests by reason");
+    counter_family& health =
+        add_counter(registry, "gcove_health_changes_total",
+                    "State changes of backend servers homed here");
+    prometheus::Gauge& config_version =
+        add_gauge(registry, "gcove_config_version",
+                  "Version of the configuration in force")
+            .Add({});
+    prometheus::Gauge& members_alive =
+        add_gauge(registry, "gcove_members", "Daemons known to be alive")
+            .Add({});
+    prometheus::Gauge& servers =
+        add_gauge(registry, "gcove_servers", "Backend servers in the directory")
+            .Add({});
+    prometheus::Gauge& services =
+        add_gauge(registry, "gcove_services", "Services in the directory")
+            .Add({});
+    prometheus::Gauge& in_flight =
+        add_gauge(registry, "gcove_requests_in_flight",
+                  "Callers' requests in flight at this daemon")
+            .Add({});
+};
+
+metrics::metrics() : m_families(std::make_unique<families>()) {}
+
+metrics::~metrics() = default;
+
+void metrics::count_request(std::string_view priority, outcome result,
+                            int status)
+{
+    m_families->requests
+        .Add({{"priority", std::string(priority)},
+              {"outcome", std::string(to_string(result))},
+              {"status", std::to_string(status / 100) + "xx"}})
+        .Increment();
+}
+
+void metrics::observe_added_latency(duration added)
+{
+    m_families->added_all.Observe(std::chrono::duration<double>(added).count());
+}
+
+void metrics::count_peer_bytes(direction way, std::string_view kind,
+                               std::size_t bytes)
+{
+    m_families->peer_bytes
+        .Add({{"direction", way == direction::in ? "in" : "out"},
+              {"kind", std::string(kind)}})
+        .Increment(static_cast<double>(bytes));
+}
+
+void metrics::count_refusal(std::string_view where, error_kind kind)
+{
+    m_families->refusals
+        .Add({{"where", std::string(where)},
+              {"kind", std::string(answer_of(kind).name)}})
+        .Increment();
+}
+
+void metrics::count_ring_drop(std::string_view duty)
+{
+    m_families->ring_drops.Add({{"duty", std::string(duty)}}).Increment();
+}
+
+void metrics::count_retry(std::string_view reason)
+{
+    m_families->retries.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void metrics::count_health_change(std::string_view state)
+{
+    m_families->health.Add({{"state", std::string(state)}}).Increment();
+}
+
+void metrics::set_config_version(std::uint64_t version)
+{
+    m_families->config_version.Set(static_cast<double>(version));
+}
+
+void metrics::set_members(std::size_t alive, std::size_t servers,
+                          std::size_t services)
+{
+    m_families->members_alive.Set(static_cast<double>(alive));
+    m_families->servers.Set(static_cast<double>(servers));
+    m_families->services.Set(static_cast<double>(services));
+}
+
+void metrics::set_in_flight(std::size_t requests)
+{
+    m_families->in_flight.Set(static_cast<double>(requests));
+}
+
+std::string metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(
+        m_families->registry.Collect());
+}
+
+} // namespace gooseberrycove
--- /dev/null
+++ b/src/front/http_listener.cpp
@@ -0,0 +1,197 @@
+#include <gooseberrycove/error.hpp>
+#include <gooseberrycove/http.hpp>
+#include <gooseberrycove/settings.hpp>
+
+#include <restinio/all.hpp>
+
+namespace gooseberrycove::http
+{
+
+namespace
+{
+
+/// Requests of one connection that wait for their answers in order.
+constexpr std::size_t max_pipelined = 8;
+constexpr std::size_t max_url = 8 * 1024;
+constexpr std::size_t max_header_value = 16 * 1024;
+/// A header that trickles in must not hold a connection forever.
+constexpr std::chrono::seconds read_limit{60};
+/// Longer than any request's deadline, so that deadlines decide.
+constexpr std::chrono::minutes handle_limit{10};
+
+struct closed_listener
+{
+    std::function<void(std::uint64_t)> on_closed;
+
+    void
+    state_changed(restinio::connection_state::notice_t const& notice) noexcept
+    {
+        auto const cause = notice.cause();
+        if (std::holds_alternative<restinio::connection_state::closed_t>(
+                cause) &&
+            on_closed)
+            on_closed(notice.connection_id());
+    }
+};
+
+struct traits : restinio::default_single_thread_traits_t
+{
+    using connection_state_listener_t = closed_listener;
+};
+
+class restinio_exchange : public exchange
+{
+public:
+    explicit restinio_exchange(restinio::request_handle_t request)
+        : m_request(std::move(request)),
+          m_method(m_request->header().method().c_str())
+    {
+    }
+
+    std::string_view method() const override { return m_method; }
+
+    std::string_view target() const override
+    {
+        return m_request->header().request_target();
+    }
+
+    std::string_view header(std::string_view name) const override
+    {
+        auto const value = m_request->header().opt_value_of(
+            restinio::string_view_t(name.data(), name.size()));
+        if (!value)
+            return {};
+        return {value->data(), value->size()};
+    }
+
+    std::string_view body() const override { return m_request->body(); }
+
+    std::uint64_t connection() const override
+    {
+        return m_request->connection_id();
+    }
+
+    void respond(response const& what) override
+    {
+        if (m_answered)
+            return;
+        m_answered = true;
+        auto builder = m_request->create_response(restinio::http_status_line_t(
+            restinio::http_status_code_t(
+                static_cast<std::uint16_t>(what.status)),
+            reason_of(what.status)));
+        if (!what.content_type.empty())
+            builder.append_header(restinio::http_field::content_type,
+                                  what.content_type);
+        for (auto const& [name, value] : what.headers)
+            builder.append_header(name, value);
+        if (what.close)
+            builder.connection_close();
+        builder.set_body(what.body);
+        builder.done();
+    }
+
+private:
+    static std::string reason_of(int status)
+    {
+        if (status < 300)
+            return "OK";
+        return status < 500 ? "Request Refused" : "Request Failed";
+    }
+
+    restinio::request_handle_t m_request;
+    std::string m_method;
+    bool m_answered = false;
+};
+
+} // namespace
+
+struct listener::implementation
+{
+    using server = restinio::http_server_t<traits>;
+
+    implementation(asio::io_context& context, std::string_view address,
+                   std::size_t max_body, handlers what)
+        : m_handlers(std::move(what)),
+          m_server(
+              restinio::external_io_context(context),
+              [&](auto& settings)
+              {
+                  auto const [host, port] = split_address(address);
+                  settings.address(host).port(port);
+                  settings.protocol(asio::ip::make_address(host).is_v6()
+                                        ? asio::ip::tcp::v6()
+                                        : asio::ip::tcp::v4());
+                  settings.request_handler(
+                      [this](auto request)
+                      {
+                          m_handlers.on_request(
+                              std::make_shared<restinio_exchange>(
+                                  std::move(request)));
+                          return restinio::request_accepted();
+                      });
+                  settings.connection_state_listener(
+                      std::make_shared<closed_listener>(closed_listener{
+                          [this](std::uint64_t connection)
+                          {
+                              if (m_handlers.on_closed)
+                                  m_handlers.on_closed(connection);
+                          }}));
+                  settings.max_pipelined_requests(max_pipelined);
+                  settings.read_next_http_message_timelimit(read_limit);
+                  settings.write_http_response_timelimit(read_limit);
+                  settings.handle_request_timeout(handle_limit);
+                  settings.incoming_http_msg_limits(
+                      restinio::incoming_http_msg_limits_t{}
+                          .max_url_size(max_url)
+                          .max_field_value_size(max_header_value)
+                          .max_body_size(max_body));
+                  settings.acceptor_options_setter(
+                      [](auto& options) {
+                          options.set_option(
+                              asio::ip::tcp::acceptor::reuse_address(true));
+                      });
+                  settings.socket_options_setter(
+                      [](auto& options)
+                      { options.set_option(asio::ip::tcp::no_delay(true)); });
+              })
+    {
+    }
+
+    handlers m_handlers;
+    server m_server;
+};
+
+listener::listener(asio::io_context& context, std::string_view address,
+                   std::size_t max_body, handlers what)
+    : m_implementation(std::make_unique<implementation>(
+          context, address, max_body, std::move(what)))
+{
+    std::exception_ptr failure;
+    m_implementation->m_server.open_async(
+        [] {}, [&failure](std::exception_ptr fault) { failure = fault; });
+    // The opening runs on the context; nothing else is queued on it yet.
+    context.poll();
+    context.restart();
+    if (failure)
+    {
+        try
+        {
+            std::rethrow_exception(failure);
+        }
+        catch (std::exception const& fault)
+        {
+            throw error(error_kind::internal,
+                        std::string(address) + ": " + fault.what());
+        }
+    }
+}
+
+listener::~listener() = default;
+
+void listener::stop()
+{
+    m_implementation->m_server.close_async([] {}, [](std::exception_ptr) {});
+}
+
+} // namespace gooseberrycove::http
--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -25,8 +25,14 @@
     int retry_after_s = 0;
 };
 
+/// Stops accepting connections; new requests on open ones are refused as not
+/// run, requests in flight are finished.
+struct drain
+{
+};
+
 /// Messages that the front duty takes.
-using message = std::variant<std::monostate, answer>;
+using message = std::variant<std::monostate, answer, drain>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::front
--- /dev/null
+++ b/src/include/gooseberrycove/http.hpp
@@ -0,0 +1,85 @@
+#ifndef GOOSEBERRYCOVE_HTTP_HPP
+#define GOOSEBERRYCOVE_HTTP_HPP
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gooseberrycove::http
+{
+
+struct response
+{
+    int status = 200;
+    std::string content_type;
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+    /// Closes the connection after this response.
+    bool close = false;
+};
+
+/// One request and the way to answer it. Used on the listener's thread only.
+class exchange
+{
+public:
+    virtual ~exchange() = default;
+
+    virtual std::string_view method() const = 0;
+    /// Path and query as sent.
+    virtual std::string_view target() const = 0;
+    /// Empty when the header is absent.
+    virtual std::string_view header(std::string_view name) const = 0;
+    virtual std::string_view body() const = 0;
+    /// Number of the connection, for the closed handler.
+    virtual std::uint64_t connection() const = 0;
+
+    /// Answers once; further calls are ignored.
+    virtual void respond(response const& what) = 0;
+};
+
+using exchange_ptr = std::shared_ptr<exchange>;
+
+struct handlers
+{
+    std::function<void(exchange_ptr)> on_request;
+    /// The connection ended, with or without open requests.
+    std::function<void(std::uint64_t connection)> on_closed;
+};
+
+/// HTTP server on one thread's io_context.
+class listener
+{
+public:
+    /// \param address  `ip:port`
+    /// \param max_body  larger bodies end the connection; bytes
+    /// \throws error of kind internal when the address cannot be bound
+    listener(asio::io_context& context, std::string_view address,
+             std::size_t max_body, handlers what);
+    ~listener();
+
+    /// Stops accepting connections. Open requests may still be answered.
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// Part of \p target before the query.
+std::string_view path_of(std::string_view target);
+
+/// Decoded value of a query parameter; empty when absent.
+std::string query_value(std::string_view target, std::string_view name);
+
+/// Token of an `Authorization: Bearer` header; empty for other values.
+std::string_view bearer_token(std::string_view authorization);
+
+} // namespace gooseberrycove::http
+
+#endif
--- /dev/null
+++ b/src/include/gooseberrycove/key_set.hpp
@@ -0,0 +1,42 @@
+#ifndef GOOSEBERRYCOVE_KEY_SET_HPP
+#define GOOSEBERRYCOVE_KEY_SET_HPP
+
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrycove
+{
+
+/// Shared keys read from a file, one per line. The first signs, all are
+/// accepted, so that a key can be rotated without a moment of refusal.
+class key_set
+{
+public:
+    /// \throws settings_error when the file cannot be read, holds no key or
+    ///     more than two keys
+    explicit key_set(std::string_view path);
+
+    /// Reads the file again; keeps the keys in use when it is unusable.
+    /// \throws settings_error as the constructor
+    void reload();
+
+    std::string current() const;
+    std::vector<std::string> all() const;
+
+    /// Compares with every key in time that depends only on the sizes.
+    bool accepts(std::string_view key) const;
+
+private:
+    std::string m_path;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_keys;
+};
+
+/// Compares in time that depends only on the sizes.
+bool equal_in_constant_time(std::string_view left, std::string_view right);
+
+} // namespace gooseberrycove
+
+#endif
--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -22,6 +22,8 @@
 class ring
 {
 public:
+    using message_type = Message;
+
     explicit ring(std::size_t capacity) : m_slots(capacity) {}
 
     ring(ring const&) = delete;
@@ -52,10 +54,12 @@
     }
 
     /// Moves all queued messages to the end of \p out without waiting.
-    void pop_all(std::vector<Message>& out)
+    /// Returns false when the ring is closed; no message comes after these.
+    bool pop_all(std::vector<Message>& out)
     {
         std::lock_guard lock(m_mutex);
         take(out);
+        return !m_closed;
     }
 
     /// Waits until a message is queued, the ring is closed or \p until has
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -66,11 +66,27 @@
     std::function<void(explanation&&)> deliver;
 };
 
+/// Capacity of one service as this daemon routes over it.
+struct service_summary
+{
+    std::string service;
+    std::uint32_t floor_slots = 0;
+    std::uint32_t healthy_slots = 0;
+    std::uint32_t servers = 0;
+    std::uint32_t ejected = 0;
+};
+
+struct services_request
+{
+    std::function<void(std::vector<service_summary>&&)> deliver;
+};
+
 /// Messages that the routing duty takes.
 using message =
     std::variant<std::monostate, caller_request, caller_gone, work_result,
                  claims::claim_result, claims::claim_released,
-                 members::service_view_ptr, config::in_force, explain_request>;
+                 members::service_view_ptr, config::in_force, explain_request,
+                 services_request>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::routing
--- a/src/include/gooseberrycove/wire.hpp
+++ b/src/include/gooseberrycove/wire.hpp
@@ -42,9 +42,6 @@
 /// Computes the code of \p frame again, for tests of the decoder.
 std::string reseal(std::string_view key, std::string_view frame);
 
-/// Compares in time that depends only on the sizes.
-bool equal_in_constant_time(std::string_view left, std::string_view right);
-
 } // namespace gooseberrycove::wire
 
 #endif
--- /dev/null
+++ b/src/peer/connection.cpp
@@ -0,0 +1,145 @@
+#include "connection.hpp"
+
+#include <gooseberrycove/wire.hpp>
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+namespace gooseberrycove::peer
+{
+
+namespace
+{
+
+std::size_t frame_length(std::span<unsigned char const, 4> bytes)
+{
+    std::size_t length = 0;
+    for (unsigned char const byte : bytes)
+        length = length << 8 | byte;
+    return length;
+}
+
+std::string with_length(std::string_view frame)
+{
+    std::string out;
+    out.reserve(frame.size() + 4);
+    for (int shift = 24; shift >= 0; shift -= 8)
+        out += static_cast<char>(frame.size() >> shift & 0xFF);
+    out += frame;
+    return out;
+}
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket, handlers what)
+    : m_socket(std::move(socket)), m_handlers(std::move(what))
+{
+}
+
+void connection::connect(asio::ip::tcp::endpoint const& target)
+{
+    m_socket.async_connect(target,
+                           [self = shared_from_this()](asio::error_code failure)
+                           {
+                               if (failure)
+                                   return self->end();
+                               self->start();
+                               self->write_next();
+                           });
+}
+
+void connection::start()
+{
+    m_connected = true;
+    asio::error_code ignored;
+    // Requests and answers are single small frames; waiting to fill a segment
+    // would add up to 40 ms.
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    read_length();
+}
+
+std::uint64_t connection::send(std::string frame)
+{
+    if (m_ended || m_finishing || m_queue.size() >= max_queued_frames)
+        return 0;
+    m_last_use = clock_now();
+    m_queue.push_back(with_length(frame));
+    if (m_connected && m_queue.size() == 1)
+        write_next();
+    return m_next_tag++;
+}
+
+void connection::finish()
+{
+    m_finishing = true;
+    if (m_queue.empty())
+        close();
+}
+
+void connection::close()
+{
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    end();
+}
+
+void connection::read_length()
+{
+    asio::async_read(
+        m_socket, asio::buffer(m_length),
+        [self = shared_from_this()](asio::error_code failure, std::size_t)
+        {
+            if (failure)
+                return self->end();
+            std::size_t const length = frame_length(self->m_length);
+            if (length == 0 || length > wire::max_frame)
+                return self->close();
+            self->m_incoming.resize(length);
+            self->read_frame();
+        });
+}
+
+void connection::read_frame()
+{
+    asio::async_read(
+        m_socket, asio::buffer(m_incoming),
+        [self = shared_from_this()](asio::error_code failure, std::size_t)
+        {
+            if (failure)
+                return self->end();
+            self->m_last_use = clock_now();
+            self->m_handlers.on_frame(*self, self->m_incoming);
+            if (!self->m_ended)
+                self->read_length();
+        });
+}
+
+void connection::write_next()
+{
+    if (m_queue.empty() || m_ended)
+        return;
+    ++m_last_started;
+    asio::async_write(
+        m_socket, asio::buffer(m_queue.front()),
+        [self = shared_from_this()](asio::error_code failure, std::size_t)
+        {
+            if (failure)
+                return self->end();
+            self->m_queue.pop_front();
+            if (self->m_queue.empty() && self->m_finishing)
+                return self->close();
+            self->write_next();
+        });
+}
+
+void connection::end()
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    m_handlers.on_end(*this, m_last_started);
+}
+
+} // namespace gooseberrycove::peer
--- /dev/null
+++ b/src/peer/peer_test.cpp
@@ -0,0 +1,139 @@
+#include "delivery.hpp"
+#include "peer_thread.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <thread>
+
+using namespace gooseberrycove;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{20};
+
+/// A peer thread with rings that only collect.
+struct node
+{
+    node(std::uint64_t id, std::string const& address, key_set& keys)
+    {
+        to.self = {id, 1};
+        to.address = address;
+        to.keys = &keys;
+        to.counts = &counts;
+        to.routing = &routing;
+        to.admission = &admission;
+        to.claims = &claims;
+        to.config = &config;
+        to.members = &members;
+        thread = std::thread([this] { peer::run(outbox, to); });
+    }
+
+    ~node()
+    {
+        outbox.close();
+        thread.join();
+    }
+
+    metrics counts;
+    routing::inbox routing{16};
+    admission::inbox admission{request_ring_capacity};
+    claims::inbox claims{16};
+    config::inbox config{16};
+    members::inbox members{16};
+    peer::inbox outbox{16};
+    peer::wiring to;
+    std::thread thread;
+};
+
+template <class Message>
+Message next(ring<Message>& from)
+{
+    std::vector<Message> out;
+    from.pop_until(out, clock_now() + patience);
+    REQUIRE(out.size() == 1);
+    return std::move(out.front());
+}
+
+std::string key_path()
+{
+    std::string const path = "peer_test.key";
+    std::ofstream(path) << "secret\n";
+    return path;
+}
+
+work work_for(std::uint64_t number, std::string const& origin)
+{
+    work what;
+    what.id = {0, number};
+    what.origin_address = origin;
+    what.body = std::string(100'000, 'b');
+    return what;
+}
+
+} // namespace
+
+TEST_CASE("work and its result travel between two daemons")
+{
+    key_set keys(key_path());
+    std::string const left_address = "127.0.0.1:17411";
+    std::string const right_address = "127.0.0.1:17412";
+    node left(1, left_address, keys);
+    node right(2, right_address, keys);
+
+    left.outbox.try_push(
+        peer::outgoing{right_address, work_for(7, left_address)});
+    auto const arrived = std::get<work>(next(right.admission));
+    CHECK(arrived.id == request_id{0, 7});
+    CHECK(arrived.body.size() == 100'000);
+
+    work_result result;
+    result.id = arrived.id;
+    result.body = "done";
+    right.outbox.try_push(peer::outgoing{arrived.origin_address, result});
+    CHECK(std::get<work_result>(next(left.routing)).body == "done");
+
+    members::packet packet;
+    packet.number = 5;
+    left.outbox.try_push(peer::outgoing{right_address, packet});
+    CHECK(std::get<members::packet>(next(right.members)).number == 5);
+}
+
+TEST_CASE("work for a home that cannot be reached comes back as not run")
+{
+    key_set keys(key_path());
+    node left(1, "127.0.0.1:17413", keys);
+    left.outbox.try_push(
+        peer::outgoing{"127.0.0.1:17414", work_for(8, "127.0.0.1:17413")});
+    auto const result = std::get<work_result>(next(left.routing));
+    CHECK(result.id == request_id{0, 8});
+    CHECK(result.result == outcome::not_run);
+}
+
+TEST_CASE("work whose home dies after it was sent has an unknown outcome")
+{
+    key_set keys(key_path());
+    node left(1, "127.0.0.1:17415", keys);
+    {
+        node right(2, "127.0.0.1:17416", keys);
+        left.outbox.try_push(
+            peer::outgoing{"127.0.0.1:17416", work_for(9, "127.0.0.1:17415")});
+        next(right.admission);
+    }
+    auto const result = std::get<work_result>(next(left.routing));
+    CHECK(result.result == outcome::unknown);
+}
+
+TEST_CASE("a full ring at the home refuses work as not run")
+{
+    metrics counts;
+    admission::inbox admission(answer_reserve);
+    peer::wiring to;
+    to.counts = &counts;
+    to.admission = &admission;
+    auto const refusal = peer::deliver(work_for(1, "127.0.0.1:1"), to);
+    REQUIRE(refusal);
+    CHECK(refusal->address == "127.0.0.1:1");
+    CHECK(std::get<work_result>(refusal->what).result == outcome::not_run);
+}
--- /dev/null
+++ b/src/peer/peer_thread.cpp
@@ -0,0 +1,365 @@
+#include "peer_thread.hpp"
+
+#include "connection.hpp"
+#include "delivery.hpp"
+#include <gooseberrycove/event.hpp>
+#include <gooseberrycove/settings.hpp>
+#include <gooseberrycove/wire.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace gooseberrycove::peer
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+using asio::ip::udp;
+
+/// A connection without use for this long is closed: at the target's size a
+/// daemon talks to most others only now and then.
+constexpr std::chrono::seconds idle_limit{60};
+constexpr std::chrono::seconds sweep_interval{5};
+/// A connect attempt that takes longer counts as unreachable.
+constexpr std::chrono::seconds connect_limit{2};
+/// Time for queued frames when the daemon stops.
+constexpr std::chrono::seconds finish_limit{2};
+constexpr std::size_t max_datagram = 65'507;
+
+struct sent_work
+{
+    connection* carrier = nullptr;
+    std::uint64_t tag = 0;
+    std::uint32_t attempt = 0;
+    std::string address;
+};
+
+using attempt_key = std::pair<request_id, std::uint32_t>;
+
+struct attempt_key_hash
+{
+    std::size_t operator()(attempt_key const& key) const noexcept
+    {
+        return request_id_hash()(key.first) + key.second;
+    }
+};
+
+/// Sockets and connections of the peer thread.
+class peer_loop
+{
+public:
+    peer_loop(inbox& messages, wiring const& to);
+    void run();
+
+private:
+    tcp::endpoint endpoint_of(std::string_view address) const;
+    void bind();
+    void accept();
+    void receive();
+    void drain_inbox();
+    void send(outgoing const& what);
+    void send_datagram(std::string_view address, std::string const& frame);
+    void send_stream(outgoing const& what, std::string frame);
+    connection& connection_to(std::string const& address);
+    std::shared_ptr<connection> make_connection(tcp::socket socket);
+    void on_frame(connection* from, std::string_view frame);
+    void on_end(connection& ended, std::uint64_t last_written);
+    void give_back(sent_work const& lost, request_id id, bool sent);
+    void sweep();
+    void finish();
+
+    inbox& m_messages;
+    wiring const& m_to;
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor{m_context};
+    udp::socket m_datagrams{m_context};
+    asio::steady_timer m_sweep_timer{m_context};
+    std::vector<char> m_datagram = std::vector<char>(max_datagram);
+    udp::endpoint m_datagram_sender;
+    std::unordered_set<std::shared_ptr<connection>> m_connections;
+    std::unordered_map<std::string, connection*> m_by_address;
+    std::unordered_map<attempt_key, sent_work, attempt_key_hash> m_sent;
+    std::vector<message> m_batch;
+    bool m_finishing = false;
+};
+
+peer_loop::peer_loop(inbox& messages, wiring const& to)
+    : m_messages(messages), m_to(to)
+{
+}
+
+tcp::endpoint peer_loop::endpoint_of(std::string_view address) const
+{
+    auto const [host, port] = split_address(address);
+    return {asio::ip::make_address(host), port};
+}
+
+void peer_loop::bind()
+{
+    tcp::endpoint const own = endpoint_of(m_to.address);
+    m_acceptor.open(own.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(own);
+    m_acceptor.listen();
+    udp::endpoint const own_udp(own.address(), own.port());
+    m_datagrams.open(own_udp.protocol());
+    m_datagrams.bind(own_udp);
+}
+
+void peer_loop::run()
+{
+    bind();
+    m_messages.set_waker([this]
+                         { asio::post(m_context, [this] { drain_inbox(); }); });
+    asio::post(m_context, [this] { drain_inbox(); });
+    accept();
+    receive();
+    sweep();
+    m_context.run();
+}
+
+void peer_loop::accept()
+{
+    m_acceptor.async_accept(
+        [this](asio::error_code failure, tcp::socket socket)
+        {
+            if (m_finishing)
+                return;
+            if (!failure)
+                make_connection(std::move(socket))->start();
+            accept();
+        });
+}
+
+void peer_loop::receive()
+{
+    m_datagrams.async_receive_from(
+        asio::buffer(m_datagram), m_datagram_sender,
+        [this](asio::error_code failure, std::size_t size)
+        {
+            if (m_finishing)
+                return;
+            if (!failure)
+                on_frame(nullptr, {m_datagram.data(), size});
+            receive();
+        });
+}
+
+void peer_loop::drain_inbox()
+{
+    bool const open = m_messages.pop_all(m_batch);
+    for (message& item : m_batch)
+    {
+        if (auto const* what = std::get_if<outgoing>(&item))
+            send(*what);
+    }
+    m_batch.clear();
+    if (!open && !m_finishing)
+        finish();
+}
+
+void peer_loop::send(outgoing const& what)
+{
+    std::string frame =
+        wire::encode(m_to.keys->current(), m_to.self, what.what, clock_now());
+    m_to.counts->count_peer_bytes(direction::out,
+                                  carries_work(what.what) ? "work" : "control",
+                                  frame.size());
+    if (std::holds_alternative<members::packet>(what.what))
+        return send_datagram(what.address, frame);
+    send_stream(what, std::move(frame));
+}
+
+void peer_loop::send_datagram(std::string_view address,
+                              std::string const& frame)
+{
+    if (!is_address(address))
+        return;
+    tcp::endpoint const target = endpoint_of(address);
+    asio::error_code ignored;
+    m_datagrams.send_to(asio::buffer(frame),
+                        udp::endpoint(target.address(), target.port()), 0,
+                        ignored);
+}
+
+void peer_loop::send_stream(outgoing const& what, std::string frame)
+{
+    auto const* const carried = std::get_if<work>(&what.what);
+    sent_work record{nullptr, 0, 0, what.address};
+    if (carried)
+        record.attempt = carried->attempt;
+    if (!is_address(what.address))
+    {
+        if (carried)
+            give_back(record, carried->id, false);
+        return;
+    }
+    connection& stream = connection_to(what.address);
+    // The entry exists before the frame can fail, so that a failure inside
+    // send() finds it.
+    if (carried)
+        m_sent[{carried->id, carried->attempt}] = record;
+    std::uint64_t const tag = stream.send(std::move(frame));
+    if (!carried)
+        return;
+    attempt_key const key{carried->id, carried->attempt};
+    if (tag == 0)
+    {
+        m_sent.erase(key);
+        return give_back(record, carried->id, false);
+    }
+    m_sent[key].carrier = &stream;
+    m_sent[key].tag = tag;
+}
+
+connection& peer_loop::connection_to(std::string const& address)
+{
+    auto const known = m_by_address.find(address);
+    if (known != m_by_address.end() && !known->second->ended())
+        return *known->second;
+    auto const made = make_connection(tcp::socket(m_context));
+    made->address = address;
+    m_by_address[address] = made.get();
+    made->connect(endpoint_of(address));
+    auto const limit = std::make_shared<asio::steady_timer>(m_context);
+    limit->expires_after(connect_limit);
+    limit->async_wait(
+        [limit, weak = std::weak_ptr(made)](asio::error_code failure)
+        {
+            auto const pending = weak.lock();
+            if (!failure && pending && !pending->connected())
+                pending->close();
+        });
+    return *made;
+}
+
+std::shared_ptr<connection> peer_loop::make_connection(tcp::socket socket)
+{
+    connection::handlers what;
+    what.on_frame = [this](connection& from, std::string_view frame)
+    { on_frame(&from, frame); };
+    what.on_end = [this](connection& ended, std::uint64_t last_written)
+    { on_end(ended, last_written); };
+    auto const made =
+        std::make_shared<connection>(std::move(socket), std::move(what));
+    m_connections.insert(made);
+    return made;
+}
+
+void peer_loop::on_frame(connection* from, std::string_view frame)
+{
+    try
+    {
+        wire::message decoded =
+            wire::decode(frame, m_to.keys->all(), clock_now());
+        m_to.counts->count_peer_bytes(
+            direction::in, carries_work(decoded.what) ? "work" : "control",
+            frame.size());
+        if (auto const* result = std::get_if<work_result>(&decoded.what))
+            m_sent.erase({result->id, result->attempt});
+        std::string_view const reply = reply_address(decoded.what);
+        if (from && from->address.empty() && !reply.empty())
+        {
+            // Answers go back on the stream that brought the request.
+            from->address = reply;
+            m_by_address.try_emplace(from->address, from);
+        }
+        auto const refusal = deliver(std::move(decoded.what), m_to);
+        if (refusal)
+            send(*refusal);
+    }
+    catch (error const& fault)
+    {
+        m_to.counts->count_refusal("peer", fault.kind());
+        log_warning(event_line(event::peer_refused)
+                        .field("kind", answer_of(fault.kind()).name)
+                        .field("detail", fault.what()));
+        if (from)
+            from->close();
+    }
+}
+
+void peer_loop::on_end(connection& ended, std::uint64_t last_written)
+{
+    auto const known = m_by_address.find(ended.address);
+    if (known != m_by_address.end() && known->second == &ended)
+        m_by_address.erase(known);
+    for (auto item = m_sent.begin(); item != m_sent.end();)
+    {
+        if (item->second.carrier != &ended)
+        {
+            ++item;
+            continue;
+        }
+        give_back(item->second, item->first.first,
+                  item->second.tag <= last_written);
+        item = m_sent.erase(item);
+    }
+    if (!ended.address.empty())
+        log_info(event_line(event::peer_connection_lost)
+                     .field("address", ended.address));
+    // The connection is still on the call stack of its own handler.
+    asio::post(m_context,
+               [this, gone = ended.shared_from_this()]
+               {
+                   m_connections.erase(gone);
+                   if (m_finishing && m_connections.empty())
+                       m_context.stop();
+               });
+}
+
+void peer_loop::give_back(sent_work const& lost, request_id id, bool sent)
+{
+    m_to.routing->try_push(lost_work(id, lost.attempt, sent, lost.address));
+}
+
+void peer_loop::sweep()
+{
+    m_sweep_timer.expires_after(sweep_interval);
+    m_sweep_timer.async_wait(
+        [this](asio::error_code failure)
+        {
+            if (failure || m_finishing)
+                return;
+            time_point const oldest = clock_now() - idle_limit;
+            auto const connections = m_connections;
+            for (auto const& item : connections)
+            {
+                if (item->last_use() < oldest && !item->writing())
+                    item->close();
+            }
+            sweep();
+        });
+}
+
+void peer_loop::finish()
+{
+    m_finishing = true;
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    m_datagrams.close(ignored);
+    m_sweep_timer.cancel();
+    auto const connections = m_connections;
+    for (auto const& item : connections)
+        item->finish();
+    m_sweep_timer.expires_after(finish_limit);
+    m_sweep_timer.async_wait([this](asio::error_code) { m_context.stop(); });
+    if (m_connections.empty())
+        m_context.stop();
+}
+
+} // namespace
+
+void run(inbox& messages, wiring const& to)
+{
+    peer_loop(messages, to).run();
+}
+
+} // namespace gooseberrycove::peer
--- /dev/null
+++ b/src/peer/peer_thread.hpp
@@ -0,0 +1,32 @@
+#ifndef GOOSEBERRYCOVE_PEER_THREAD_HPP
+#define GOOSEBERRYCOVE_PEER_THREAD_HPP
+
+#include <gooseberrycove/key_set.hpp>
+#include <gooseberrycove/metrics.hpp>
+#include <gooseberrycove/peer.hpp>
+#include <gooseberrycove/routing.hpp>
+
+namespace gooseberrycove::peer
+{
+
+struct wiring
+{
+    daemon_ref self;
+    /// `ip:port` for both TCP and UDP.
+    std::string address;
+    key_set* keys = nullptr;
+    metrics* counts = nullptr;
+    routing::inbox* routing = nullptr;
+    admission::inbox* admission = nullptr;
+    claims::inbox* claims = nullptr;
+    config::inbox* config = nullptr;
+    members::inbox* members = nullptr;
+};
+
+/// Runs until \p messages is closed, then writes what is queued and returns.
+/// \throws error of kind internal when the address cannot be bound
+void run(inbox& messages, wiring const& to);
+
+} // namespace gooseberrycove::peer
+
+#endif
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -1,7 +1,7 @@
 #include "convert.hpp"
+#include <gooseberrycove/key_set.hpp>
 #include <gooseberrycove/wire.hpp>
 
-#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -110,10 +110,4 @@
     return out;
 }
 
-bool equal_in_constant_time(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() &&
-           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
 } // namespace gooseberrycove::wire
