Add the platform stand-in and the store duty

The store duty talks to the platform's table and object service through libcurl's multi interface.

store::client installs the ring's waker in its constructor, so that it can be constructed before other threads push.

The stand-in takes half of the delay of a slow call before its effect, so a write can take effect after its client gave up.

--- /dev/null
+++ b/src/fake_platform/json_codec.cpp
@@ -0,0 +1,179 @@
+#include "fake_platform/json_codec.hpp"
+
+#include <gooseberrycove/error.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace gooseberrycove::fake_platform
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// A call is slower than this only when its connection would be closed first;
+/// see handle_request_timeout in http.cpp.
+constexpr std::int64_t max_slow_ms = 10'000;
+
+constexpr std::size_t max_scan_limit = 1000;
+
+std::string_view parameter(http_call const& call, std::string_view name)
+{
+    auto const found = call.query.find(name);
+    return found == call.query.end() ? std::string_view() : found->second;
+}
+
+store::transaction parse_transaction(std::string_view body)
+{
+    json const document = json::parse(body);
+    store::transaction result;
+    for (json const& item : document.value("conditions", json::array()))
+        result.conditions.push_back({item.at("key"), item.at("version")});
+    for (json const& item : document.value("puts", json::array()))
+        result.puts.push_back({item.at("key"), item.at("value")});
+    for (json const& item : document.value("deletes", json::array()))
+        result.deletes.push_back(item);
+    return result;
+}
+
+store::scan_rows parse_scan(http_call const& call)
+{
+    store::scan_rows result;
+    result.prefix = parameter(call, "prefix");
+    result.after = parameter(call, "after");
+    std::string_view const limit = parameter(call, "limit");
+    if (limit.empty())
+        return result;
+    char const* const end = limit.data() + limit.size();
+    auto const parsed = std::from_chars(limit.data(), end, result.limit);
+    if (parsed.ec != std::errc() || parsed.ptr != end || result.limit < 1 ||
+        result.limit > max_scan_limit)
+        throw error(error_kind::bad_request, "limit: allowed: 1 to 1000");
+    return result;
+}
+
+json rows_of(store::reply const& reply)
+{
+    json rows = json::array();
+    for (store::row const& row : reply.rows)
+        rows.push_back(
+            {{"key", row.key}, {"version", row.version}, {"value", row.value}});
+    return rows;
+}
+
+} // namespace
+
+store::operation parse_operation(http_call const& call,
+                                 std::string_view object_name)
+{
+    bool const get = call.method == "GET";
+    try
+    {
+        if (call.method == "POST" && call.path == "/table/transact")
+            return parse_transaction(call.body);
+        if (get && call.path == "/table/row")
+            return store::get_row{std::string(parameter(call, "key"))};
+        if (get && call.path == "/table/scan")
+            return parse_scan(call);
+    }
+    catch (json::exception const& fault)
+    {
+        throw error(error_kind::bad_request, fault.what());
+    }
+    if (get && !object_name.empty())
+        return store::get_object{std::string(object_name)};
+    if (call.method == "PUT" && !object_name.empty())
+        return store::put_object{std::string(object_name), call.body};
+    throw error(error_kind::no_route, call.method + ' ' + call.path);
+}
+
+http_answer render_reply(store::operation const& what,
+                         store::reply const& reply)
+{
+    if (reply.result == store::status::not_found)
+        return render_problem(404, "not found");
+    if (reply.result == store::status::condition_failed)
+        return {409, json{{"failed", rows_of(reply)}}.dump()};
+    if (std::holds_alternative<store::get_object>(what))
+        return {200, reply.content};
+    if (std::holds_alternative<store::get_row>(what))
+        return {200, rows_of(reply).at(0).dump()};
+    if (std::holds_alternative<store::scan_rows>(what))
+        return {200, json{{"rows", rows_of(reply)}}.dump()};
+    json versions = json::object();
+    for (store::row const& row : reply.rows)
+        versions[row.key] = row.version;
+    return {200, json{{"versions", versions}}.dump()};
+}
+
+void parse_faults(std::string_view body, faults& in_force)
+{
+    faults result = in_force;
+    try
+    {
+        json const document = json::parse(body);
+        std::string const mode = document.value("mode", "");
+        if (mode == "up")
+            result.mode = mode::up;
+        else if (mode == "down")
+            result.mode = mode::down;
+        else if (mode == "slow")
+            result.mode = mode::slow;
+        else if (document.contains("mode"))
+            throw error(error_kind::bad_request, "mode: allowed: up down slow");
+        std::int64_t const slow = document.value(
+            "slow_ms",
+            static_cast<std::int64_t>(result.slow_time.count() / 1000));
+        if (slow < 0 || slow > max_slow_ms)
+            throw error(error_kind::bad_request,
+                        "slow_ms: allowed: 0 to 10000");
+        result.slow_time = std::chrono::milliseconds(slow);
+        result.lose_reply = document.value("lose_reply", result.lose_reply);
+        if (!(result.lose_reply >= 0 && result.lose_reply <= 1))
+            throw error(error_kind::bad_request, "lose_reply: allowed: 0 to 1");
+        result.cut_requests =
+            document.value("cut_requests", result.cut_requests);
+        result.cut_replies = document.value("cut_replies", result.cut_replies);
+    }
+    catch (json::exception const& fault)
+    {
+        throw error(error_kind::bad_request, fault.what());
+    }
+    in_force = std::move(result);
+}
+
+std::string render_faults(faults const& in_force)
+{
+    constexpr std::string_view modes[] = {"up", "down", "slow"};
+    return json{{"mode", modes[static_cast<int>(in_force.mode)]},
+                {"slow_ms", in_force.slow_time.count() / 1000},
+                {"lose_reply", in_force.lose_reply},
+                {"cut_requests", in_force.cut_requests},
+                {"cut_replies", in_force.cut_replies}}
+        .dump();
+}
+
+std::string render_counters(state const& platform)
+{
+    counters const& count = platform.count;
+    return json{{"reads", count.reads},
+                {"writes", count.writes},
+                {"conflicts", count.conflicts},
+                {"over_rate", count.over_rate},
+                {"refused_down", count.refused_down},
+                {"cut_requests", count.cut_requests},
+                {"lost_replies", count.lost_replies},
+                {"rows", platform.rows.size()},
+                {"objects", platform.objects.size()}}
+        .dump();
+}
+
+http_answer render_problem(int status, std::string_view detail)
+{
+    return {status, json{{"status", status}, {"detail", detail}}.dump()};
+}
+
+} // namespace gooseberrycove::fake_platform
--- /dev/null
+++ b/src/fake_platform/platform.cpp
@@ -0,0 +1,174 @@
+#include "fake_platform/platform.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::fake_platform
+{
+
+namespace
+{
+
+/// SplitMix64, scaled to 0 <= x < 1.
+double next_random(std::uint64_t& random)
+{
+    random += 0x9E3779B97F4A7C15;
+    std::uint64_t x = random;
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9;
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EB;
+    x ^= x >> 31;
+    return static_cast<double>(x >> 11) * 0x1.0p-53;
+}
+
+bool take_token(rate_limit& limit, time_point now)
+{
+    std::chrono::duration<double> const passed = now - limit.refilled;
+    limit.refilled = now;
+    limit.tokens = std::min(limit.per_second,
+                            limit.tokens + passed.count() * limit.per_second);
+    if (limit.tokens < 1)
+        return false;
+    limit.tokens -= 1;
+    return true;
+}
+
+bool contains(std::vector<std::string> const& clients, std::string_view client)
+{
+    return std::find(clients.begin(), clients.end(), client) != clients.end();
+}
+
+store::row row_of(state const& platform, std::string_view key)
+{
+    auto const found = platform.rows.find(key);
+    if (found == platform.rows.end())
+        return {std::string(key), 0, {}};
+    return {found->first, found->second.version, found->second.value};
+}
+
+store::reply run(state& platform, store::get_row const& what)
+{
+    store::reply reply;
+    reply.rows.push_back(row_of(platform, what.key));
+    reply.result = reply.rows[0].version == 0 ? store::status::not_found
+                                              : store::status::ok;
+    return reply;
+}
+
+store::reply run(state& platform, store::scan_rows const& what)
+{
+    store::reply reply;
+    reply.result = store::status::ok;
+    auto row = what.after.empty() ? platform.rows.lower_bound(what.prefix)
+                                  : platform.rows.upper_bound(what.after);
+    for (; row != platform.rows.end() && reply.rows.size() < what.limit; ++row)
+    {
+        if (row->first < what.prefix)
+            continue;
+        if (!row->first.starts_with(what.prefix))
+            break;
+        reply.rows.push_back(
+            {row->first, row->second.version, row->second.value});
+    }
+    return reply;
+}
+
+store::reply run(state& platform, store::transaction const& what)
+{
+    store::reply reply;
+    for (store::condition const& condition : what.conditions)
+    {
+        store::row row = row_of(platform, condition.key);
+        if (row.version != condition.version)
+            reply.rows.push_back(std::move(row));
+    }
+    if (!reply.rows.empty())
+    {
+        ++platform.count.conflicts;
+        reply.result = store::status::condition_failed;
+        return reply;
+    }
+    for (store::put const& put : what.puts)
+    {
+        platform.rows[put.key] = {++platform.last_version, put.value};
+        reply.rows.push_back({put.key, platform.last_version, {}});
+    }
+    for (std::string const& key : what.deletes)
+        platform.rows.erase(key);
+    reply.result = store::status::ok;
+    return reply;
+}
+
+store::reply run(state& platform, store::get_object const& what)
+{
+    store::reply reply;
+    auto const found = platform.objects.find(what.name);
+    reply.result = store::status::not_found;
+    if (found == platform.objects.end())
+        return reply;
+    reply.result = store::status::ok;
+    reply.content = found->second;
+    return reply;
+}
+
+store::reply run(state& platform, store::put_object const& what)
+{
+    platform.objects[what.name] = what.content;
+    store::reply reply;
+    reply.result = store::status::ok;
+    return reply;
+}
+
+} // namespace
+
+state make_state(double reads_per_s, double writes_per_s, std::uint64_t seed,
+                 time_point now)
+{
+    state platform;
+    platform.reads = {reads_per_s, reads_per_s, now};
+    platform.writes = {writes_per_s, writes_per_s, now};
+    platform.random = seed;
+    return platform;
+}
+
+admission on_call(state& platform, std::string_view client, bool is_write,
+                  time_point now)
+{
+    using answer = admission::answer;
+    faults const& faults = platform.faults;
+    if (contains(faults.cut_requests, client))
+    {
+        ++platform.count.cut_requests;
+        return {answer::none};
+    }
+    if (faults.mode == mode::down)
+    {
+        ++platform.count.refused_down;
+        return {answer::down};
+    }
+    if (!take_token(is_write ? platform.writes : platform.reads, now))
+    {
+        ++platform.count.over_rate;
+        return {answer::over_rate};
+    }
+    ++(is_write ? platform.count.writes : platform.count.reads);
+    bool const lost = next_random(platform.random) < faults.lose_reply ||
+                      contains(faults.cut_replies, client);
+    if (lost)
+        ++platform.count.lost_replies;
+    duration const delay =
+        faults.mode == mode::slow ? faults.slow_time : duration{0};
+    return {answer::run, lost, delay};
+}
+
+store::reply on_operation(state& platform, store::operation const& what)
+{
+    return std::visit(
+        [&](auto const& operation) { return run(platform, operation); }, what);
+}
+
+bool is_write(store::operation const& what)
+{
+    return std::holds_alternative<store::transaction>(what) ||
+           std::holds_alternative<store::put_object>(what);
+}
+
+} // namespace gooseberrycove::fake_platform
--- /dev/null
+++ b/src/fake_platform/platform.hpp
@@ -0,0 +1,107 @@
+#ifndef GOOSEBERRYCOVE_FAKE_PLATFORM_PLATFORM_HPP
+#define GOOSEBERRYCOVE_FAKE_PLATFORM_PLATFORM_HPP
+
+#include <gooseberrycove/store.hpp>
+#include <gooseberrycove/types.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrycove::fake_platform
+{
+
+enum class mode
+{
+    up,
+    down, ///< every call is answered 503
+    slow  ///< every call takes slow_time
+};
+
+/// Faults in force; POST /faults replaces those that it names.
+struct faults
+{
+    gooseberrycove::fake_platform::mode mode = mode::up;
+    duration slow_time{0};
+    /// Probability that the reply to a call is lost after it took effect.
+    double lose_reply = 0;
+    /// Clients whose calls do not arrive.
+    std::vector<std::string> cut_requests;
+    /// Clients whose calls take effect but get no reply.
+    std::vector<std::string> cut_replies;
+};
+
+/// Token bucket that holds at most one second's worth.
+struct rate_limit
+{
+    double per_second = 0;
+    double tokens = 0;
+    time_point refilled;
+};
+
+struct counters
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t over_rate = 0;
+    std::uint64_t refused_down = 0;
+    std::uint64_t cut_requests = 0;
+    std::uint64_t lost_replies = 0;
+};
+
+struct stored_value
+{
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+struct state
+{
+    std::map<std::string, stored_value, std::less<>> rows;
+    std::map<std::string, std::string, std::less<>> objects;
+    /// Version of the last write. One counter for all keys, so that the
+    /// versions of a key rise even when its row is deleted in between.
+    std::uint64_t last_version = 0;
+    gooseberrycove::fake_platform::faults faults;
+    rate_limit reads;
+    rate_limit writes;
+    counters count;
+    std::uint64_t random = 1;
+};
+
+state make_state(double reads_per_s, double writes_per_s, std::uint64_t seed,
+                 time_point now);
+
+/// How a call is to be treated before its operation runs.
+struct admission
+{
+    enum class answer
+    {
+        run,
+        none,      ///< the call never arrived
+        over_rate, ///< 429
+        down       ///< 503
+    };
+    answer what = answer::run;
+    /// The operation runs, but its reply is not sent.
+    bool lose_reply = false;
+    /// Time that the call takes; half of it passes before its effect.
+    duration delay{0};
+};
+
+/// Applies the faults and the rate limits to a call of \p client.
+admission on_call(state& platform, std::string_view client, bool is_write,
+                  time_point now);
+
+/// Runs the operation. reply::result is never refused or unknown.
+store::reply on_operation(state& platform, store::operation const& what);
+
+/// Whether the operation counts against the limit of writes.
+bool is_write(store::operation const& what);
+
+} // namespace gooseberrycove::fake_platform
+
+#endif
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -5,6 +5,7 @@
 #include <gooseberrycove/types.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -100,9 +101,31 @@
 /// Calls that may wait in the store's ring; further ones are refused.
 inline constexpr std::size_t inbox_capacity = 1024;
 
-/// Runs until \p requests is closed; finishes calls in flight first.
-/// \param base_url  `http://ip:port` of the platform's service
-/// \param client    name sent as X-Client
+/// Client of the platform's service. Its constructor installs the ring's waker,
+/// so construct it before other threads push into the ring.
+class client
+{
+public:
+    /// \param base_url  `http://ip:port` of the platform's service
+    /// \param name      sent as X-Client
+    client(inbox& requests, std::string_view base_url, std::string_view name);
+
+    client(client const&) = delete;
+    client& operator=(client const&) = delete;
+
+    /// Runs until the ring is closed; finishes calls in flight first.
+    void run();
+
+private:
+    inbox& m_requests;
+    std::string m_base_url;
+    std::string m_name;
+    /// Handle of libcurl's multi interface.
+    std::shared_ptr<void> m_multi;
+};
+
+/// Constructs a client and runs it. For use when no other thread pushes into
+/// \p requests before.
 void run(inbox& requests, std::string_view base_url, std::string_view client);
 
 } // namespace gooseberrycove::store
