Add the routing duty

Decides for each caller request: authentication, rate limit, route, claim step, choice of server under the floor rule, retry, hedging and timeouts.

--- /dev/null
+++ b/src/routing/attempts.cpp
@@ -0,0 +1,212 @@
+#include "attempts.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::routing
+{
+
+namespace
+{
+
+std::vector<daemon_ref> tried_homes(request const& what)
+{
+    std::vector<daemon_ref> homes;
+    for (attempt const& tried : what.attempts)
+        homes.push_back(tried.home);
+    return homes;
+}
+
+struct target
+{
+    choice chosen;
+    std::string address;
+};
+
+/// The next home that the claim names and that still has a usable server.
+target next_claimed(service_state const& service, request const& what,
+                    std::span<standing const> standings)
+{
+    std::vector<daemon_ref> const tried = tried_homes(what);
+    for (claims::claim_home const& home : what.claim.homes)
+    {
+        if (std::find(tried.begin(), tried.end(), home.daemon) != tried.end())
+            continue;
+        members::candidate const* best = nullptr;
+        standing best_standing = standing::ejected;
+        for (std::size_t i = 0; i < standings.size(); ++i)
+        {
+            members::candidate const& who = service.candidates[i];
+            if (who.home != home.daemon || standings[i] >= best_standing ||
+                who.health == health_state::probation)
+                continue;
+            best = &who;
+            best_standing = standings[i];
+        }
+        if (best)
+            return {{best, "named_in_claim", standings.size() - 1},
+                    home.address};
+    }
+    return {};
+}
+
+target next_target(state& self, service_state const& service,
+                   request const& what, time_point now)
+{
+    assessment const found =
+        assess(service.candidates, service.floor_slots, self.evidence, now);
+    if (!what.repeatable)
+        return next_claimed(service, what, found.standings);
+    std::vector<daemon_ref> const tried = tried_homes(what);
+    choice const chosen =
+        choose({service.candidates, found.standings, service.outstanding, tried,
+                self.data_centre, what.repeatable, tried.empty()},
+               self.random);
+    return {chosen, chosen.who ? chosen.who->home_address : std::string()};
+}
+
+work make_work(state const& self, request const& what, attempt const& which)
+{
+    work made;
+    made.id = what.from.id;
+    made.attempt = which.number;
+    made.account = what.account;
+    made.service = what.service;
+    made.route = what.route;
+    made.priority = what.priority;
+    made.repeatable = what.repeatable;
+    made.method = what.from.method;
+    made.target = what.from.target;
+    made.content_type = what.from.content_type;
+    made.body = what.from.body;
+    made.idempotency_key = what.from.idempotency_key;
+    made.traceparent = what.from.traceparent;
+    made.deadline = what.deadline;
+    made.claim = what.claim.claim;
+    made.server = which.server;
+    made.origin = self.self;
+    made.origin_address = self.address;
+    return made;
+}
+
+event_line routed_line(request const& what, event why, std::string_view reason,
+                       target const& to)
+{
+    event_line line(why);
+    line.field("request", to_string(what.from.id))
+        .field("service", what.service)
+        .field("priority", what.priority_name)
+        .field("server", to.chosen.who->server)
+        .field("home", to.address)
+        .field("attempt", static_cast<unsigned>(what.attempts.size()))
+        .field("reason", reason.empty() ? to.chosen.reason : reason)
+        .field("passed_over",
+               static_cast<std::uint64_t>(to.chosen.passed_over));
+    return line;
+}
+
+} // namespace
+
+service_state& service_of(state& self, std::string_view name)
+{
+    auto const found = self.services.find(name);
+    if (found != self.services.end())
+        return found->second;
+    return self.services[std::string(name)];
+}
+
+bool start_attempt(state& self, request& what, event why,
+                   std::string_view reason, time_point now, actions& out)
+{
+    if (what.attempts.size() >= max_homes || now >= what.deadline)
+        return false;
+    service_state& service = service_of(self, what.service);
+    target const to = next_target(self, service, what, now);
+    if (!to.chosen.who)
+        return false;
+    members::candidate const& who = *to.chosen.who;
+    what.attempts.push_back(
+        {static_cast<std::uint32_t>(what.attempts.size() + 1), who.server,
+         who.home, to.address, now, true});
+    ++service.outstanding[who.server];
+    out.log.push_back(routed_line(what, why, reason, to));
+    out.sends.push_back({to.address, who.home == self.self,
+                         make_work(self, what, what.attempts.back())});
+    return true;
+}
+
+std::vector<claims::claim_home>
+claimable_homes(state& self, request const& what, time_point now)
+{
+    service_state const& service = service_of(self, what.service);
+    assessment const found =
+        assess(service.candidates, service.floor_slots, self.evidence, now);
+    std::vector<claims::claim_home> homes;
+    std::vector<daemon_ref> named;
+    while (homes.size() < max_homes)
+    {
+        choice const next =
+            choose({service.candidates, found.standings, service.outstanding,
+                    named, self.data_centre, false, named.empty()},
+                   self.random);
+        if (!next.who)
+            break;
+        named.push_back(next.who->home);
+        homes.push_back({next.who->home, next.who->home_address});
+    }
+    return homes;
+}
+
+bool has_open_attempt(request const& what)
+{
+    return std::any_of(what.attempts.begin(), what.attempts.end(),
+                       [](attempt const& which) { return which.open; });
+}
+
+void close_attempt(state& self, request& what, attempt& which)
+{
+    if (!which.open)
+        return;
+    which.open = false;
+    service_state& service = service_of(self, what.service);
+    auto const own = service.outstanding.find(which.server);
+    if (own == service.outstanding.end())
+        return;
+    if (--own->second == 0)
+        service.outstanding.erase(own);
+}
+
+void cancel_open_attempts(state& self, request& what, actions& out)
+{
+    for (attempt& which : what.attempts)
+    {
+        if (!which.open)
+            continue;
+        out.sends.push_back(
+            {which.home_address, which.home == self.self,
+             admission::cancel{what.from.id, which.number, self.self}});
+        close_attempt(self, what, which);
+    }
+}
+
+void set_timer(state& self, request& what, time_point at)
+{
+    if (what.timer == at)
+        return;
+    self.timers.erase({what.timer, what.from.id});
+    what.timer = at;
+    if (at != never)
+        self.timers.insert({at, what.from.id});
+}
+
+void erase_request(state& self, request_id id)
+{
+    auto const found = self.requests.find(id);
+    if (found == self.requests.end())
+        return;
+    for (attempt& which : found->second.attempts)
+        close_attempt(self, found->second, which);
+    set_timer(self, found->second, never);
+    self.requests.erase(found);
+}
+
+} // namespace gooseberrycove::routing
--- /dev/null
+++ b/src/routing/candidates.hpp
@@ -0,0 +1,107 @@
+#ifndef GOOSEBERRYCOVE_ROUTING_CANDIDATES_HPP
+#define GOOSEBERRYCOVE_ROUTING_CANDIDATES_HPP
+
+#include <gooseberrycove/members.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberrycove::routing
+{
+
+/// What this daemon makes of one candidate. The order is the preference.
+enum class standing : std::uint8_t
+{
+    healthy,
+    probation,
+    kept_by_floor, ///< its ejection would take the service below its floor
+    skipped,       ///< its home did not answer this daemon
+    ejected,
+    draining,
+    unreachable ///< its home is not alive
+};
+
+std::string_view to_string(standing value);
+
+/// Silence of homes towards this daemon. It never leaves this daemon: behind
+/// a one-way cut the home is well for all others.
+struct home_evidence
+{
+    struct silence
+    {
+        unsigned strikes = 0;
+        unsigned skips = 0;
+        time_point skip_until;
+    };
+    std::unordered_map<std::uint64_t, silence> homes;
+};
+
+/// Strikes of an attempt that got no answer by its deadline.
+inline constexpr unsigned hard_silence = 2;
+/// Strikes of an attempt that was overtaken by another home's answer.
+inline constexpr unsigned soft_silence = 1;
+
+/// Two strikes in a row make a skip of 1 s, doubling up to 30 s.
+void note_silence(home_evidence& evidence, std::uint64_t home, unsigned strikes,
+                  time_point now);
+void note_answer(home_evidence& evidence, std::uint64_t home);
+bool is_skipped(home_evidence const& evidence, std::uint64_t home,
+                time_point now);
+
+/// The floor rule applied to the candidates of one service.
+struct assessment
+{
+    std::vector<standing> standings;
+    /// Slots that stay in use: healthy ones and those kept by the floor.
+    std::uint32_t capacity = 0;
+};
+
+/// Honours ejections from the worst to the least bad while the remaining
+/// capacity stays at or above the floor. A server in probation counts like an
+/// ejected one, because it takes only one request at a time. Servers behind
+/// skipped or dead homes are no capacity. Both make the rule keep more.
+assessment assess(std::span<members::candidate const> candidates,
+                  std::uint32_t floor_slots, home_evidence const& evidence,
+                  time_point now);
+
+using outstanding_map = std::map<std::string, std::uint32_t, std::less<>>;
+
+/// (in flight + queued) / slots. Own attempts count at least, because reports
+/// lag behind them.
+double load_of(members::candidate const& who,
+               outstanding_map const& outstanding);
+
+struct choice
+{
+    members::candidate const* who = nullptr;
+    std::string_view reason;
+    /// Candidates that were not eligible or less preferred.
+    std::size_t passed_over = 0;
+};
+
+struct selection
+{
+    std::span<members::candidate const> candidates;
+    std::span<standing const> standings;
+    outstanding_map const& outstanding;
+    std::span<daemon_ref const> excluded_homes;
+    std::string_view data_centre;
+    bool repeatable = true;
+    /// A first attempt may test a server in probation.
+    bool first = true;
+};
+
+/// Power of two choices within the best standing, own data centre first.
+/// `who` is null when no candidate is eligible.
+choice choose(selection const& from, std::mt19937_64& random);
+
+} // namespace gooseberrycove::routing
+
+#endif
--- /dev/null
+++ b/src/routing/routing_thread.cpp
@@ -0,0 +1,217 @@
+#include "routing_thread.hpp"
+
+#include "authenticate.hpp"
+#include "decisions.hpp"
+#include <gooseberrycove/duty.hpp>
+
+#include <algorithm>
+#include <deque>
+
+namespace gooseberrycove::routing
+{
+
+namespace
+{
+
+/// Time until messages that found a full ring are offered again.
+constexpr duration resend_time = std::chrono::milliseconds(2);
+
+/// Answers and claim messages that found their ring full. They must not be
+/// dropped; the requests in flight bound their number.
+struct outbox
+{
+    std::deque<front::message> answers;
+    std::deque<claims::message> claim_messages;
+};
+
+template <class Message>
+void push_all(std::deque<Message>& waiting, ring<Message>& to)
+{
+    while (!waiting.empty() && to.try_push(std::move(waiting.front())))
+        waiting.pop_front();
+}
+
+front::answer encode(reply&& from)
+{
+    front::answer answer;
+    answer.id = from.id;
+    if (from.kind == error_kind::none)
+    {
+        answer.status = from.result.status;
+        answer.content_type = std::move(from.result.content_type);
+        answer.body = std::move(from.result.body);
+        answer.result = from.result.result;
+        return answer;
+    }
+    error_answer const& row = answer_of(from.kind);
+    answer.status = row.status;
+    answer.content_type = "application/problem+json";
+    answer.body = problem_document(from.kind, from.detail, to_string(from.id));
+    answer.result = row.result;
+    answer.retry_after_s = row.retry_after_s;
+    return answer;
+}
+
+/// Hands work or a cancellation to its home. Work that finds a ring full
+/// comes back as a result that did not run.
+std::optional<work_result> send(to_home&& item, wiring const& to)
+{
+    work_result refused;
+    bool const is_work = std::holds_alternative<work>(item.what);
+    if (is_work)
+    {
+        refused.id = std::get<work>(item.what).id;
+        refused.attempt = std::get<work>(item.what).attempt;
+    }
+    std::size_t const reserve = is_work ? answer_reserve : 0;
+    bool const sent = std::visit(
+        [&](auto&& what)
+        {
+            if (item.local)
+                return to.admission->try_push(std::move(what), reserve);
+            return to.peer->try_push(
+                peer::outgoing{std::move(item.address), std::move(what)},
+                reserve);
+        },
+        std::move(item.what));
+    if (sent || !is_work)
+        return std::nullopt;
+    refused.kind = error_kind::overloaded;
+    refused.result = outcome::not_run;
+    refused.detail = "a queue of this daemon is full";
+    refused.home = to.self;
+    return refused;
+}
+
+void perform(state& self, actions& todo, outbox& waiting, wiring const& to,
+             time_point now)
+{
+    // A refused send decides on, which may send to the next home.
+    while (!todo.sends.empty())
+    {
+        std::vector<to_home> sends = std::exchange(todo.sends, {});
+        for (to_home& item : sends)
+        {
+            auto refused = send(std::move(item), to);
+            if (refused)
+                on_result(self, std::move(*refused), now, todo);
+        }
+    }
+    for (reply& item : todo.replies)
+        waiting.answers.emplace_back(encode(std::move(item)));
+    for (claims::message& item : todo.claim_messages)
+        waiting.claim_messages.push_back(std::move(item));
+    for (event_line const& line : todo.log)
+        log_info(line);
+    todo = {};
+    push_all(waiting.answers, *to.front);
+    push_all(waiting.claim_messages, *to.claims);
+}
+
+looked_up look_up(config::tables_ptr const& tables, std::string_view account,
+                  std::string_view method, std::string_view path)
+{
+    looked_up found;
+    if (!tables)
+        return found;
+    found.account = tables->account(account);
+    found.route = tables->match(method, path);
+    if (!found.route)
+        return found;
+    if (auto const* service = tables->find_service(found.route->service))
+        found.floor_slots = service->floor_slots;
+    auto const priorities = tables->priorities();
+    if (found.route->priority < priorities.size())
+        found.priority_name = priorities[found.route->priority].name;
+    return found;
+}
+
+/// A new floor must hold for requests that are already in flight.
+void take_floors(state& self, config::tables const& tables)
+{
+    for (auto& [name, service] : self.services)
+    {
+        if (auto const* found = tables.find_service(name))
+            service.floor_slots = found->floor_slots;
+    }
+}
+
+/// Performs each message; one overload for each kind.
+struct handler
+{
+    state& self;
+    config::tables_ptr& tables;
+    time_point now;
+    actions& out;
+
+    void operator()(std::monostate) const {}
+    void operator()(caller_request& from) const
+    {
+        looked_up const found = look_up(tables, account_name(from.credentials),
+                                        from.method, path_of(from.target));
+        on_caller_request(self, std::move(from), found, now, out);
+    }
+    void operator()(caller_gone const& gone) const
+    {
+        on_caller_gone(self, gone, now, out);
+    }
+    void operator()(work_result& result) const
+    {
+        on_result(self, std::move(result), now, out);
+    }
+    void operator()(claims::claim_result& result) const
+    {
+        on_claim_result(self, std::move(result), now, out);
+    }
+    void operator()(claims::claim_released const& released) const
+    {
+        on_claim_released(self, released, now, out);
+    }
+    void operator()(members::service_view_ptr const& view) const
+    {
+        on_view(self, *view);
+    }
+    void operator()(config::in_force const& next) const
+    {
+        tables = next.current;
+        take_floors(self, *tables);
+    }
+    void operator()(explain_request const& wanted) const
+    {
+        wanted.deliver(explain(self,
+                               look_up(tables, wanted.account, wanted.method,
+                                       path_of(wanted.path)),
+                               now));
+    }
+};
+
+} // namespace
+
+void run(inbox& messages, wiring const& to)
+{
+    state self;
+    self.self = to.self;
+    self.address = to.address;
+    self.data_centre = to.data_centre;
+    self.random.seed(to.self.id ^ to.self.incarnation);
+    config::tables_ptr tables;
+    outbox waiting;
+    actions todo;
+    run_duty(
+        messages,
+        [&](message& what, time_point now)
+        {
+            std::visit(handler{self, tables, now, todo}, what);
+            perform(self, todo, waiting, to, now);
+        },
+        [&](time_point now)
+        {
+            time_point const next = on_tick(self, now, todo);
+            perform(self, todo, waiting, to, now);
+            bool const held =
+                !waiting.answers.empty() || !waiting.claim_messages.empty();
+            return held ? std::min(next, now + resend_time) : next;
+        });
+}
+
+} // namespace gooseberrycove::routing
--- /dev/null
+++ b/src/routing/state.hpp
@@ -0,0 +1,148 @@
+#ifndef GOOSEBERRYCOVE_ROUTING_STATE_HPP
+#define GOOSEBERRYCOVE_ROUTING_STATE_HPP
+
+#include "candidates.hpp"
+#include "rate_limit.hpp"
+#include "retry.hpp"
+#include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/event.hpp>
+#include <gooseberrycove/peer.hpp>
+#include <gooseberrycove/routing.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace gooseberrycove::routing
+{
+
+inline constexpr time_point never = time_point::max();
+
+/// Homes that may be tried for one request.
+inline constexpr std::size_t max_homes = 3;
+
+/// Time after the deadline in which a home's own report of the timeout can
+/// still arrive; it is more precise than the caller's `timed_out`.
+inline constexpr duration answer_grace = std::chrono::milliseconds(50);
+
+/// Time after the deadline in which the result of claimed work is awaited, so
+/// that the claim's row gets the real answer instead of "unknown".
+inline constexpr duration settle_time = std::chrono::seconds(5);
+
+/// Longest wait for the removal of a claim before the caller is told that the
+/// outcome is unknown.
+inline constexpr duration release_time = std::chrono::seconds(2);
+
+/// What the configuration says about one request. The views live as long as
+/// the tables; an absent account or route is a refusal.
+struct looked_up
+{
+    std::optional<config::account_view> account;
+    std::optional<config::route_view> route;
+    std::uint32_t floor_slots = 0;
+    std::string_view priority_name;
+};
+
+struct attempt
+{
+    std::uint32_t number = 0;
+    std::string server;
+    daemon_ref home;
+    std::string home_address;
+    time_point sent;
+    bool open = true;
+};
+
+enum class phase : std::uint8_t
+{
+    claiming,  ///< waits for claims::claim_result
+    withdrawn, ///< answered before the claim was granted; returns the grant
+    running,   ///< waits for results of attempts
+    releasing, ///< waits for claims::claim_released
+    settling   ///< the caller is answered; the claim's result is awaited
+};
+
+/// One caller request in flight.
+struct request
+{
+    caller_request from;
+    std::string account;
+    std::string service;
+    std::string route;
+    std::string priority_name;
+    priority_index priority = 0;
+    bool repeatable = true;
+    time_point deadline;
+    phase now_in = phase::running;
+    bool answered = false;
+    claims::claim_result claim;
+    std::vector<attempt> attempts;
+    /// The failure to report when no attempt succeeds. One that says more
+    /// about execution replaces one that says less.
+    work_result failure;
+    bool failed_before = false;
+    time_point hedge_at = never;
+    time_point silent_at = never;
+    /// The entry of this request in state::timers.
+    time_point timer = never;
+};
+
+/// What routing knows about one service.
+struct service_state
+{
+    std::uint32_t floor_slots = 0;
+    std::vector<members::candidate> candidates;
+    /// Own attempts in flight by server; newer than any report.
+    std::map<std::string, std::uint32_t, std::less<>> outstanding;
+    retry_budget budget;
+    latency_histogram latency;
+};
+
+struct state
+{
+    daemon_ref self;
+    std::string address;
+    std::string data_centre;
+    std::mt19937_64 random;
+    std::size_t most_in_flight = max_in_flight;
+    std::unordered_map<request_id, request, request_id_hash> requests;
+    std::map<std::string, service_state, std::less<>> services;
+    std::set<std::pair<time_point, request_id>> timers;
+    rate_limiter rates;
+    home_evidence evidence;
+    /// Results that came after their request was finished.
+    std::uint64_t dropped_results = 0;
+};
+
+/// The one answer to a caller: the backend server's own when kind is none.
+struct reply
+{
+    request_id id;
+    error_kind kind = error_kind::none;
+    std::string detail;
+    work_result result;
+};
+
+/// Work or a cancellation for the home at `address`; this daemon's own
+/// admission when `local`.
+struct to_home
+{
+    std::string address;
+    bool local = false;
+    std::variant<work, admission::cancel> what;
+};
+
+/// What a decision asks the thread to do, in order within each list.
+struct actions
+{
+    std::vector<reply> replies;
+    std::vector<to_home> sends;
+    std::vector<claims::message> claim_messages;
+    std::vector<event_line> log;
+};
+
+} // namespace gooseberrycove::routing
+
+#endif
