Let a duty set its ring's waker while others push

The dispatch loop creates its libcurl handle on its own thread, when other duties may already push. set_waker() takes the lock and announces what is queued, so no message waits for the next one.

--- a/src/core/core_test.cpp
+++ b/src/core/core_test.cpp
@@ -114,3 +114,13 @@
                                 .build();
     CHECK(values.number("daemon", "size") == 9);
 }
+
+TEST_CASE("a waker set after a push still learns of the message")
+{
+    // A duty sets its waker on its own thread, after others may have pushed.
+    ring<int> queue(4);
+    CHECK(queue.try_push(1));
+    int calls = 0;
+    queue.set_waker([&] { ++calls; });
+    CHECK(calls == 1);
+}
--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -27,15 +27,24 @@
     ring(ring const&) = delete;
     ring& operator=(ring const&) = delete;
 
-    /// Called after a push into an empty ring, outside the lock. Install it
-    /// before other threads push.
-    void set_waker(std::function<void()> waker) { m_waker = std::move(waker); }
+    /// Called after a push into an empty ring, outside the lock. Set it once;
+    /// other threads may already push, and what they pushed is announced here.
+    void set_waker(std::function<void()> waker)
+    {
+        std::unique_lock lock(m_mutex);
+        m_waker = std::move(waker);
+        bool const queued = m_size > 0 || m_closed;
+        lock.unlock();
+        if (queued)
+            m_waker();
+    }
 
     /// Returns false, and leaves \p message as it was, when fewer than
     /// \p reserve + 1 slots are free or the ring is closed. New work passes a
     /// reserve so that answers always find room.
     bool try_push(Message&& message, std::size_t reserve = 0)
     {
+        bool has_waker = false;
         {
             std::lock_guard lock(m_mutex);
             if (m_closed || m_size + reserve >= m_slots.size())
@@ -44,9 +53,10 @@
             ++m_size;
             if (m_size > 1)
                 return true;
+            has_waker = static_cast<bool>(m_waker);
         }
         m_ready.notify_one();
-        if (m_waker)
+        if (has_waker)
             m_waker();
         return true;
     }
@@ -74,12 +84,14 @@
     /// Refuses further pushes and wakes the reader.
     void close()
     {
+        bool has_waker = false;
         {
             std::lock_guard lock(m_mutex);
             m_closed = true;
+            has_waker = static_cast<bool>(m_waker);
         }
         m_ready.notify_all();
-        if (m_waker)
+        if (has_waker)
             m_waker();
     }
 
