Answer a reused request id and list services' capacity

Cause: a caller that reuses the id of a request that is answered but not settled got no answer at all. The administration API had no source for the capacity of services. Change: routing answers in_progress in that case, and summarizes services.

--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -31,6 +31,9 @@
 /// Shows the decision for a request without making it.
 explanation explain(state const& self, looked_up const& config, time_point now);
 
+/// Capacity of each service with candidates, by the floor rule in force here.
+std::vector<service_summary> summarize(state const& self, time_point now);
+
 } // namespace gooseberrycove::routing
 
 #endif
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -127,12 +127,19 @@
                        looked_up const& config, time_point now, actions& out)
 {
     request_id const id = from.id;
-    if (self.requests.contains(id))
+    auto const earlier = self.requests.find(id);
+    if (earlier != self.requests.end())
     {
-        // An answer for this id would reach the caller of the first request.
         event_line line(event::request_refused);
         line.field("request", to_string(id)).field("reason", "id_in_use");
         out.log.push_back(std::move(line));
+        // While the first caller waits, an answer for this id would reach it.
+        if (earlier->second.answered)
+            out.replies.push_back(
+                {id,
+                 error_kind::in_progress,
+                 "an earlier request with this id is not settled",
+                 {}});
         return;
     }
     refusal const reason = check(self, from, config, now);
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -310,6 +310,19 @@
     CHECK((out.replies.empty() && out.sends.size() == 1));
 }
 
+TEST_CASE("an id that is still settled after its answer is told so")
+{
+    // Without a reply the second caller would wait forever.
+    state self = make_state();
+    actions out;
+    begin(self, false, out);
+    on_caller_gone(self, {request_number(7).id}, start, out);
+    out = {};
+    on_caller_request(self, request_number(7), config_for(false), start, out);
+    REQUIRE(out.replies.size() == 1);
+    CHECK(out.replies.front().kind == error_kind::in_progress);
+}
+
 TEST_CASE("a home behind a one-way cut is skipped until it answers")
 {
     state self = make_state();
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -170,6 +170,8 @@
     void operator()(members::service_view_ptr const& view) const
     {
         on_view(self, *view);
+        if (tables)
+            take_floors(self, *tables);
     }
     void operator()(config::in_force const& next) const
     {
@@ -183,6 +185,10 @@
                                        path_of(wanted.path)),
                                now));
     }
+    void operator()(services_request const& wanted) const
+    {
+        wanted.deliver(summarize(self, now));
+    }
 };
 
 } // namespace
--- /dev/null
+++ b/src/routing/summary.cpp
@@ -0,0 +1,27 @@
+#include "decisions.hpp"
+
+namespace gooseberrycove::routing
+{
+
+std::vector<service_summary> summarize(state const& self, time_point now)
+{
+    std::vector<service_summary> list;
+    for (auto const& [name, service] : self.services)
+    {
+        if (service.candidates.empty())
+            continue;
+        assessment const found =
+            assess(service.candidates, service.floor_slots, self.evidence, now);
+        service_summary entry;
+        entry.service = name;
+        entry.floor_slots = service.floor_slots;
+        entry.healthy_slots = found.capacity;
+        entry.servers = static_cast<std::uint32_t>(service.candidates.size());
+        for (standing const value : found.standings)
+            entry.ejected += value == standing::ejected ? 1 : 0;
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+} // namespace gooseberrycove::routing
