Let callers mint a key and ask for an outcome

Cause: while the table service is out a caller needs a key that one daemon may run, and after an unknown outcome a way to ask. Change: POST /keys and GET /outcome/KEY are answered by claims after the account is checked.

--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -6,6 +6,17 @@
 namespace gooseberrycove::routing
 {
 
+/// Why a request is refused; kind none accepts it.
+struct refusal
+{
+    error_kind kind = error_kind::none;
+    std::string_view detail;
+};
+
+/// Authenticates the account and takes a token from its bucket.
+refusal check_account(state& self, caller_request const& from,
+                      looked_up const& config, time_point now);
+
 void on_caller_request(state& self, caller_request&& from,
                        looked_up const& config, time_point now, actions& out);
 
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -13,22 +13,15 @@
 namespace
 {
 
-struct refusal
-{
-    error_kind kind = error_kind::none;
-    std::string_view detail;
-};
-
 refusal check(state& self, caller_request const& from, looked_up const& config,
               time_point now)
 {
     using enum error_kind;
     if (self.requests.size() >= self.most_in_flight)
         return {overloaded, "too many requests in flight at this daemon"};
-    if (!authenticated(from.credentials, config.account))
-        return {unauthenticated, "unknown account or wrong secret"};
-    if (!take_token(self.rates, *config.account, now))
-        return {rate_limited, "the account's token bucket is empty"};
+    refusal const account = check_account(self, from, config, now);
+    if (account.kind != none)
+        return account;
     if (!config.route)
         return {no_route, "no route matches"};
     if (!config.route->repeatable && from.idempotency_key.empty())
@@ -123,6 +116,17 @@
 
 } // namespace
 
+refusal check_account(state& self, caller_request const& from,
+                      looked_up const& config, time_point now)
+{
+    if (!authenticated(from.credentials, config.account))
+        return {error_kind::unauthenticated, "unknown account or wrong secret"};
+    if (!take_token(self.rates, *config.account, now))
+        return {error_kind::rate_limited,
+                "the account's token bucket is empty"};
+    return {};
+}
+
 void on_caller_request(state& self, caller_request&& from,
                        looked_up const& config, time_point now, actions& out)
 {
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -1,6 +1,7 @@
 #include "routing_thread.hpp"
 
 #include "authenticate.hpp"
+#include "claim_queries.hpp"
 #include "decisions.hpp"
 #include <gooseberrycove/duty.hpp>
 
@@ -141,6 +142,7 @@
 {
     state& self;
     config::tables_ptr& tables;
+    wiring const& to;
     time_point now;
     actions& out;
 
@@ -149,6 +151,13 @@
     {
         looked_up const found = look_up(tables, account_name(from.credentials),
                                         from.method, path_of(from.target));
+        if (is_claim_query(from.method, path_of(from.target)))
+        {
+            auto const deliver = [front = to.front](reply&& item)
+            { front->try_push(encode(std::move(item))); };
+            on_claim_query(self, from, found, deliver, now, out);
+            return;
+        }
         on_caller_request(self, std::move(from), found, now, out);
     }
     void operator()(caller_gone const& gone) const
@@ -207,7 +216,7 @@
         messages,
         [&](message& what, time_point now)
         {
-            std::visit(handler{self, tables, now, todo}, what);
+            std::visit(handler{self, tables, to, now, todo}, what);
             perform(self, todo, waiting, to, now);
         },
         [&](time_point now)
