Add the membership duty

Daemons need to find each other, notice failures and share the directory of backend servers without a coordination service.

src/members holds SWIM-like failure detection with suspicion and refutation, server leases, the directory with last writer wins, digest synchronisation by bucket, the status exchange and the rendezvous rows, as free functions over plain structs, and the thread that performs their actions. members::sync gains the digest by bucket.

--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -90,6 +90,8 @@
     packet_kind kind = packet_kind::ping;
     daemon_ref sender;
     std::string sender_address;
+    /// An ack repeats the number of its ping. A status packet with a number
+    /// other than 0 asks for the receiver's statuses of the same services.
     std::uint64_t number = 0;
     /// Target of an indirect probe.
     std::string probe_address;
@@ -99,13 +101,17 @@
     std::vector<server_status> statuses;
 };
 
-/// Full exchange over a stream, on join and after a digest mismatch.
+/// Full exchange over a stream, on join and after a digest mismatch. A message
+/// with reply_wanted and no records but the sender's own only compares digests.
 struct sync
 {
     daemon_ref sender;
     std::string sender_address;
     bool reply_wanted = false;
     std::uint64_t digest = 0;
+    /// Digest by bucket, so that only buckets that differ are exchanged. Empty
+    /// in a small fleet: then everything is sent.
+    std::vector<std::uint32_t> buckets;
     std::vector<peer_record> peers;
     std::vector<server_record> servers;
 };
--- /dev/null
+++ b/src/members/lease.cpp
@@ -0,0 +1,213 @@
+#include "members/lease.hpp"
+
+#include "members/directory.hpp"
+#include "members/gossip.hpp"
+#include "members/peers.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::members
+{
+
+namespace
+{
+
+bool is_drained(state const& s, std::string_view server)
+{
+    return std::ranges::find(s.drained, server) != s.drained.end();
+}
+
+server_state effective_state(state const& s, announcement const& what)
+{
+    return is_drained(s, what.server) ? server_state::draining : what.state;
+}
+
+bool same_content(announcement const& left, announcement const& right)
+{
+    return left.service == right.service && left.address == right.address &&
+           left.slots == right.slots && left.state == right.state &&
+           left.connections == right.connections &&
+           left.incarnation == right.incarnation;
+}
+
+void log_server(event what, announcement const& about, std::string_view reason,
+                actions& out)
+{
+    out.log.push_back(event_line(what)
+                          .field("server", about.server)
+                          .field("service", about.service)
+                          .field("address", about.address)
+                          .field("slots", about.slots)
+                          .field("reason", reason));
+}
+
+/// Tells admission and health about a server homed here.
+void tell_duties(state const& s, homed const& here, bool gone, actions& out)
+{
+    homed_server message{here.what, gone};
+    message.what.state = effective_state(s, here.what);
+    out.homed.push_back(std::move(message));
+    health::server_known known;
+    known.server = here.what.server;
+    known.service = here.what.service;
+    known.address = here.what.address;
+    known.slots = here.what.slots;
+    known.gone = gone;
+    out.known.push_back(std::move(known));
+}
+
+void announce_change(state& s, homed const& here, time_point now, actions& out)
+{
+    publish(s, here, now);
+    tell_duties(s, here, false, out);
+    bool const draining =
+        effective_state(s, here.what) == server_state::draining;
+    log_server(draining ? event::server_draining : event::server_announced,
+               here.what, is_drained(s, here.what.server) ? "operator" : "",
+               out);
+}
+
+void remove_homed(state& s, std::string_view server, std::string_view reason,
+                  time_point now, actions& out)
+{
+    std::string const name(server);
+    std::string const service = find_homed(s, name)->what.service;
+    drop_homed(s, name, reason, out);
+    publish_gone(s, name, service, now);
+}
+
+duration granted_lease(state const& s, duration wanted)
+{
+    if (wanted <= duration(0))
+        return s.limits.default_lease;
+    return std::clamp(wanted, s.limits.minimum_lease, s.limits.maximum_lease);
+}
+
+/// Returns whether the announcement brought something new.
+bool store_announcement(state& s, announcement const& what, homed*& here)
+{
+    here = find_homed(s, what.server);
+    if (here == nullptr)
+    {
+        here = &s.homes.emplace_back();
+        here->what = what;
+        here->status.server = what.server;
+        here->status.service = what.service;
+        here->status.slots = what.slots;
+        return true;
+    }
+    server_entry const* const entry = find_entry(s, what.server);
+    bool const changed = !same_content(here->what, what) || entry == nullptr ||
+                         entry->home != s.self.daemon;
+    here->what = what;
+    here->status.service = what.service;
+    here->status.slots = what.slots;
+    return changed;
+}
+
+} // namespace
+
+homed* find_homed(state& s, std::string_view server)
+{
+    for (homed& here : s.homes)
+    {
+        if (here.what.server == server)
+            return &here;
+    }
+    return nullptr;
+}
+
+void publish(state& s, homed const& here, time_point now)
+{
+    if (server_entry const* const entry = find_entry(s, here.what.server))
+        s.sequence = std::max(s.sequence, entry->sequence);
+    server_record record;
+    record.server = here.what.server;
+    record.service = here.what.service;
+    record.slots = here.what.slots;
+    record.state = effective_state(s, here.what);
+    record.health = here.status.health;
+    record.score = here.status.score;
+    record.home = s.self.daemon;
+    record.sequence = ++s.sequence;
+    add_update(s, subject::server, write_entry(s, record, now));
+}
+
+void publish_gone(state& s, std::string_view server, std::string_view service,
+                  time_point now)
+{
+    server_entry const* const entry = find_entry(s, server);
+    if (entry != nullptr && entry->home != s.self.daemon)
+        return;
+    server_record record;
+    record.server = server;
+    record.service = service;
+    record.state = server_state::gone;
+    record.home = s.self.daemon;
+    record.sequence = ++s.sequence;
+    add_update(s, subject::server, write_entry(s, record, now));
+}
+
+void drop_homed(state& s, std::string_view server, std::string_view reason,
+                actions& out)
+{
+    for (homed const& here : s.homes)
+    {
+        if (here.what.server != server)
+            continue;
+        tell_duties(s, here, true, out);
+        log_server(event::server_gone, here.what, reason, out);
+    }
+    std::string const name(server);
+    std::erase_if(s.homes,
+                  [&](homed const& here) { return here.what.server == name; });
+}
+
+void expire_leases(state& s, time_point now, actions& out)
+{
+    std::vector<std::string> lapsed;
+    for (homed const& here : s.homes)
+    {
+        if (now >= here.lease_until)
+            lapsed.push_back(here.what.server);
+    }
+    for (std::string const& server : lapsed)
+        remove_homed(s, server, "lease lapsed", now, out);
+}
+
+void on_announced(state& s, announced const& what, time_point now, actions& out)
+{
+    duration const lease = granted_lease(s, what.what.lease);
+    if (what.deliver)
+        out.replies.emplace_back([deliver = what.deliver, lease]
+                                 { deliver(lease); });
+    if (what.what.state == server_state::gone)
+    {
+        if (find_homed(s, what.what.server) != nullptr)
+            remove_homed(s, what.what.server, "announced", now, out);
+        return;
+    }
+    homed* here = nullptr;
+    bool const changed = store_announcement(s, what.what, here);
+    here->lease_until = now + lease;
+    if (changed)
+        announce_change(s, *here, now, out);
+}
+
+void on_drain_request(state& s, drain_request const& what, time_point now,
+                      actions& out)
+{
+    homed const* const here = find_homed(s, what.server);
+    if (what.deliver)
+        out.replies.emplace_back([deliver = what.deliver,
+                                  found = here != nullptr] { deliver(found); });
+    if (here == nullptr || is_drained(s, what.server) == what.drain)
+        return;
+    if (what.drain)
+        s.drained.push_back(what.server);
+    else
+        std::erase(s.drained, what.server);
+    announce_change(s, *here, now, out);
+}
+
+} // namespace gooseberrycove::members
--- /dev/null
+++ b/src/members/members_thread.hpp
@@ -0,0 +1,41 @@
+#ifndef GOOSEBERRYCOVE_MEMBERS_MEMBERS_THREAD_HPP
+#define GOOSEBERRYCOVE_MEMBERS_MEMBERS_THREAD_HPP
+
+#include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/claims.hpp>
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/health.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/peer.hpp>
+#include <gooseberrycove/routing.hpp>
+#include <gooseberrycove/store.hpp>
+
+#include <string>
+#include <vector>
+
+namespace gooseberrycove::members
+{
+
+/// Rings of the duties that the membership duty tells, and what it knows at
+/// start. The pointers must stay valid while run() works.
+struct wiring
+{
+    gooseberrycove::peer::inbox* peer = nullptr;
+    routing::inbox* routing = nullptr;
+    admission::inbox* admission = nullptr;
+    health::inbox* health = nullptr;
+    config::inbox* config = nullptr;
+    claims::inbox* claims = nullptr;
+    store::inbox* store = nullptr;
+    peer_record self;
+    std::vector<std::string> seeds;
+    /// Seed of the random choices.
+    std::uint64_t seed = 0;
+};
+
+/// Runs until \p requests is closed.
+void run(inbox& requests, wiring const& to);
+
+} // namespace gooseberrycove::members
+
+#endif
