--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -74,6 +74,14 @@
 
 #undef GOOSEBERRYCOVE_EVENT
 
+std::array const events = []
+{
+    std::array<event, event_entries.size()> list{};
+    for (std::size_t i = 0; i < list.size(); ++i)
+        list[i] = event_entries[i].what;
+    return list;
+}();
+
 bool needs_quotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=") != value.npos;
@@ -91,6 +99,11 @@
     return "unnamed";
 }
 
+std::span<event const> all_events()
+{
+    return events;
+}
+
 std::string event_tag(event what)
 {
     return fmt::format("E{:04} {}", static_cast<unsigned>(what),
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -80,6 +81,9 @@
 /// Name without the number.
 std::string_view event_name(event what);
 
+/// All events in the order of their numbers.
+std::span<event const> all_events();
+
 /// Appends ` key=value`; values with blanks or quotes are quoted.
 class event_line
 {
--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -3,9 +3,12 @@
 
 #include <gooseberrycove/types.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <cstddef>
+#include <deque>
 #include <functional>
+#include <iterator>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -17,14 +20,15 @@
 ///
 /// Based on a mutex and a condition variable: a waiting thread sleeps in the
 /// kernel and never spins. A loop that waits on sockets installs a waker
-/// instead of calling pop_until().
+/// instead of calling pop_until(). Memory grows with the queued messages, not
+/// with the capacity.
 template <class Message>
 class ring
 {
 public:
     using message_type = Message;
 
-    explicit ring(std::size_t capacity) : m_slots(capacity) {}
+    explicit ring(std::size_t capacity) : m_capacity(capacity) {}
 
     ring(ring const&) = delete;
     ring& operator=(ring const&) = delete;
@@ -35,7 +39,7 @@
     {
         std::unique_lock lock(m_mutex);
         m_waker = std::move(waker);
-        bool const queued = m_size > 0 || m_closed;
+        bool const queued = !m_queue.empty() || m_closed;
         lock.unlock();
         if (queued)
             m_waker();
@@ -49,11 +53,10 @@
         bool has_waker = false;
         {
             std::lock_guard lock(m_mutex);
-            if (m_closed || m_size + reserve >= m_slots.size())
+            if (m_closed || m_queue.size() + reserve >= m_capacity)
                 return false;
-            m_slots[(m_first + m_size) % m_slots.size()] = std::move(message);
-            ++m_size;
-            if (m_size > 1)
+            m_queue.push_back(std::move(message));
+            if (m_queue.size() > 1)
                 return true;
             has_waker = static_cast<bool>(m_waker);
         }
@@ -79,8 +82,8 @@
     {
         std::unique_lock lock(m_mutex);
         m_ready.wait_until(lock, until,
-                           [this] { return m_size > 0 || m_closed; });
-        bool const open = m_size > 0 || !m_closed;
+                           [this] { return !m_queue.empty() || m_closed; });
+        bool const open = !m_queue.empty() || !m_closed;
         take(out);
         return open;
     }
@@ -99,24 +102,19 @@
             m_waker();
     }
 
-    std::size_t capacity() const { return m_slots.size(); }
+    std::size_t capacity() const { return m_capacity; }
 
 private:
     void take(std::vector<Message>& out)
     {
-        for (; m_size > 0; --m_size)
-        {
-            out.push_back(std::move(m_slots[m_first]));
-            m_slots[m_first] = Message{};
-            m_first = (m_first + 1) % m_slots.size();
-        }
+        std::move(m_queue.begin(), m_queue.end(), std::back_inserter(out));
+        m_queue.clear();
     }
 
     std::mutex m_mutex;
     std::condition_variable m_ready;
-    std::vector<Message> m_slots;
-    std::size_t m_first = 0;
-    std::size_t m_size = 0;
+    std::size_t m_capacity;
+    std::deque<Message> m_queue;
     bool m_closed = false;
     std::function<void()> m_waker;
 };
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -1,6 +1,9 @@
 #include "delivery.hpp"
 #include "peer_thread.hpp"
+#include <gooseberrycove/settings.hpp>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 #include <fstream>
@@ -13,6 +16,23 @@
 
 constexpr std::chrono::seconds patience{20};
 
+/// Without this wait a test's first message may find the port closed.
+void wait_until_listening(std::string const& address)
+{
+    auto const [host, port] = split_address(address);
+    asio::io_context context;
+    asio::error_code failure;
+    time_point const end = clock_now() + patience;
+    do
+    {
+        asio::ip::tcp::socket probe(context);
+        probe.connect({asio::ip::make_address(host), port}, failure);
+        if (failure)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    } while (failure && clock_now() < end);
+    REQUIRE_FALSE(failure);
+}
+
 /// A peer thread with rings that only collect.
 struct node
 {
@@ -28,6 +48,7 @@
         to.config = &config;
         to.members = &members;
         thread = std::thread([this] { peer::run(outbox, to); });
+        wait_until_listening(address);
     }
 
     ~node()
