Add the config duty

A lost reply is settled by sending the same transaction again: its condition lets it take effect at most once, and the versions read back tell whether the lost one did. Reading alone would not tell, because a lost write may still be on its way.

--- /dev/null
+++ b/src/config/config_thread.hpp
@@ -0,0 +1,36 @@
+#ifndef GOOSEBERRYCOVE_CONFIG_CONFIG_THREAD_HPP
+#define GOOSEBERRYCOVE_CONFIG_CONFIG_THREAD_HPP
+
+#include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/members.hpp>
+#include <gooseberrycove/peer.hpp>
+#include <gooseberrycove/routing.hpp>
+#include <gooseberrycove/store.hpp>
+
+#include <atomic>
+#include <string>
+
+namespace gooseberrycove::config
+{
+
+/// The duties that this one talks to.
+struct wiring
+{
+    routing::inbox& routing;
+    admission::inbox& admission;
+    members::inbox& members;
+    peer::inbox& peer;
+    store::inbox& store;
+    /// Own peer address, `ip:port`.
+    std::string own_address;
+    /// Set once this daemon holds a configuration that it may serve by.
+    std::atomic<bool>& ready;
+};
+
+/// Runs until the ring is closed.
+void run(inbox& messages, wiring const& to);
+
+} // namespace gooseberrycove::config
+
+#endif
--- /dev/null
+++ b/src/config/document.cpp
@@ -0,0 +1,352 @@
+#include "config/document.hpp"
+
+#include "config/entry_json.hpp"
+#include "config/references.hpp"
+#include "config/table_edit.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace gooseberrycove::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// In the order in which they must be read: routes name services, and both
+/// name priorities.
+constexpr std::string_view sections[] = {"priorities", "services", "routes",
+                                         "accounts"};
+
+/// Queued entries of a document after which shards are rebuilt. Bounds the
+/// memory for entries that are not packed yet.
+constexpr std::size_t flush_after = 65'536;
+
+/// Deepest nesting read; the document has 5 levels. Merging recurses, so deep
+/// nesting could exhaust the stack.
+constexpr int max_depth = 8;
+
+/// The entry after the patch, as a complete JSON value.
+template <class Value>
+json merged(std::optional<json> before, Value const& patch)
+{
+    json result = before ? std::move(*before) : json::object();
+    if (!patch.is_object())
+        return patch;
+    result.merge_patch(patch);
+    return result;
+}
+
+/// Adds a fault when the name may not be used.
+bool check_name(std::string_view name, std::string_view path,
+                fault_list& faults)
+{
+    if (is_name(name))
+        return true;
+    faults.push_back({std::string(path),
+                      "name not allowed, allowed: 1 to 128 letters, digits "
+                      "and . _ @ -"});
+    return false;
+}
+
+template <class Value>
+void queue(std::vector<change<Value>>& changes, std::string_view name,
+           std::optional<Value> value)
+{
+    if (value)
+        changes.push_back({std::string(name), std::move(value)});
+}
+
+void set_service(table_edit& edit, table_data const& base,
+                 std::string_view name, json const& patch, fault_list& faults)
+{
+    std::string const path = pointer_to("/services", name);
+    if (patch.is_null())
+        return edit.services.push_back({std::string(name), std::nullopt});
+    if (!check_name(name, path, faults))
+        return;
+    // The old entry numbers its priorities as the old version does.
+    std::optional<json> before;
+    if (service const* const old = find_service(base, name))
+        before = to_json(*old, base.priorities);
+    queue(edit.services, name,
+          parse_service(merged(std::move(before), patch), name,
+                        edit.data.priorities, path, faults));
+}
+
+void set_route(table_edit& edit, table_data const& base, std::string_view name,
+               json const& patch, fault_list& faults)
+{
+    std::string const path = pointer_to("/routes", name);
+    if (patch.is_null())
+        return edit.routes.push_back({std::string(name), std::nullopt});
+    if (!check_name(name, path, faults))
+        return;
+    std::optional<json> before;
+    if (auto const old = find_route(base, name))
+        before = to_json(*old, base.priorities);
+    queue(edit.routes, name,
+          parse_route(merged(std::move(before), patch), name,
+                      edit.data.priorities, path, faults));
+}
+
+void set_account(table_edit& edit, table_data const& base,
+                 std::string_view name, json const& patch, fault_list& faults)
+{
+    std::string const path = pointer_to("/accounts", name);
+    if (patch.is_null())
+        return edit.accounts.push_back({std::string(name), std::nullopt});
+    if (!check_name(name, path, faults))
+        return;
+    std::optional<json> before;
+    if (auto const old = find_account(base, name))
+        before = to_json(*old);
+    queue(edit.accounts, name,
+          parse_account(merged(std::move(before), patch), name, path, faults));
+}
+
+/// Faults for ranks used twice and for too many priorities.
+void check_ranks(std::vector<priority> const& sorted, fault_list& faults)
+{
+    for (std::size_t i = 1; i < sorted.size(); ++i)
+    {
+        if (sorted[i].rank == sorted[i - 1].rank)
+            faults.push_back(
+                {pointer_to(pointer_to("/priorities", sorted[i].name), "rank"),
+                 fmt::format("rank {} is also used by priority '{}'",
+                             sorted[i].rank, sorted[i - 1].name)});
+    }
+    if (sorted.size() > max_priorities)
+        faults.push_back({"/priorities", fmt::format("at most {} are allowed",
+                                                     max_priorities)});
+}
+
+void set_priorities(table_edit& edit, json const& patch, fault_list& faults)
+{
+    std::size_t const before_faults = faults.size();
+    std::vector<priority> result = edit.data.priorities;
+    if (patch.is_null())
+        result.clear();
+    for (auto const& [name, value] : patch.items())
+    {
+        auto const old = std::find_if(result.begin(), result.end(),
+                                      [&, &key = name](priority const& one)
+                                      { return one.name == key; });
+        std::optional<json> before;
+        if (old != result.end())
+        {
+            before = to_json(*old);
+            result.erase(old);
+        }
+        std::string const path = pointer_to("/priorities", name);
+        if (value.is_null() || !check_name(name, path, faults))
+            continue;
+        auto parsed_entry = parse_priority(merged(std::move(before), value),
+                                           name, path, faults);
+        if (parsed_entry)
+            result.push_back(std::move(*parsed_entry));
+    }
+    std::sort(result.begin(), result.end(),
+              [](priority const& left, priority const& right) {
+                  return std::tie(left.rank, left.name) <
+                         std::tie(right.rank, right.name);
+              });
+    check_ranks(result, faults);
+    if (faults.size() == before_faults)
+        replace_priorities(edit, std::move(result));
+}
+
+void clear_section(table_edit& edit, std::string_view section)
+{
+    if (section == "services")
+        edit.data.services = {};
+    if (section == "accounts")
+        edit.data.accounts = {};
+    if (section != "routes")
+        return;
+    edit.data.routes = {};
+    edit.data.patterns = {};
+    edit.data.wildcard_lengths.clear();
+}
+
+void set_entry(table_edit& edit, table_data const& base,
+               std::string_view section, std::string_view name,
+               json const& value, fault_list& faults)
+{
+    if (section == "services")
+        set_service(edit, base, name, value, faults);
+    else if (section == "routes")
+        set_route(edit, base, name, value, faults);
+    else
+        set_account(edit, base, name, value, faults);
+}
+
+void set_section(table_edit& edit, table_data const& base,
+                 std::string_view section, json const& patch,
+                 fault_list& faults)
+{
+    if (!patch.is_object() && !patch.is_null())
+    {
+        faults.push_back({pointer_to("", section), "must be an object"});
+        return;
+    }
+    if (section == "priorities")
+        return set_priorities(edit, patch, faults);
+    if (patch.is_null())
+        return clear_section(edit, section);
+    for (auto const& [name, value] : patch.items())
+        set_entry(edit, base, section, name, value, faults);
+}
+
+/// Faults for sections that do not exist.
+void check_sections(json const& patch, fault_list& faults)
+{
+    for (auto const& [name, value] : patch.items())
+    {
+        if (std::find(std::begin(sections), std::end(sections), name) ==
+            std::end(sections))
+            faults.push_back({pointer_to("", name),
+                              fmt::format("unknown, allowed: {}",
+                                          fmt::join(std::begin(sections),
+                                                    std::end(sections), " "))});
+    }
+}
+
+parsed result_of(table_edit&& edit, fault_list&& faults, std::uint64_t version)
+{
+    if (!faults.empty())
+        return {nullptr, std::move(faults)};
+    edit.data.version = version;
+    return {std::make_shared<table_data const>(std::move(edit.data)), {}};
+}
+
+/// Receives the entries of a document one by one from json::parse().
+struct document_reader
+{
+    table_edit edit;
+    table_data const empty{};
+    json priorities = json::object();
+    std::string section;
+    std::string name;
+    fault_list faults;
+
+    /// Returns whether the parser keeps the value; entries are dropped.
+    bool on_event(int depth, json::parse_event_t event, json& value)
+    {
+        if (event == json::parse_event_t::key && depth == 1)
+            section = value.get<std::string>();
+        if (event == json::parse_event_t::key && depth == 2)
+            name = value.get<std::string>();
+        if (event == json::parse_event_t::object_end && depth == 1 &&
+            section == "priorities")
+            set_priorities(edit, priorities, faults);
+        if (event != json::parse_event_t::object_end || depth != 2)
+            return true;
+        if (section == "priorities")
+            priorities[name] = value;
+        else
+            set_entry(edit, empty, section, name, value, faults);
+        if (edit.accounts.size() + edit.routes.size() >= flush_after)
+            flush(edit);
+        return false;
+    }
+};
+
+/// Appends `"name":value` with a comma before all but the first.
+void append_entry(std::string& out, bool& first, std::string_view name,
+                  json const& value)
+{
+    out += first ? "\n" : ",\n";
+    first = false;
+    out += '"';
+    out += name;
+    out += "\":";
+    out += value.dump();
+}
+
+} // namespace
+
+parsed apply_patch(table_data const& base, std::string_view patch,
+                   std::uint64_t version)
+{
+    fault_list faults;
+    if (patch.size() > max_patch_size)
+        return {nullptr, {{"", "longer than 1 MiB"}}};
+    bool too_deep = false;
+    json const document = json::parse(
+        patch,
+        [&](int depth, json::parse_event_t, json&)
+        {
+            too_deep = too_deep || depth > max_depth;
+            return depth <= max_depth;
+        },
+        false);
+    if (too_deep)
+        return {nullptr, {{"", "nested too deeply"}}};
+    if (!document.is_object())
+        return {nullptr, {{"", "must be a JSON object"}}};
+    check_sections(document, faults);
+    table_edit edit;
+    edit.data = base;
+    for (std::string_view section : sections)
+    {
+        auto const found = document.find(section);
+        if (found != document.end())
+            set_section(edit, base, section, *found, faults);
+    }
+    if (faults.empty())
+    {
+        bool const cleared =
+            std::any_of(document.begin(), document.end(),
+                        [](json const& value) { return value.is_null(); });
+        change_summary const changed = summarise(edit, base, cleared);
+        flush(edit);
+        check_references(edit.data, base, changed, faults);
+    }
+    return result_of(std::move(edit), std::move(faults), version);
+}
+
+parsed parse_document(std::string_view document, std::uint64_t version)
+{
+    document_reader reader;
+    json const rest = json::parse(
+        document,
+        [&](int depth, json::parse_event_t event, json& value)
+        { return reader.on_event(depth, event, value); },
+        false);
+    if (!rest.is_object())
+        return {nullptr, {{"", "must be a JSON object"}}};
+    check_sections(rest, reader.faults);
+    flush(reader.edit);
+    return result_of(std::move(reader.edit), std::move(reader.faults), version);
+}
+
+std::string render_document(table_data const& data)
+{
+    std::string out = "{\"priorities\":{";
+    bool first = true;
+    for (priority const& one : data.priorities)
+        append_entry(out, first, one.name, to_json(one));
+    out += "},\n\"services\":{";
+    first = true;
+    for_each_service(
+        data, [&](service const& one)
+        { append_entry(out, first, one.name, to_json(one, data.priorities)); });
+    out += "},\n\"routes\":{";
+    first = true;
+    for_each_route(
+        data, [&](route const& one)
+        { append_entry(out, first, one.name, to_json(one, data.priorities)); });
+    out += "},\n\"accounts\":{";
+    first = true;
+    for_each_account(data, [&](account const& one)
+                     { append_entry(out, first, one.name, to_json(one)); });
+    out += "}}\n";
+    return out;
+}
+
+} // namespace gooseberrycove::config
--- /dev/null
+++ b/src/config/entry_json.cpp
@@ -0,0 +1,384 @@
+#include "config/entry_json.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <initializer_list>
+
+namespace gooseberrycove::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// An hour; longer times are taken for a wrong unit.
+constexpr double max_ms = 3'600'000;
+
+/// An entry being read.
+struct reader
+{
+    json const& from;
+    std::string_view path;
+    fault_list& faults;
+
+    void fail(std::string_view key, std::string what)
+    {
+        faults.push_back({pointer_to(path, key), std::move(what)});
+    }
+
+    /// Adds a fault when a required field is absent.
+    json const* find(std::string_view key, bool required)
+    {
+        auto const found = from.find(key);
+        if (found != from.end())
+            return &*found;
+        if (required)
+            fail(key, "required, missing");
+        return nullptr;
+    }
+};
+
+/// Faults for fields that are not in \p allowed, or when it is no object.
+bool check_fields(reader& in, std::initializer_list<std::string_view> allowed)
+{
+    if (!in.from.is_object())
+    {
+        in.faults.push_back({std::string(in.path), "must be an object"});
+        return false;
+    }
+    for (auto const& [key, value] : in.from.items())
+    {
+        if (std::find(allowed.begin(), allowed.end(), key) == allowed.end())
+            in.fail(key, fmt::format("unknown, allowed: {}",
+                                     fmt::join(allowed, " ")));
+    }
+    return true;
+}
+
+struct limits
+{
+    double minimum = 0;
+    double maximum = 0;
+    bool whole = false;
+};
+
+/// Leaves \p value as it is when an optional field is absent.
+template <class Number>
+void read_number(reader& in, std::string_view key, limits allowed,
+                 bool required, Number& value)
+{
+    json const* const found = in.find(key, required);
+    if (found == nullptr)
+        return;
+    double const number = found->is_number() ? found->get<double>() : NAN;
+    bool const fits = number >= allowed.minimum && number <= allowed.maximum &&
+                      (!allowed.whole || number == std::floor(number));
+    if (fits)
+        value = static_cast<Number>(number);
+    else
+        in.fail(key, fmt::format("allowed: {} from {} to {}",
+                                 allowed.whole ? "an integer" : "a number",
+                                 allowed.minimum, allowed.maximum));
+}
+
+void read_time(reader& in, std::string_view key, double minimum, bool required,
+               duration& value)
+{
+    std::int64_t ms = value.count() / 1000;
+    read_number(in, key, {minimum, max_ms, true}, required, ms);
+    value = std::chrono::milliseconds(ms);
+}
+
+std::string read_text(reader& in, std::string_view key)
+{
+    json const* const found = in.find(key, true);
+    if (found == nullptr)
+        return {};
+    if (!found->is_string())
+    {
+        in.fail(key, "must be a string");
+        return {};
+    }
+    return found->get<std::string>();
+}
+
+/// Index of the priority, or 0 with a fault.
+priority_index find_priority(reader& in, std::string_view key,
+                             std::string_view wanted,
+                             std::span<priority const> names)
+{
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        if (names[i].name == wanted)
+            return static_cast<priority_index>(i);
+    }
+    in.fail(key, fmt::format("no priority named '{}'", wanted));
+    return 0;
+}
+
+bool is_path(std::string_view path)
+{
+    if (path.empty() || path.front() != '/' || path.size() > max_path_size)
+        return false;
+    std::size_t const star = path.find('*');
+    if (star != path.npos && star + 1 != path.size())
+        return false;
+    return std::all_of(path.begin(), path.end(),
+                       [](unsigned char c)
+                       { return c > 0x20 && c < 0x7F && c != '?'; });
+}
+
+bool is_method(std::string_view method)
+{
+    if (method == "*")
+        return true;
+    return !method.empty() && method.size() <= max_method_size &&
+           std::all_of(method.begin(), method.end(),
+                       [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+bool parse_hash(std::string_view text, key_hash& hash)
+{
+    if (text.size() != 2 * hash.size())
+        return false;
+    auto const digit = [](char c)
+    {
+        if (c >= '0' && c <= '9')
+            return c - '0';
+        return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+    };
+    for (std::size_t i = 0; i < hash.size(); ++i)
+    {
+        int const high = digit(text[2 * i]);
+        int const low = digit(text[2 * i + 1]);
+        if (high < 0 || low < 0)
+            return false;
+        hash[i] = static_cast<std::uint8_t>(high * 16 + low);
+    }
+    return true;
+}
+
+/// The shortest decimal text of a float as a double, so that 0.1f is rendered
+/// as 0.1.
+double shortest(float value)
+{
+    return std::strtod(fmt::format("{}", value).c_str(), nullptr);
+}
+
+std::int64_t to_ms(duration time)
+{
+    return time.count() / 1000;
+}
+
+std::string priority_name(std::span<priority const> names, priority_index index)
+{
+    return index < names.size() ? names[index].name : std::string();
+}
+
+void read_shares(reader& in, std::span<priority const> names, service& result)
+{
+    json const* const found = in.find("priorities", true);
+    if (found == nullptr)
+        return;
+    if (!found->is_object() || found->empty())
+        return in.fail("priorities", "must be an object with a priority");
+    std::string const path = pointer_to(in.path, "priorities");
+    double total = 0;
+    for (auto const& [name, value] : found->items())
+    {
+        reader list{*found, path, in.faults};
+        priority_share share;
+        share.priority = find_priority(list, name, name, names);
+        std::string const share_path = pointer_to(path, name);
+        reader one{value, share_path, in.faults};
+        if (!check_fields(one, {"min_share"}))
+            continue;
+        read_number(one, "min_share", {0, 1, false}, false, share.min_share);
+        total += share.min_share;
+        result.shares.push_back(share);
+    }
+    // Allows for the rounding of decimal fractions.
+    if (total > 1 + 1e-9)
+        in.fail("priorities", "the sum of min_share must not exceed 1");
+    std::sort(result.shares.begin(), result.shares.end(),
+              [](priority_share const& left, priority_share const& right)
+              { return left.priority < right.priority; });
+}
+
+} // namespace
+
+std::string pointer_to(std::string_view parent, std::string_view token)
+{
+    std::string result(parent);
+    result += '/';
+    for (char c : token)
+    {
+        if (c == '~')
+            result += "~0";
+        else if (c == '/')
+            result += "~1";
+        else
+            result += c;
+    }
+    return result;
+}
+
+bool is_name(std::string_view name)
+{
+    return !name.empty() && name.size() <= max_name_size &&
+           std::all_of(name.begin(), name.end(),
+                       [](char c)
+                       {
+                           return (c >= 'a' && c <= 'z') ||
+                                  (c >= 'A' && c <= 'Z') ||
+                                  (c >= '0' && c <= '9') || c == '.' ||
+                                  c == '_' || c == '@' || c == '-';
+                       });
+}
+
+json to_json(priority const& one)
+{
+    return {{"rank", one.rank},
+            {"target_ms", to_ms(one.target)},
+            {"worth", one.worth}};
+}
+
+json to_json(service const& one, std::span<priority const> names)
+{
+    json shares = json::object();
+    for (priority_share const& share : one.shares)
+    {
+        std::string const name = priority_name(names, share.priority);
+        if (!name.empty())
+            shares[name] = {{"min_share", share.min_share}};
+    }
+    return {{"floor_slots", one.floor_slots},
+            {"reserved_slots", one.reserved_slots},
+            {"warmup_ms", to_ms(one.warmup)},
+            {"priorities", shares}};
+}
+
+json to_json(route const& one, std::span<priority const> names)
+{
+    return {{"service", one.service},
+            {"method", one.method},
+            {"path", one.path},
+            {"priority", priority_name(names, one.priority)},
+            {"repeatable", one.repeatable},
+            {"timeout_ms", one.timeout_ms}};
+}
+
+json to_json(account const& one)
+{
+    std::string hash;
+    for (std::uint8_t byte : one.hash)
+        hash += fmt::format("{:02x}", byte);
+    return {{"key_hash", hash},
+            {"rate", shortest(one.rate)},
+            {"burst", shortest(one.burst)}};
+}
+
+std::optional<priority> parse_priority(json const& from, std::string_view name,
+                                       std::string_view path,
+                                       fault_list& faults)
+{
+    std::size_t const before = faults.size();
+    reader in{from, path, faults};
+    priority result;
+    result.name = name;
+    if (!check_fields(in, {"rank", "target_ms", "worth"}))
+        return std::nullopt;
+    read_number(in, "rank", {0, 1000, true}, true, result.rank);
+    read_time(in, "target_ms", 1, true, result.target);
+    read_number(in, "worth", {0, 1e9, false}, false, result.worth);
+    if (faults.size() > before)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<service> parse_service(json const& from, std::string_view name,
+                                     std::span<priority const> names,
+                                     std::string_view path, fault_list& faults)
+{
+    std::size_t const before = faults.size();
+    reader in{from, path, faults};
+    service result;
+    result.name = name;
+    if (!check_fields(
+            in, {"floor_slots", "priorities", "reserved_slots", "warmup_ms"}))
+        return std::nullopt;
+    read_number(in, "floor_slots", {0, 1e7, true}, true, result.floor_slots);
+    read_number(in, "reserved_slots", {0, 1e4, true}, false,
+                result.reserved_slots);
+    read_time(in, "warmup_ms", 0, false, result.warmup);
+    read_shares(in, names, result);
+    if (faults.size() > before)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<route> parse_route(json const& from, std::string_view name,
+                                 std::span<priority const> names,
+                                 std::string_view path, fault_list& faults)
+{
+    std::size_t const before = faults.size();
+    reader in{from, path, faults};
+    route result;
+    result.name = name;
+    if (!check_fields(in, {"service", "method", "path", "priority",
+                           "repeatable", "timeout_ms"}))
+        return std::nullopt;
+    result.service = read_text(in, "service");
+    result.method = read_text(in, "method");
+    result.path = read_text(in, "path");
+    std::string const wanted = read_text(in, "priority");
+    read_number(in, "timeout_ms", {1, max_ms, true}, true, result.timeout_ms);
+    if (json const* const flag = in.find("repeatable", true))
+    {
+        if (flag->is_boolean())
+            result.repeatable = flag->get<bool>();
+        else
+            in.fail("repeatable", "allowed: true or false");
+    }
+    if (faults.size() > before)
+        return std::nullopt;
+    result.priority = find_priority(in, "priority", wanted, names);
+    if (!is_method(result.method))
+        in.fail("method", "allowed: * or up to 16 capital letters");
+    if (!is_path(result.path))
+        in.fail("path", "allowed: / and up to 1023 visible ASCII characters "
+                        "without ?, with * only at the end");
+    if (faults.size() > before)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<account> parse_account(json const& from, std::string_view name,
+                                     std::string_view path, fault_list& faults)
+{
+    std::size_t const before = faults.size();
+    reader in{from, path, faults};
+    account result;
+    result.name = name;
+    if (!check_fields(in, {"key_hash", "rate", "burst"}))
+        return std::nullopt;
+    std::string const hash = read_text(in, "key_hash");
+    read_number(in, "rate", {0, 1e9, false}, false, result.rate);
+    read_number(in, "burst", {0, 1e9, false}, false, result.burst);
+    if (faults.size() > before)
+        return std::nullopt;
+    if (!parse_hash(hash, result.hash))
+        in.fail("key_hash", "allowed: 32 lower-case hexadecimal digits");
+    // A bucket smaller than one request would refuse every request.
+    if (result.rate > 0 && result.burst < 1)
+        in.fail("burst", "must be at least 1 when rate is set");
+    if (faults.size() > before)
+        return std::nullopt;
+    return result;
+}
+
+} // namespace gooseberrycove::config
--- /dev/null
+++ b/src/config/records.cpp
@@ -0,0 +1,68 @@
+#include "config/records.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace gooseberrycove::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Patch ids and authors come from headers and may hold invalid UTF-8.
+std::string dump(json const& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string patch_key(std::uint64_t version)
+{
+    return fmt::format("{}{:012}", patch_prefix, version);
+}
+
+std::string snapshot_name(std::uint64_t version)
+{
+    return fmt::format("config/snapshot/{}", version);
+}
+
+std::string render_head(head const& value)
+{
+    return dump({{"version", value.version}, {"patch_id", value.patch_id}});
+}
+
+std::optional<head> parse_head(std::string_view text)
+try
+{
+    json const document = json::parse(text);
+    return head{document.at("version"), document.at("patch_id")};
+}
+catch (json::exception const&)
+{
+    return std::nullopt;
+}
+
+std::string render_delta(delta const& value)
+{
+    return dump({{"version", value.version},
+                 {"patch_id", value.patch_id},
+                 {"author", value.author},
+                 {"patch", value.patch}});
+}
+
+std::optional<delta> parse_delta(std::string_view text)
+try
+{
+    json const document = json::parse(text);
+    return delta{document.at("version"), document.at("patch_id"),
+                 document.at("author"), document.at("patch")};
+}
+catch (json::exception const&)
+{
+    return std::nullopt;
+}
+
+} // namespace gooseberrycove::config
--- /dev/null
+++ b/src/config/records.hpp
@@ -0,0 +1,41 @@
+#ifndef GOOSEBERRYCOVE_CONFIG_RECORDS_HPP
+#define GOOSEBERRYCOVE_CONFIG_RECORDS_HPP
+
+#include <gooseberrycove/config.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gooseberrycove::config
+{
+
+/// Key of the row that holds the version in force.
+inline constexpr std::string_view head_key = "config/head";
+inline constexpr std::string_view patch_prefix = "config/patch/";
+
+/// Versions between two snapshots.
+inline constexpr std::uint64_t snapshot_interval = 64;
+
+struct head
+{
+    std::uint64_t version = 0;
+    /// Patch that led to the version.
+    std::string patch_id;
+};
+
+/// Key of the row with the patch that led to a version. The number has leading
+/// zeros, so that a scan returns patches in order.
+std::string patch_key(std::uint64_t version);
+
+std::string snapshot_name(std::uint64_t version);
+
+std::string render_head(head const& value);
+std::optional<head> parse_head(std::string_view text);
+
+std::string render_delta(delta const& value);
+std::optional<delta> parse_delta(std::string_view text);
+
+} // namespace gooseberrycove::config
+
+#endif
--- /dev/null
+++ b/src/config/state.hpp
@@ -0,0 +1,188 @@
+#ifndef GOOSEBERRYCOVE_CONFIG_STATE_HPP
+#define GOOSEBERRYCOVE_CONFIG_STATE_HPP
+
+#include "config/records.hpp"
+#include <gooseberrycove/config.hpp>
+#include <gooseberrycove/event.hpp>
+#include <gooseberrycove/peer.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberrycove::config
+{
+
+/// Patches that wait for the one being committed.
+inline constexpr std::size_t max_waiting = 64;
+
+/// Patches kept for peers and for answers to stale patches.
+inline constexpr std::size_t max_history = 1024;
+inline constexpr std::size_t max_history_bytes = 1 << 20;
+
+/// Patches in one message or in the answer to a stale patch.
+inline constexpr std::size_t max_deltas = 100;
+
+/// Peers told at once about a new version.
+inline constexpr std::size_t push_fan_out = 4;
+
+/// Reads of the head per second for the whole fleet.
+inline constexpr double fleet_polls_per_s = 200;
+
+/// A call without any answer for this long is taken as unknown. More than the
+/// timeout of every call but that of a snapshot.
+inline constexpr duration call_limit = std::chrono::seconds(5);
+
+/// Why a call to the store was made.
+enum class purpose
+{
+    poll,
+    read_head, ///< before a commit
+    write,     ///< the commit
+    scan,      ///< patches that this daemon lacks
+    get_snapshot,
+    put_snapshot,
+    history
+};
+
+struct call
+{
+    std::uint64_t number = 0;
+    purpose why = purpose::poll;
+    time_point given_up;
+};
+
+/// Row config/head as last read. The condition of a commit needs the version
+/// of the row together with the value read with it.
+struct head_row
+{
+    bool known = false;
+    std::uint64_t row_version = 0;
+    head value;
+};
+
+enum class commit_step
+{
+    catch_up, ///< waits until the version in force reaches the head
+    read_head,
+    write,
+    settle ///< a reply was lost; waits to send the same transaction again
+};
+
+/// The patch being committed.
+struct commit
+{
+    patch_request asked;
+    commit_step step = commit_step::catch_up;
+    /// Tables with the patch applied to version `asked.base`.
+    std::shared_ptr<table_data const> next;
+    store::transaction transaction;
+    std::uint64_t call = 0;
+    /// A reply to the write was lost, so it may have taken effect.
+    bool ambiguous = false;
+    time_point deadline;
+    time_point retry_at;
+};
+
+/// Reading of missing versions from the store.
+struct fetch
+{
+    bool active = false;
+    /// Snapshot being read, or 0 when patches are.
+    std::uint64_t snapshot = 0;
+    /// Snapshots tried that do not exist or cannot be used.
+    int missing = 0;
+    /// No earlier than this; gives a peer the time to send the versions.
+    time_point not_before;
+    /// Version in force when a peer was asked for newer ones.
+    std::optional<std::uint64_t> peer_asked_at;
+};
+
+struct pending_history
+{
+    std::uint64_t call = 0;
+    history_request asked;
+};
+
+/// A snapshot that is not yet written.
+struct pending_snapshot
+{
+    tables_ptr what;
+    /// Number of the call that writes it, or 0.
+    std::uint64_t call = 0;
+    time_point retry_at;
+};
+
+struct state
+{
+    std::string own_address;
+    /// Seed for the choice of peers and for generated patch ids; must differ
+    /// between all runs of all daemons.
+    std::uint64_t random = 0;
+
+    tables_ptr current = std::make_shared<tables const>();
+    /// Patches up to the version in force, without gaps.
+    std::deque<delta> history;
+    std::size_t history_bytes = 0;
+
+    std::vector<std::string> peers;
+    /// Peers that told their version, kept until this daemon is ready. They
+    /// tell it only when they are ready themselves.
+    std::vector<std::string> peers_heard;
+    /// Highest version learned from the store or a peer.
+    std::uint64_t highest_known = 0;
+
+    head_row head;
+    /// The last poll had no usable reply.
+    bool store_failed = false;
+    bool ready = false;
+
+    std::uint64_t last_call = 0;
+    std::vector<call> calls;
+    time_point next_poll;
+    time_point next_pull;
+    time_point next_snapshot_answer;
+    gooseberrycove::config::fetch fetch;
+    std::vector<pending_history> histories;
+    std::optional<pending_snapshot> snapshot;
+
+    std::optional<gooseberrycove::config::commit> committing;
+    std::deque<patch_request> waiting;
+};
+
+struct patch_answer
+{
+    patch_request asked;
+    patch_outcome outcome;
+};
+
+struct history_answer
+{
+    history_request asked;
+    std::vector<delta> list;
+};
+
+struct log_line
+{
+    bool warning = false;
+    event_line line;
+};
+
+/// What the thread is to do after a decision.
+struct actions
+{
+    /// Calls to the store; the thread sets `deliver`.
+    std::vector<store::request> calls;
+    std::vector<peer::outgoing> sends;
+    /// The version in force changed, or the daemon became ready.
+    bool in_force = false;
+    std::vector<patch_answer> patches;
+    std::vector<history_answer> histories;
+    std::vector<log_line> log;
+};
+
+} // namespace gooseberrycove::config
+
+#endif
--- /dev/null
+++ b/src/config/table_data.cpp
@@ -0,0 +1,355 @@
+#include "config/table_data.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace gooseberrycove::config
+{
+
+namespace
+{
+
+/// Tells a pattern with a wildcard from the exact path with the same text.
+constexpr std::uint64_t wildcard_salt = 0x9E3779B97F4A7C15;
+
+std::uint64_t wildcard_hash(std::string_view prefix)
+{
+    return hash_name(prefix) ^ wildcard_salt;
+}
+
+std::string_view name_of(account_block const& from, std::size_t index)
+{
+    std::size_t const begin = from.entries[index].begin;
+    std::size_t const end = index + 1 < from.entries.size()
+                                ? from.entries[index + 1].begin
+                                : from.text.size();
+    return std::string_view(from.text).substr(begin, end - begin);
+}
+
+struct route_texts
+{
+    std::string_view name;
+    std::string_view service;
+    std::string_view method;
+    std::string_view path;
+};
+
+route_texts texts_of(route_block const& from, route_entry const& entry)
+{
+    std::string_view rest = std::string_view(from.text).substr(entry.begin);
+    auto const take = [&](std::size_t size)
+    {
+        std::string_view const text = rest.substr(0, size);
+        rest.remove_prefix(size);
+        return text;
+    };
+    route_texts texts;
+    texts.name = take(entry.name_size);
+    texts.service = take(entry.service_size);
+    texts.method = take(entry.method_size);
+    texts.path = take(entry.path_size);
+    return texts;
+}
+
+/// Calls visit(block, entry) for each route with this hash of its name until
+/// it returns true.
+template <class Visit>
+bool visit_routes(table_data const& data, std::uint64_t hash, Visit visit)
+{
+    auto const& shard = data.routes[shard_of(data.routes, hash)];
+    if (!shard)
+        return false;
+    auto entry =
+        std::lower_bound(shard->entries.begin(), shard->entries.end(), hash,
+                         [](route_entry const& left, std::uint64_t right)
+                         { return left.hash < right; });
+    for (; entry != shard->entries.end() && entry->hash == hash; ++entry)
+    {
+        if (visit(*shard, *entry))
+            return true;
+    }
+    return false;
+}
+
+/// Calls visit(block, entry) for each route whose pattern has this hash until
+/// it returns true.
+template <class Visit>
+bool visit_pattern(table_data const& data, std::uint64_t hash, Visit visit)
+{
+    auto const& shard = data.patterns[shard_of(data.patterns, hash)];
+    if (!shard)
+        return false;
+    auto entry =
+        std::lower_bound(shard->begin(), shard->end(), pattern_entry{hash, 0});
+    for (; entry != shard->end() && entry->pattern == hash; ++entry)
+    {
+        if (visit_routes(data, entry->route, visit))
+            return true;
+    }
+    return false;
+}
+
+route_view view_of(route_texts const& texts, route_entry const& entry)
+{
+    return {texts.name, texts.service, entry.priority, entry.repeatable,
+            std::chrono::milliseconds(entry.timeout_ms)};
+}
+
+/// The route for the pattern with the hash; an exact method wins over `*`.
+std::optional<route_view> match_pattern(table_data const& data,
+                                        std::uint64_t hash,
+                                        std::string_view method,
+                                        std::string_view prefix, bool wildcard)
+{
+    std::optional<route_view> found;
+    visit_pattern(data, hash,
+                  [&](route_block const& from, route_entry const& entry)
+                  {
+                      route_texts const texts = texts_of(from, entry);
+                      std::string_view pattern = texts.path;
+                      if (wildcard != pattern.ends_with('*'))
+                          return false;
+                      if (wildcard)
+                          pattern.remove_suffix(1);
+                      bool const exact = texts.method == method;
+                      if (pattern != prefix || (!exact && texts.method != "*"))
+                          return false;
+                      found = view_of(texts, entry);
+                      return exact;
+                  });
+    return found;
+}
+
+template <class Block, std::size_t Count, class Size>
+std::size_t sum(shards<Block, Count> const& all, Size size)
+{
+    std::size_t bytes = 0;
+    for (auto const& shard : all)
+    {
+        if (shard)
+            bytes += sizeof(Block) + size(*shard);
+    }
+    return bytes;
+}
+
+} // namespace
+
+tables::tables() : m_data(std::make_shared<table_data const>()) {}
+
+tables::tables(std::shared_ptr<table_data const> data) : m_data(std::move(data))
+{
+}
+
+std::uint64_t tables::version() const
+{
+    return m_data->version;
+}
+
+std::optional<route_view> tables::match(std::string_view method,
+                                        std::string_view path) const
+{
+    auto found = match_pattern(*m_data, hash_name(path), method, path, false);
+    auto const& lengths = m_data->wildcard_lengths;
+    std::size_t length = std::min(path.size() + 1, lengths.size());
+    while (!found && length-- > 0)
+    {
+        if (lengths[length] == 0)
+            continue;
+        std::string_view const prefix = path.substr(0, length);
+        found =
+            match_pattern(*m_data, wildcard_hash(prefix), method, prefix, true);
+    }
+    return found;
+}
+
+std::optional<account_view> tables::account(std::string_view name) const
+{
+    auto const& all = m_data->accounts;
+    auto const& shard = all[shard_of(all, hash_name(name))];
+    if (!shard)
+        return std::nullopt;
+    std::size_t first = 0;
+    std::size_t count = shard->entries.size();
+    while (count > 0)
+    {
+        std::size_t const half = count / 2;
+        bool const less = name_of(*shard, first + half) < name;
+        first += less ? half + 1 : 0;
+        count = less ? count - half - 1 : half;
+    }
+    if (first == shard->entries.size() || name_of(*shard, first) != name)
+        return std::nullopt;
+    account_entry const& entry = shard->entries[first];
+    return account_view{name_of(*shard, first), entry.hash, entry.rate,
+                        entry.burst};
+}
+
+service const* tables::find_service(std::string_view name) const
+{
+    return config::find_service(*m_data, name);
+}
+
+std::span<priority const> tables::priorities() const
+{
+    return m_data->priorities;
+}
+
+account unpack(account_block const& from, std::size_t index)
+{
+    account_entry const& entry = from.entries[index];
+    return {std::string(name_of(from, index)), entry.hash, entry.rate,
+            entry.burst};
+}
+
+route unpack(route_block const& from, std::size_t index)
+{
+    route_entry const& entry = from.entries[index];
+    route_texts const texts = texts_of(from, entry);
+    return {std::string(texts.name),
+            std::string(texts.service),
+            std::string(texts.method),
+            std::string(texts.path),
+            entry.priority,
+            entry.repeatable,
+            entry.timeout_ms};
+}
+
+account_block pack(std::vector<account> const& values)
+{
+    account_block result;
+    std::size_t size = 0;
+    for (account const& value : values)
+        size += value.name.size();
+    result.entries.reserve(values.size());
+    result.text.reserve(size);
+    for (account const& value : values)
+    {
+        result.entries.push_back(
+            {static_cast<std::uint32_t>(result.text.size()), value.hash,
+             value.rate, value.burst});
+        result.text += value.name;
+    }
+    return result;
+}
+
+route_block pack(std::vector<route> const& values)
+{
+    route_block result;
+    std::size_t size = 0;
+    for (route const& value : values)
+        size += value.name.size() + value.service.size() + value.method.size() +
+                value.path.size();
+    result.entries.reserve(values.size());
+    result.text.reserve(size);
+    for (route const& value : values)
+    {
+        route_entry entry;
+        entry.hash = hash_name(value.name);
+        entry.begin = static_cast<std::uint32_t>(result.text.size());
+        entry.timeout_ms = value.timeout_ms;
+        entry.path_size = static_cast<std::uint16_t>(value.path.size());
+        entry.name_size = static_cast<std::uint8_t>(value.name.size());
+        entry.service_size = static_cast<std::uint8_t>(value.service.size());
+        entry.method_size = static_cast<std::uint8_t>(value.method.size());
+        entry.priority = value.priority;
+        entry.repeatable = value.repeatable;
+        result.entries.push_back(entry);
+        result.text += value.name;
+        result.text += value.service;
+        result.text += value.method;
+        result.text += value.path;
+    }
+    return result;
+}
+
+bool in_block_order(account const& left, account const& right)
+{
+    return left.name < right.name;
+}
+
+bool in_block_order(route const& left, route const& right)
+{
+    return std::make_tuple(hash_name(left.name), std::string_view(left.name)) <
+           std::make_tuple(hash_name(right.name), std::string_view(right.name));
+}
+
+std::uint64_t pattern_hash(std::string_view pattern)
+{
+    if (!pattern.ends_with('*'))
+        return hash_name(pattern);
+    pattern.remove_suffix(1);
+    return wildcard_hash(pattern);
+}
+
+std::optional<account> find_account(table_data const& data,
+                                    std::string_view name)
+{
+    // The view borrows data, which outlives it here.
+    tables const view(
+        std::shared_ptr<table_data const>(std::shared_ptr<void>(), &data));
+    auto const found = view.account(name);
+    if (!found)
+        return std::nullopt;
+    return account{std::string(found->name), found->hash, found->rate,
+                   found->burst};
+}
+
+std::optional<route> find_route(table_data const& data, std::string_view name)
+{
+    std::optional<route> found;
+    visit_routes(data, hash_name(name),
+                 [&](route_block const& from, route_entry const& entry)
+                 {
+                     if (texts_of(from, entry).name != name)
+                         return false;
+                     found = unpack(from, static_cast<std::size_t>(
+                                              &entry - from.entries.data()));
+                     return true;
+                 });
+    return found;
+}
+
+service const* find_service(table_data const& data, std::string_view name)
+{
+    auto const& shard = data.services[shard_of(data.services, hash_name(name))];
+    if (!shard)
+        return nullptr;
+    auto const found =
+        std::lower_bound(shard->begin(), shard->end(), name,
+                         [](service const& left, std::string_view right)
+                         { return left.name < right; });
+    return found != shard->end() && found->name == name ? &*found : nullptr;
+}
+
+std::string find_same_pattern(table_data const& data, route const& self)
+{
+    std::string other;
+    visit_pattern(data, pattern_hash(self.path),
+                  [&](route_block const& from, route_entry const& entry)
+                  {
+                      route_texts const texts = texts_of(from, entry);
+                      bool const same = texts.path == self.path &&
+                                        texts.method == self.method &&
+                                        texts.name != self.name;
+                      if (same)
+                          other = texts.name;
+                      return same;
+                  });
+    return other;
+}
+
+std::size_t memory_bytes(table_data const& data)
+{
+    auto const packed = [](auto const& shard)
+    {
+        return shard.entries.capacity() * sizeof(shard.entries[0]) +
+               shard.text.capacity();
+    };
+    auto const plain = [](auto const& shard)
+    { return shard.capacity() * sizeof(shard[0]); };
+    return sizeof(data) + sum(data.accounts, packed) +
+           sum(data.routes, packed) + sum(data.patterns, plain) +
+           sum(data.services, plain);
+}
+
+} // namespace gooseberrycove::config
--- /dev/null
+++ b/src/config/table_data.hpp
@@ -0,0 +1,148 @@
+#ifndef GOOSEBERRYCOVE_CONFIG_TABLE_DATA_HPP
+#define GOOSEBERRYCOVE_CONFIG_TABLE_DATA_HPP
+
+#include <gooseberrycove/config.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrycove::config
+{
+
+/// Shards per table. At the target of 540,000 accounts and 76,000 routes a
+/// patch of one entry copies about 25 KB.
+inline constexpr std::size_t account_shards = 1024;
+inline constexpr std::size_t route_shards = 256;
+inline constexpr std::size_t service_shards = 64;
+
+/// Longest path of a route in bytes.
+inline constexpr std::size_t max_path_size = 1024;
+
+/// A route's priority that the patch being applied removes: this plus its
+/// former index. Never in force.
+inline constexpr priority_index removed_priority = 128;
+
+struct account
+{
+    std::string name;
+    key_hash hash{};
+    float rate = 0;
+    float burst = 0;
+};
+
+struct route
+{
+    std::string name;
+    std::string service;
+    std::string method;
+    std::string path;
+    priority_index priority = 0;
+    bool repeatable = true;
+    std::uint32_t timeout_ms = 0;
+};
+
+/// Texts start at `begin` in the block; the name ends where the next entry's
+/// begins.
+struct account_entry
+{
+    std::uint32_t begin = 0;
+    key_hash hash{};
+    float rate = 0;
+    float burst = 0;
+};
+
+/// The name, service, method and path follow each other from `begin`.
+struct route_entry
+{
+    /// hash_name() of the name.
+    std::uint64_t hash = 0;
+    std::uint32_t begin = 0;
+    std::uint32_t timeout_ms = 0;
+    std::uint16_t path_size = 0;
+    std::uint8_t name_size = 0;
+    std::uint8_t service_size = 0;
+    std::uint8_t method_size = 0;
+    priority_index priority = 0;
+    bool repeatable = true;
+};
+
+/// One shard: entries of fixed size and their texts. Accounts are ordered by
+/// name, routes by hash and name.
+template <class Entry>
+struct block
+{
+    std::vector<Entry> entries;
+    std::string text;
+};
+
+using account_block = block<account_entry>;
+using route_block = block<route_entry>;
+/// Ordered by name.
+using service_block = std::vector<service>;
+
+/// Leads from the hash of a path pattern to the hash of a route's name.
+struct pattern_entry
+{
+    std::uint64_t pattern = 0;
+    std::uint64_t route = 0;
+
+    auto operator<=>(pattern_entry const&) const = default;
+};
+using pattern_block = std::vector<pattern_entry>;
+
+template <class Block, std::size_t Count>
+using shards = std::array<std::shared_ptr<Block const>, Count>;
+
+/// Everything in force in one version. Blocks are shared between versions; a
+/// null pointer is an empty block.
+struct table_data
+{
+    std::uint64_t version = 0;
+    std::vector<gooseberrycove::config::priority> priorities;
+    shards<service_block, service_shards> services;
+    shards<account_block, account_shards> accounts;
+    shards<route_block, route_shards> routes;
+    shards<pattern_block, route_shards> patterns;
+    /// Number of routes whose pattern ends in `*`, by the length of the text
+    /// before it. Lengths without a route are not looked up.
+    std::vector<std::uint32_t> wildcard_lengths;
+};
+
+account unpack(account_block const& from, std::size_t index);
+route unpack(route_block const& from, std::size_t index);
+
+/// \param values  in the order of the block, see in_block_order()
+account_block pack(std::vector<account> const& values);
+route_block pack(std::vector<route> const& values);
+
+bool in_block_order(account const& left, account const& right);
+bool in_block_order(route const& left, route const& right);
+
+template <class Block, std::size_t Count>
+std::size_t shard_of(shards<Block, Count> const&, std::uint64_t hash)
+{
+    return hash % Count;
+}
+
+/// Hash of a pattern as used in pattern_entry.
+std::uint64_t pattern_hash(std::string_view pattern);
+
+std::optional<account> find_account(table_data const& data,
+                                    std::string_view name);
+std::optional<route> find_route(table_data const& data, std::string_view name);
+service const* find_service(table_data const& data, std::string_view name);
+
+/// Another route than \p self with the same method and path; empty when there
+/// is none.
+std::string find_same_pattern(table_data const& data, route const& self);
+
+/// Heap bytes held by the blocks.
+std::size_t memory_bytes(table_data const& data);
+
+} // namespace gooseberrycove::config
+
+#endif
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -129,8 +129,9 @@
 /// Result of a patch_request.
 struct patch_outcome
 {
-    /// none, stale_version, invalid_patch or store_unavailable; internal with
-    /// an unknown outcome when the commit could not be settled in time.
+    /// none, stale_version, invalid_patch, store_unavailable or overloaded;
+    /// internal with an unknown outcome when the commit could not be settled
+    /// in time.
     error_kind kind = error_kind::none;
     /// Version in force after the patch, or the one that made it stale.
     std::uint64_t version = 0;
