Add the health duty

Runs three cumulative sequential tests per server homed here: partial failure, outage and slowness, each against the siblings of the service. The declared false-alarm rate is shared by the three.

An alarm becomes an ejection only when the siblings' work since the onset differs.

--- /dev/null
+++ b/src/health/verdicts.hpp
@@ -0,0 +1,39 @@
+#ifndef GOOSEBERRYCOVE_HEALTH_VERDICTS_HPP
+#define GOOSEBERRYCOVE_HEALTH_VERDICTS_HPP
+
+#include "state.hpp"
+
+namespace gooseberrycove::health
+{
+
+/// Reports the server's status.
+void tell(server_test& test, time_point now, std::string reason, bool changed,
+          bool wants_reports, actions& out);
+
+/// Latencies that \p test is compared with.
+latency_model model_of(server_test const& test, double sibling_mean);
+
+/// Raises an alarm when a test has reached the threshold.
+void check_alarm(state const& self, server_test& test, time_point now,
+                 actions& out);
+
+/// Confirms the alarm of \p test against fresh reports, or clears it.
+void check_confirmation(state const& self, service_tests& service,
+                        server_test& test, time_point now, actions& out);
+
+void clear_alarm(server_test& test, double kept_nats, std::string_view reason,
+                 time_point now, actions& out);
+
+void eject(server_test& test, double score, std::string_view reason,
+           time_point now, actions& out);
+
+void start_probation(server_test& test, std::string_view reason, time_point now,
+                     actions& out);
+
+/// Readmits or ejects a server in probation when its samples decide.
+void check_probation(state const& self, server_test& test, time_point now,
+                     actions& out);
+
+} // namespace gooseberrycove::health
+
+#endif
--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -12,7 +12,7 @@
 {
 
 /// Largest body of a caller's request in bytes.
-inline constexpr std::size_t max_body = 1024 * 1024;
+inline constexpr std::size_t max_body = std::size_t{1024} * 1024;
 
 /// What the caller of request \p id gets.
 struct answer
--- a/src/include/gooseberrycove/health.hpp
+++ b/src/include/gooseberrycove/health.hpp
@@ -16,7 +16,10 @@
 {
     success,
     failure,
-    shed ///< explicit refusal by the server; no evidence of a fault
+    shed, ///< explicit refusal by the server; no evidence of a fault
+    /// The deadline passed; a failure only when the server had the work for
+    /// the service's 95th percentile time.
+    timeout
 };
 
 /// Result of one attempt at a backend server homed here.
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -190,12 +190,11 @@
 
 void set_timer(state& self, request& what, time_point at)
 {
-    if (what.timer == at)
-        return;
-    self.timers.erase({what.timer, what.from.id});
-    what.timer = at;
+    if (what.timer)
+        self.timers.erase(*what.timer);
+    what.timer.reset();
     if (at != never)
-        self.timers.insert({at, what.from.id});
+        what.timer = self.timers.emplace(at, what.from.id);
 }
 
 void erase_request(state& self, request_id id)
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -65,7 +65,7 @@
     }
     std::size_t const reserve = is_work ? answer_reserve : 0;
     bool const sent = std::visit(
-        [&](auto&& what)
+        [&](auto& what)
         {
             if (item.local)
                 return to.admission->try_push(std::move(what), reserve);
@@ -73,7 +73,7 @@
                 peer::outgoing{std::move(item.address), std::move(what)},
                 reserve);
         },
-        std::move(item.what));
+        item.what);
     if (sent || !is_work)
         return std::nullopt;
     refused.kind = error_kind::overloaded;
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -10,10 +10,9 @@
 #include <gooseberrycove/routing.hpp>
 
 #include <map>
+#include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
-#include <utility>
 
 namespace gooseberrycove::routing
 {
@@ -64,6 +63,8 @@
     settling   ///< the caller is answered; the claim's result is awaited
 };
 
+using timer_queue = std::multimap<time_point, request_id>;
+
 /// One caller request in flight.
 struct request
 {
@@ -85,8 +86,8 @@
     bool failed_before = false;
     time_point hedge_at = never;
     time_point silent_at = never;
-    /// The entry of this request in state::timers.
-    time_point timer = never;
+    /// The entry of this request in state::timers, if any.
+    std::optional<timer_queue::iterator> timer;
 };
 
 /// What routing knows about one service.
@@ -109,7 +110,7 @@
     std::size_t most_in_flight = max_in_flight;
     std::unordered_map<request_id, request, request_id_hash> requests;
     std::map<std::string, service_state, std::less<>> services;
-    std::set<std::pair<time_point, request_id>> timers;
+    timer_queue timers;
     rate_limiter rates;
     home_evidence evidence;
     /// Results that came after their request was finished.
