Add the backend server stand-in

The daemons, the load tool and the checker need backend servers whose service times, capacity and faults are controlled. gcove_server answers any path as work, with a bounded queue, deadlines, shedding, cancellation, cold start, drain and the faults of design section 11, and records what it ran. Decisions (work, faults, announce) are free functions on injected time; only http.cpp includes RESTinio.

Histories and answer bodies that can be verified are in evidence, which the load tool and the checker use as well; the flags of the tools are in tool_settings.

--- /dev/null
+++ b/src/fake_server/http.cpp
@@ -0,0 +1,405 @@
+#include "fake_server/http.hpp"
+
+#include "evidence/answer_body.hpp"
+#include <gooseberrycove/settings.hpp>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+
+#include <charconv>
+#include <csignal>
+#include <unordered_map>
+
+namespace gooseberrycove::fake_server
+{
+
+namespace
+{
+
+class http_front;
+
+/// Tells the front about closed connections.
+struct close_listener
+{
+    http_front* front = nullptr;
+
+    void state_changed(restinio::connection_state::notice_t const& notice);
+};
+
+struct request_handler
+{
+    http_front* front = nullptr;
+
+    restinio::request_handling_status_t
+    operator()(restinio::request_handle_t const& request) const;
+};
+
+struct server_traits
+    : restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
+                                       restinio::null_logger_t, request_handler>
+{
+    static constexpr bool use_connection_count_limiter = true;
+    using connection_state_listener_t = close_listener;
+};
+
+using http_server = restinio::http_server_t<server_traits>;
+
+std::uint64_t parse_unsigned(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string header_of(restinio::request_handle_t const& request,
+                      std::string_view name)
+{
+    return std::string(request->header().get_field_or(
+        restinio::string_view_t(name.data(), name.size()), ""));
+}
+
+restinio::http_status_line_t status_of(answer_kind kind)
+{
+    switch (kind)
+    {
+    case answer_kind::done:
+        return restinio::status_ok();
+    case answer_kind::failed:
+        return restinio::status_internal_server_error();
+    case answer_kind::refused:
+        return restinio::status_service_unavailable();
+    }
+    return restinio::status_internal_server_error();
+}
+
+std::string refusal_body(answer const& what, work_limits const& limits)
+{
+    return nlohmann::json{{"request_id", what.request},
+                          {"server", limits.name},
+                          {"outcome", "not_run"},
+                          {"reason", what.reason}}
+        .dump();
+}
+
+/// Owns the work state; runs on the thread of its io_context only.
+class http_front
+{
+public:
+    http_front(http_options const& options, work_limits const& limits,
+               announce_inbox& announcer, evidence::history_log& history);
+
+    void run();
+
+    restinio::request_handling_status_t
+    on_request(restinio::request_handle_t const& request, time_point now);
+
+    void on_connection_closed(std::uint64_t connection);
+
+private:
+    std::unique_ptr<http_server> make_server(http_options const& options);
+    void take_work(restinio::request_handle_t const& request, time_point now);
+    void set_faults(restinio::request_handle_t const& request, time_point now);
+    void perform(actions&& out, time_point now);
+    void send(answer const& what);
+    void send_json(restinio::request_handle_t const& request,
+                   restinio::http_status_line_t status, std::string body);
+    void send_cut(restinio::request_handle_t const& request,
+                  std::string_view body);
+    void on_signal();
+    void announce();
+    void wait_for_tick(time_point now);
+    void stop_when_drained(time_point now);
+
+    asio::io_context m_io;
+    asio::steady_timer m_timer{m_io};
+    asio::steady_timer m_load_timer{m_io};
+    asio::signal_set m_signals{m_io, SIGTERM, SIGINT};
+    work_state m_work;
+    announce_inbox& m_announcer;
+    evidence::history_log& m_history;
+    duration m_drain_time;
+    time_point m_drain_start;
+    std::uint64_t m_next_ticket = 1;
+    std::size_t m_writes = 0;
+    std::unordered_map<std::uint64_t, restinio::request_handle_t> m_requests;
+    std::unique_ptr<http_server> m_server;
+};
+
+void close_listener::state_changed(
+    restinio::connection_state::notice_t const& notice)
+{
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause()))
+        front->on_connection_closed(notice.connection_id());
+}
+
+restinio::request_handling_status_t
+request_handler::operator()(restinio::request_handle_t const& request) const
+{
+    return front->on_request(request, clock_now());
+}
+
+http_front::http_front(http_options const& options, work_limits const& limits,
+                       announce_inbox& announcer,
+                       evidence::history_log& history)
+    : m_work(make_work_state(limits, clock_now())), m_announcer(announcer),
+      m_history(history), m_drain_time(options.drain_time),
+      m_server(make_server(options))
+{
+}
+
+std::unique_ptr<http_server>
+http_front::make_server(http_options const& options)
+{
+    auto const address = split_address(options.listen);
+    constexpr auto no_limit = std::chrono::hours(1);
+    return std::make_unique<http_server>(
+        restinio::external_io_context(m_io),
+        [&](auto& settings)
+        {
+            settings.address(address.first)
+                .port(address.second)
+                .protocol(asio::ip::make_address(address.first).is_v6()
+                              ? asio::ip::tcp::v6()
+                              : asio::ip::tcp::v4())
+                .request_handler(request_handler{this})
+                .connection_state_listener(
+                    std::make_shared<close_listener>(close_listener{this}))
+                .max_parallel_connections(options.connections)
+                // The next message is read while a request is handled, so
+                // that the end of the connection is seen at once.
+                .max_pipelined_requests(2)
+                .read_next_http_message_timelimit(no_limit)
+                .handle_request_timeout(no_limit)
+                .separate_accept_and_create_connect(false);
+        });
+}
+
+void http_front::run()
+{
+    m_signals.async_wait(
+        [this](asio::error_code const& failure, int)
+        {
+            if (!failure)
+                on_signal();
+        });
+    m_server->open_sync();
+    announce();
+    m_io.run();
+}
+
+restinio::request_handling_status_t
+http_front::on_request(restinio::request_handle_t const& request,
+                       time_point now)
+{
+    auto const& header = request->header();
+    std::string_view const path(header.path().data(), header.path().size());
+    bool const get = header.method() == restinio::http_method_get();
+    if (get && path == "/healthz")
+        send_json(request, restinio::status_ok(), R"({"status":"ok"})");
+    else if (get && path == "/load")
+        send_json(request, restinio::status_ok(),
+                  fmt::format(R"({{"in_flight":{},"slots":{}}})",
+                              reported_in_flight(m_work, now),
+                              m_work.limits.slots));
+    else if (path == "/faults")
+        set_faults(request, now);
+    else
+        take_work(request, now);
+    return restinio::request_accepted();
+}
+
+void http_front::take_work(restinio::request_handle_t const& request,
+                           time_point now)
+{
+    arrival next;
+    next.ticket = m_next_ticket++;
+    next.connection = request->connection_id();
+    next.request = header_of(request, "X-Request-Id");
+    next.key = header_of(request, "Idempotency-Key");
+    next.at = now;
+    std::string const deadline = header_of(request, "X-Deadline-Ms");
+    if (!deadline.empty())
+        next.deadline =
+            now + std::chrono::milliseconds(parse_unsigned(deadline));
+    auto const query = restinio::parse_query(request->header().query());
+    if (query.has("size"))
+    {
+        auto const size = query["size"];
+        next.filler_size =
+            parse_unsigned(std::string_view(size.data(), size.size()));
+    }
+    m_requests.emplace(next.ticket, request);
+    actions out;
+    on_arrival(m_work, std::move(next), now, out);
+    perform(std::move(out), now);
+}
+
+void http_front::set_faults(restinio::request_handle_t const& request,
+                            time_point now)
+{
+    try
+    {
+        if (request->header().method() == restinio::http_method_post())
+        {
+            actions out;
+            on_faults(m_work, parse_faults(request->body(), now), now, out);
+            perform(std::move(out), now);
+        }
+        send_json(request, restinio::status_ok(), to_json(m_work.faults));
+    }
+    catch (std::invalid_argument const& fault)
+    {
+        send_json(request, restinio::status_bad_request(),
+                  nlohmann::json{{"fault", fault.what()}}.dump());
+    }
+}
+
+void http_front::on_connection_closed(std::uint64_t connection)
+{
+    time_point const now = clock_now();
+    std::erase_if(m_requests, [&](auto const& item)
+                  { return item.second->connection_id() == connection; });
+    actions out;
+    on_closed(m_work, connection, now, out);
+    perform(std::move(out), now);
+}
+
+void http_front::perform(actions&& out, time_point now)
+{
+    // Records first: a caller's own record of the answer must not be older.
+    for (evidence::record& item : out.records)
+        m_history.add(std::move(item));
+    for (answer const& item : out.answers)
+        send(item);
+    wait_for_tick(now);
+    stop_when_drained(now);
+}
+
+void http_front::send(answer const& what)
+{
+    auto const found = m_requests.find(what.ticket);
+    if (found == m_requests.end())
+        return;
+    restinio::request_handle_t const request = std::move(found->second);
+    m_requests.erase(found);
+    bool const ran = what.kind != answer_kind::refused;
+    work_limits const& limits = m_work.limits;
+    std::string body =
+        ran ? evidence::make_answer_body(
+                  {what.request, limits.name, limits.service, what.sequence},
+                  what.filler_size)
+            : refusal_body(what, limits);
+    if (what.cut)
+        return send_cut(request, body);
+    ++m_writes;
+    request->create_response(status_of(what.kind))
+        .append_header("Content-Type", "application/json")
+        .append_header("X-Request-Id", what.request)
+        .append_header("X-Outcome", ran ? "ran" : "not_run")
+        .set_body(std::move(body))
+        .done(
+            [this](auto const&)
+            {
+                --m_writes;
+                stop_when_drained(clock_now());
+            });
+}
+
+void http_front::send_json(restinio::request_handle_t const& request,
+                           restinio::http_status_line_t status,
+                           std::string body)
+{
+    request->create_response(std::move(status))
+        .append_header("Content-Type", "application/json")
+        .set_body(std::move(body))
+        .done();
+}
+
+/// Announces the whole length, sends half of it and closes the connection.
+void http_front::send_cut(restinio::request_handle_t const& request,
+                          std::string_view body)
+{
+    auto response =
+        request->create_response<restinio::user_controlled_output_t>();
+    response.set_content_length(body.size())
+        .append_header("Content-Type", "application/json")
+        .append_header("X-Outcome", "ran")
+        .connection_close();
+    response.append_body(std::string(body.substr(0, body.size() / 2)));
+    response.done();
+}
+
+void http_front::on_signal()
+{
+    time_point const now = clock_now();
+    m_drain_start = now;
+    on_drain(m_work);
+    announce();
+    m_timer.expires_at(now);
+    wait_for_tick(now);
+}
+
+/// Tells the announcing duty the present state, now and periodically. A full
+/// ring drops the message, because the next one repeats it.
+void http_front::announce()
+{
+    time_point const now = clock_now();
+    double const in_flight =
+        static_cast<double>(reported_in_flight(m_work, now));
+    double const load = in_flight / static_cast<double>(m_work.limits.slots);
+    m_announcer.try_push(own_state{m_work.draining, load});
+    m_load_timer.expires_at(now + load_period);
+    m_load_timer.async_wait(
+        [this](asio::error_code const& failure)
+        {
+            if (!failure)
+                announce();
+        });
+}
+
+void http_front::wait_for_tick(time_point now)
+{
+    std::optional<time_point> next = next_tick(m_work, now);
+    if (m_work.draining)
+    {
+        time_point const end = m_drain_start + m_drain_time;
+        time_point const limit = m_drain_start + drain_limit;
+        time_point const exit = end > now ? end : limit;
+        next = std::min(next.value_or(exit), exit);
+    }
+    m_timer.cancel();
+    if (!next)
+        return;
+    m_timer.expires_at(*next);
+    m_timer.async_wait(
+        [this](asio::error_code const& failure)
+        {
+            if (failure)
+                return;
+            time_point const at = clock_now();
+            actions out;
+            on_tick(m_work, at, out);
+            perform(std::move(out), at);
+        });
+}
+
+void http_front::stop_when_drained(time_point now)
+{
+    if (!m_work.draining || now < m_drain_start + m_drain_time)
+        return;
+    bool const finished = is_idle(m_work) && m_writes == 0;
+    if (finished || now >= m_drain_start + drain_limit)
+        m_io.stop();
+}
+
+} // namespace
+
+void run_http(http_options const& options, work_limits const& limits,
+              announce_inbox& announcer, evidence::history_log& history)
+{
+    http_front(options, limits, announcer, history).run();
+}
+
+} // namespace gooseberrycove::fake_server
--- /dev/null
+++ b/src/tool_settings/tool_settings.hpp
@@ -0,0 +1,22 @@
+#ifndef GOOSEBERRYCOVE_TOOL_SETTINGS_HPP
+#define GOOSEBERRYCOVE_TOOL_SETTINGS_HPP
+
+#include <gooseberrycove/settings.hpp>
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace gooseberrycove::tool_settings
+{
+
+/// Parses the flags of a tool, reads its settings and calls \p run with them.
+/// Returns the exit code: that of \p run, 0 after --check_settings, 2 for
+/// settings that cannot be used, 1 for another failure.
+int run_with_settings(int argc, char** argv, std::string_view usage,
+                      std::span<setting const> schema,
+                      std::function<int(settings const&)> const& run);
+
+} // namespace gooseberrycove::tool_settings
+
+#endif
