Add the load tool

Claims about the fleet need callers whose requests, keys and responses are all on record. gcove_load sends Poisson arrivals open-loop by curl_multi, checks each response for completeness and ownership, repeats keyed work with an unknown outcome, and counts latencies from the planned arrival so that a slow fleet cannot hide its queue.

--- /dev/null
+++ b/src/load/stream.hpp
@@ -0,0 +1,35 @@
+#ifndef GOOSEBERRYCOVE_LOAD_STREAM_HPP
+#define GOOSEBERRYCOVE_LOAD_STREAM_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrycove::load
+{
+
+/// Requests of one kind with independent arrivals.
+struct stream
+{
+    std::string name;
+    /// Mean arrivals per second.
+    double rate = 1;
+    std::string method;
+    /// Path and query.
+    std::string path;
+    /// Without it each piece of work gets an Idempotency-Key of its own.
+    bool repeatable = true;
+    /// Sent as X-Deadline-Ms; zero sends none.
+    duration deadline{0};
+};
+
+/// Reads `name:rate:METHOD:/path:repeatable:deadline_ms` parts separated by
+/// blanks, where repeatable is true or false.
+/// \throws settings_error with what is allowed
+std::vector<stream> parse_streams(std::string_view text);
+
+} // namespace gooseberrycove::load
+
+#endif
