--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -40,7 +40,7 @@
     std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers;
     std::unordered_map<std::uint64_t, CURL*> by_ticket;
     std::vector<easy_ptr> spare;
-    std::deque<finished> undelivered;
+    std::deque<admission::message> undelivered;
 };
 
 state make_state()
@@ -115,21 +115,18 @@
     log_info(line);
 }
 
-void deliver(state& self, wiring const& out, finished&& result)
+/// Sends results in order; what finds no room waits for the next call.
+void flush(state& self, wiring const& out)
 {
-    admission::message message(std::move(result));
-    if (!out.admission->try_push(std::move(message)))
-        self.undelivered.push_back(std::get<finished>(std::move(message)));
+    while (!self.undelivered.empty() &&
+           out.admission->try_push(std::move(self.undelivered.front())))
+        self.undelivered.pop_front();
 }
 
-void retry_delivery(state& self, wiring const& out)
+void deliver(state& self, wiring const& out, finished&& result)
 {
-    for (std::size_t left = self.undelivered.size(); left > 0; --left)
-    {
-        finished result = std::move(self.undelivered.front());
-        self.undelivered.pop_front();
-        deliver(self, out, std::move(result));
-    }
+    self.undelivered.emplace_back(std::move(result));
+    flush(self, out);
 }
 
 void handle(state&, wiring const&, std::monostate, time_point) {}
@@ -218,14 +215,14 @@
         open = requests.pop_until(batch, clock_now());
         time_point const now = clock_now();
         for (message& item : batch)
-            std::visit([&](auto&& what)
+            std::visit([&](auto& what)
                        { handle(self, out, std::move(what), now); },
-                       std::move(item));
+                       item);
         batch.clear();
         int running = 0;
         curl_multi_perform(self.multi.get(), &running);
         collect_finished(self, out, clock_now());
-        retry_delivery(self, out);
+        flush(self, out);
         if (!open && self.transfers.empty())
             break;
         curl_multi_poll(self.multi.get(), nullptr, 0,
@@ -233,10 +230,10 @@
                                                  : retry_delivery_ms,
                         nullptr);
     }
-    for (finished const& lost : self.undelivered)
+    if (!self.undelivered.empty())
         log_error(event_line(event::ring_full)
                       .field("ring", "admission")
-                      .field("ticket", lost.ticket));
+                      .field("lost", std::uint64_t{self.undelivered.size()}));
 }
 
 } // namespace gooseberrycove::dispatch
--- a/src/dispatch/transfer.hpp
+++ b/src/dispatch/transfer.hpp
@@ -13,7 +13,7 @@
 {
 
 /// Largest answer of a backend server in bytes.
-inline constexpr std::size_t max_answer = 1024 * 1024;
+inline constexpr std::size_t max_answer = 1 << 20;
 
 struct easy_deleter
 {
