--- /dev/null
+++ b/src/admission/admission_test.cpp
@@ -0,0 +1,456 @@
+#include "decide.hpp"
+#include "schedule.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::admission;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+daemon_ref const home{1, 1};
+daemon_ref const successor{2, 1};
+
+/// One home with server `s1` of service `shop`, priorities 0 to 2.
+struct fixture
+{
+    using ids = std::vector<std::uint64_t>;
+    state self;
+    time_point now{3600s};
+    actions out;
+    std::uint64_t next_id = 0;
+
+    explicit fixture(std::uint32_t slots = 1)
+    {
+        self.self = home;
+        service_policy policy;
+        policy.service = "shop";
+        policy.priorities[0] = {true, 0.5, 100ms};
+        policy.priorities[1] = {true, 0.2, 500ms};
+        policy.priorities[2] = {true, 0.1, 1s};
+        on_policy(self, policy, now, out);
+        announce("s1", slots);
+    }
+    void announce(char const* name, std::uint32_t slots,
+                  members::server_state how = members::server_state::serving)
+    {
+        members::homed_server change;
+        change.what.server = name;
+        change.what.service = "shop";
+        change.what.address = "127.0.0.1:1";
+        change.what.slots = slots;
+        change.what.state = how;
+        on_homed_server(self, change, now, out);
+    }
+    work make(priority_index priority, duration limit = 10s,
+              char const* account = "a")
+    {
+        work what;
+        what.id = {0, ++next_id};
+        what.account = account;
+        what.service = "shop";
+        what.priority = priority;
+        what.method = "GET";
+        what.target = "/";
+        what.deadline = now + limit;
+        what.server = "s1";
+        what.origin = home;
+        return what;
+    }
+    std::uint64_t add(work what)
+    {
+        std::uint64_t const id = what.id.low;
+        on_work(self, std::move(what), now, out);
+        return id;
+    }
+    work claimed(char const* id, std::uint64_t epoch)
+    {
+        work what = make(0);
+        what.repeatable = false;
+        what.claim = {id, epoch};
+        return what;
+    }
+    /// Ends the oldest work in flight.
+    void finish(dispatch::result_class how = dispatch::result_class::answered,
+                duration latency = 10ms, int status = 200)
+    {
+        dispatch::finished done;
+        done.ticket = self.in_flight.begin()->first;
+        done.what = how;
+        done.status = status;
+        // All in flight share one processor, so each takes its part longer.
+        done.latency = latency * self.in_flight.size();
+        now += latency;
+        on_finished(self, std::move(done), now, out);
+    }
+    claims::fence_state fence(char const* id, std::uint64_t epoch,
+                              daemon_ref asked = home)
+    {
+        claims::fence request;
+        request.claim = {id, epoch};
+        request.home = asked;
+        request.sender = successor;
+        on_fence(self, request, now, out);
+        return out.fences.back().answer.state;
+    }
+    void judge(health_state state)
+    {
+        health::verdict verdict;
+        verdict.status.server = "s1";
+        verdict.status.health = state;
+        on_verdict(self, verdict, now, out);
+    }
+    error_kind last_kind() const { return out.answers.back().result.kind; }
+    ids started() const
+    {
+        ids list;
+        for (dispatch::start const& job : out.starts)
+            list.push_back(job.what.id.low);
+        return list;
+    }
+};
+
+} // namespace
+
+TEST_CASE("ends of dispatched work map to results and samples")
+{
+    // Guards against "not run" for work that a server may have seen, and
+    // against evidence from refusals and short deadlines.
+    using dispatch::result_class;
+    using health::sample_class;
+    struct row
+    {
+        result_class how;
+        int status;
+        error_kind kind;
+        outcome result;
+        std::optional<sample_class> sample;
+        duration latency = 10ms;
+    };
+    auto const end =
+        GENERATE(row{result_class::answered, 200, error_kind::none,
+                     outcome::ran, sample_class::success},
+                 row{result_class::answered, 500, error_kind::none,
+                     outcome::ran, sample_class::failure},
+                 row{result_class::connect_failed, 0, error_kind::no_server,
+                     outcome::not_run, sample_class::failure},
+                 row{result_class::connect_failed, 0, error_kind::no_server,
+                     outcome::not_run, std::nullopt, 0ms},
+                 row{result_class::refused_not_run, 503, error_kind::overloaded,
+                     outcome::not_run, sample_class::shed},
+                 row{result_class::cut, 0, error_kind::answer_cut,
+                     outcome::unknown, sample_class::failure},
+                 row{result_class::timed_out, 0, error_kind::timed_out,
+                     outcome::unknown, sample_class::failure},
+                 row{result_class::cancelled, 0, error_kind::cancelled,
+                     outcome::unknown, std::nullopt});
+    fixture f;
+    f.add(f.make(0));
+    f.finish(end.how, end.latency, end.status);
+    REQUIRE(f.out.answers.size() == 1);
+    CHECK(f.last_kind() == end.kind);
+    CHECK(f.out.answers[0].result.result == end.result);
+    CHECK(f.out.samples.size() == (end.sample ? 1 : 0));
+    if (end.sample)
+        CHECK(f.out.samples[0].what == *end.sample);
+    CHECK(f.self.servers.at("s1").in_flight == 0);
+}
+
+TEST_CASE("refusals at entry answer once and not run")
+{
+    fixture f;
+    auto const change = GENERATE(
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::no_server, [](fixture&, work& w) { w.server = "x"; }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::no_server, [](fixture&, work& w) { w.service = "x"; }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::bad_request,
+            [](fixture&, work& w) { w.traceparent = "a\r\nHost: b"; }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::deadline_unmet,
+            [](fixture& g, work& w) { w.deadline = g.now; }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::draining, [](fixture& g, work&) { on_drain(g.self); }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::no_server, [](fixture& g, work& w)
+            {
+                g.judge(health_state::probation);
+                w.repeatable = false;
+            }});
+    work what = f.make(0);
+    change.second(f, what);
+    f.add(std::move(what));
+    REQUIRE(f.out.answers.size() == 1);
+    CHECK(f.last_kind() == change.first);
+    CHECK(f.out.answers[0].result.result == outcome::not_run);
+    CHECK(f.out.starts.empty());
+}
+
+TEST_CASE("urgent work goes first, then the earliest deadline")
+{
+    fixture f;
+    f.add(f.make(1));
+    auto const late = f.add(f.make(0, 9s));
+    auto const lower = f.add(f.make(1));
+    auto const soon = f.add(f.make(0, 5s));
+    for (int i = 0; i < 3; ++i)
+        f.finish();
+    CHECK(f.started() == fixture::ids{1, soon, late, lower});
+}
+
+TEST_CASE("an account with many requests does not delay another account")
+{
+    fixture f;
+    for (int i = 0; i < 20; ++i)
+        f.add(f.make(0, 5s, "many"));
+    auto const other = f.add(f.make(0, 9s, "other"));
+    for (int i = 0; i < 10; ++i)
+        f.finish();
+    CHECK(std::ranges::count(f.started(), other) == 1);
+}
+
+TEST_CASE("a flood of urgent work leaves the minimum shares")
+{
+    // A server that is slower than its slots promise must not starve the
+    // lower priorities either.
+    fixture f(GENERATE(1u, 2u));
+    std::array<int, 3> given{};
+    for (int i = 0; i < 2000; ++i)
+    {
+        for (priority_index p = 0; p < 3; ++p)
+        {
+            while (
+                f.self.services.at("shop").priorities[p].queue.entries.size() <
+                5)
+                f.add(f.make(p, 3600s));
+        }
+        ++given[f.self.in_flight.begin()->second.what.priority];
+        f.finish();
+    }
+    CHECK(given[1] >= 0.95 * 0.2 * 2000);
+    CHECK(given[2] >= 0.95 * 0.1 * 2000);
+    CHECK(given[0] >= 0.65 * 2000);
+}
+
+TEST_CASE("slow lower work leaves the reserved slot free")
+{
+    fixture f(4);
+    f.add(f.make(1));
+    f.finish(dispatch::result_class::answered, 300ms);
+    for (int i = 0; i < 6; ++i)
+        f.add(f.make(1));
+    CHECK(f.self.servers.at("s1").in_flight == 3);
+    f.add(f.make(0));
+    CHECK(f.self.servers.at("s1").in_flight == 4);
+}
+
+TEST_CASE("a draining server gets nothing new and its queue is given back")
+{
+    fixture f;
+    f.add(f.make(0));
+    f.add(f.make(0));
+    f.announce("s1", 1, members::server_state::draining);
+    CHECK(f.last_kind() == error_kind::draining);
+    f.add(f.make(0));
+    CHECK(f.last_kind() == error_kind::draining);
+    f.finish();
+    CHECK(f.last_kind() == error_kind::none);
+    CHECK(f.out.starts.size() == 1);
+}
+
+TEST_CASE("a server that is gone while work runs still delivers the result")
+{
+    fixture f;
+    f.add(f.make(0));
+    f.add(f.make(0));
+    members::homed_server change;
+    change.what.server = "s1";
+    change.gone = true;
+    on_homed_server(f.self, change, f.now, f.out);
+    CHECK(f.last_kind() == error_kind::no_server);
+    f.finish();
+    CHECK(f.last_kind() == error_kind::none);
+    CHECK(f.self.servers.empty());
+    CHECK(f.out.known.back().gone);
+}
+
+TEST_CASE("a server in probation has one repeatable request in flight")
+{
+    fixture f(4);
+    f.judge(health_state::probation);
+    f.add(f.make(0));
+    f.add(f.make(0));
+    CHECK(f.out.starts.size() == 1);
+    CHECK(f.last_kind() == error_kind::overloaded);
+}
+
+TEST_CASE("slots ramp up after an announcement")
+{
+    fixture f;
+    f.self.policies.at("shop").warmup = 10s;
+    on_policy(f.self, service_policy(f.self.policies.at("shop")), f.now, f.out);
+    f.announce("s2", 5);
+    homed_state const& server = f.self.servers.at("s2");
+    auto const& policy = f.self.services.at("shop").policy;
+    CHECK(slots_of(server, policy, f.now) == 1);
+    CHECK(slots_of(server, policy, f.now + 5s) == 3);
+    CHECK(slots_of(server, policy, f.now + 10s) == 5);
+}
+
+TEST_CASE("the limit follows the latency gradient")
+{
+    // Row: true slots of a server that declares 4; lowest and highest limit
+    // that a run may end with.
+    struct row
+    {
+        double true_slots;
+        double lowest;
+        double highest;
+    };
+    auto const server = GENERATE(row{4, 4, 5}, row{2, 1, 3}, row{16, 8, 8});
+    adaptive_limit limit;
+    set_declared(limit, 4);
+    time_point now{3600s};
+    for (int i = 0; i < 4000; ++i)
+    {
+        // Every fourth request finds an idle server.
+        std::uint32_t const in_flight =
+            i % 4 == 0 ? 1 : usable_slots(limit, now, 0s, now);
+        double const factor = std::max(1.0, in_flight / server.true_slots);
+        on_latency(limit, 0,
+                   duration(static_cast<duration::rep>(20000 * factor)),
+                   in_flight, true, now);
+        now += 10ms;
+    }
+    CHECK(limit.limit >= server.lowest);
+    CHECK(limit.limit <= server.highest);
+}
+
+TEST_CASE("cancel removes queued work and closes running repeatable work")
+{
+    fixture f;
+    work kept = f.make(0);
+    kept.repeatable = false;
+    f.add(std::move(kept));
+    f.add(f.make(0));
+    on_cancel(f.self, {{0, 1}, 0, home}, f.now, f.out);
+    CHECK(f.out.cancels.empty());
+    on_cancel(f.self, {{0, 2}, 0, home}, f.now, f.out);
+    CHECK(f.last_kind() == error_kind::cancelled);
+    CHECK(f.out.answers.back().result.result == outcome::not_run);
+    f.finish();
+    CHECK(f.out.starts.size() == 1);
+    f.add(f.make(0));
+    on_cancel(f.self, {{0, 3}, 0, home}, f.now, f.out);
+    CHECK(f.out.cancels.size() == 1);
+}
+
+TEST_CASE("a full queue refuses the latest deadline of its priority")
+{
+    fixture f;
+    f.add(f.make(1));
+    for (std::size_t i = 0; i < max_queue; ++i)
+        f.add(f.make(1, 10s + duration(i)));
+    CHECK(f.out.answers.empty());
+    f.add(f.make(1, 1s));
+    CHECK(f.last_kind() == error_kind::overloaded);
+    CHECK(f.out.answers.back().result.id.low == max_queue + 1);
+    auto const newest = f.add(f.make(1, 60s));
+    CHECK(f.out.answers.back().result.id.low == newest);
+}
+
+TEST_CASE("queued work past its deadline is refused as not run")
+{
+    fixture f;
+    f.add(f.make(0));
+    f.add(f.make(0, 1s));
+    f.now += 2s;
+    on_tick(f.self, f.now, f.out);
+    CHECK(f.last_kind() == error_kind::deadline_unmet);
+    CHECK(f.out.answers.size() == 1);
+}
+
+TEST_CASE("loads are reported on change and at most every 200 ms")
+{
+    fixture f;
+    on_tick(f.self, f.now, f.out);
+    f.out.loads.clear();
+    f.add(f.make(0));
+    CHECK(on_tick(f.self, f.now + 100ms, f.out) == f.now + 300ms);
+    CHECK(f.out.loads.empty());
+    on_tick(f.self, f.now + 300ms, f.out);
+    on_tick(f.self, f.now + 600ms, f.out);
+    REQUIRE(f.out.loads.size() == 1);
+    CHECK(f.out.loads[0].in_flight == 1);
+}
+
+TEST_CASE("the fence tells what became of a claim and refuses old epochs")
+{
+    using claims::fence_state;
+    fixture f;
+    CHECK(f.fence("new", 1) == fence_state::fenced);
+    f.add(f.claimed("new", 1));
+    CHECK(f.last_kind() == error_kind::outcome_unknown);
+    CHECK(f.out.starts.empty());
+    f.add(f.claimed("new", 2));
+    CHECK(f.out.starts.size() == 1);
+    CHECK(f.fence("new", 2) == fence_state::running);
+    f.add(f.claimed("new", 2));
+    CHECK(f.last_kind() == error_kind::in_progress);
+    f.finish();
+    CHECK(f.fence("new", 2) == fence_state::finished);
+    CHECK(f.out.fences.back().answer.result.kind == error_kind::none);
+    f.add(f.claimed("new", 3));
+    CHECK(f.last_kind() == error_kind::outcome_unknown);
+    CHECK(f.fence("new", 3, {1, 2}) == fence_state::wrong_home);
+    CHECK(f.out.starts.size() == 1);
+}
+
+TEST_CASE("queued claimed work that is fenced or refused never runs")
+{
+    bool const by_fence = GENERATE(true, false);
+    fixture f;
+    f.add(f.make(0));
+    f.add(f.claimed("c", 1));
+    if (by_fence)
+        CHECK(f.fence("c", 1) == claims::fence_state::fenced);
+    else
+        f.announce("s1", 1, members::server_state::draining);
+    REQUIRE(f.out.answers.size() == 1);
+    // A fenced claim may run at a successor, so it is not "not run".
+    CHECK(f.out.answers[0].result.result ==
+          (by_fence ? outcome::unknown : outcome::not_run));
+    f.announce("s1", 1);
+    f.finish();
+    f.add(f.claimed("c", 1));
+    CHECK(f.out.starts.size() == 1);
+    CHECK(f.fence("c", 1) == claims::fence_state::fenced);
+}
+
+TEST_CASE("a full claim memory refuses new claims and keeps recent ones")
+{
+    claim_memory memory;
+    memory.max_records = 4;
+    time_point const now{3600s};
+    work_result ran;
+    ran.result = outcome::ran;
+    for (char const* id : {"a", "b", "c", "d"})
+    {
+        REQUIRE(enter_claim(memory, {id, 1}, now) == claim_entry::accepted);
+        claim_started(memory, {id, 1});
+        claim_ended(memory, {id, 1}, ran, now);
+    }
+    CHECK(enter_claim(memory, {"e", 1}, now + 9min) == claim_entry::no_room);
+    CHECK(enter_claim(memory, {"a", 1}, now + 9min) == claim_entry::finished);
+    // Fences have a reserve of a quarter; beyond it nothing is promised.
+    CHECK(fence_claim(memory, {"f", 1}, now).state ==
+          claims::fence_state::fenced);
+    CHECK(fence_claim(memory, {"g", 1}, now).state ==
+          claims::fence_state::running);
+    CHECK(enter_claim(memory, {"e", 1}, now + 11min) == claim_entry::accepted);
+}
--- /dev/null
+++ b/src/admission/decide.cpp
@@ -0,0 +1,241 @@
+#include "decide.hpp"
+
+#include "refuse.hpp"
+#include "schedule.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+struct mapped_end
+{
+    error_kind kind = error_kind::none;
+    outcome result = outcome::unknown;
+};
+
+mapped_end map_end(dispatch::result_class what)
+{
+    switch (what)
+    {
+    case dispatch::result_class::answered:
+        return {error_kind::none, outcome::ran};
+    case dispatch::result_class::connect_failed:
+        return {error_kind::no_server, outcome::not_run};
+    case dispatch::result_class::refused_not_run:
+        return {error_kind::overloaded, outcome::not_run};
+    case dispatch::result_class::cut:
+        return {error_kind::answer_cut, outcome::unknown};
+    case dispatch::result_class::timed_out:
+        return {error_kind::timed_out, outcome::unknown};
+    case dispatch::result_class::cancelled:
+        break;
+    }
+    return {error_kind::cancelled, outcome::unknown};
+}
+
+/// Deviations above the median of the log-normal fit for the 95th percentile.
+constexpr double p95_sigmas = 1.645;
+
+/// The evidence that a result gives about the server; none for some.
+std::optional<health::sample_class> evidence(dispatch::finished const& done,
+                                             service_estimate const& estimate)
+{
+    switch (done.what)
+    {
+    case dispatch::result_class::answered:
+        return done.status >= 500 ? health::sample_class::failure
+                                  : health::sample_class::success;
+    case dispatch::result_class::refused_not_run:
+        return health::sample_class::shed;
+    case dispatch::result_class::connect_failed:
+        // Without latency nothing was attempted.
+        if (done.latency.count() == 0)
+            return std::nullopt;
+        return health::sample_class::failure;
+    case dispatch::result_class::timed_out:
+        // A short deadline says nothing about the server.
+        if (done.latency < quantile_time(estimate, p95_sigmas))
+            return std::nullopt;
+        return health::sample_class::failure;
+    case dispatch::result_class::cut:
+        return health::sample_class::failure;
+    case dispatch::result_class::cancelled:
+        break;
+    }
+    return std::nullopt;
+}
+
+void emit_sample(running const& ended, dispatch::finished const& done,
+                 service_estimate const& estimate, time_point now, actions& out)
+{
+    auto const what = evidence(done, estimate);
+    if (!what)
+        return;
+    out.samples.push_back(
+        {ended.server, ended.what.service, *what, done.latency, now});
+}
+
+void learn(service_state& service, homed_state& server, running const& ended,
+           dispatch::finished const& done, time_point now)
+{
+    priority_state& priority = service.priorities[ended.what.priority];
+    if (done.what == dispatch::result_class::refused_not_run)
+        on_shed(server.limit);
+    bool const answered =
+        done.what == dispatch::result_class::answered && done.status < 500;
+    if (answered)
+        on_latency(server.limit, ended.what.priority, done.latency,
+                   ended.concurrency, service.queued > 0, now);
+    // A timed out request took at least this long; leaving it out would make
+    // a slow service look fast.
+    if (answered || done.what == dispatch::result_class::timed_out)
+        add_sample(priority.estimate, done.latency);
+}
+
+void free_slot(homed_state& server, running const& ended)
+{
+    --server.in_flight;
+    server.lower_in_flight -= ended.urgent ? 0 : 1;
+    server.load_changed = true;
+}
+
+work_result result_of(state const& self, running const& ended,
+                      dispatch::finished&& done)
+{
+    mapped_end const end = map_end(done.what);
+    work_result result = make_result(self, ended.what, end.kind, end.result);
+    result.status =
+        end.kind == error_kind::none ? done.status : answer_of(end.kind).status;
+    result.content_type = std::move(done.content_type);
+    result.body = std::move(done.body);
+    result.detail = std::move(done.detail);
+    result.service_time = done.latency;
+    return result;
+}
+
+bool is_attempt(work const& what, cancel const& which)
+{
+    return what.id == which.id && what.attempt == which.attempt &&
+           what.origin == which.origin;
+}
+
+void report_loads(state& self, time_point now, actions& out)
+{
+    for (auto& [name, server] : self.servers)
+    {
+        if (!server.load_changed || now - server.load_reported < load_interval)
+            continue;
+        server.load_changed = false;
+        server.load_reported = now;
+        out.loads.push_back({name, server.in_flight, server.queued});
+    }
+}
+
+bool has_changed_load(state const& self)
+{
+    return std::ranges::any_of(self.servers, [](auto const& item)
+                               { return item.second.load_changed; });
+}
+
+/// Interval in which queued work is checked against its deadline.
+constexpr duration queue_check{20'000};
+constexpr duration idle_check{1'000'000};
+
+} // namespace
+
+void on_finished(state& self, dispatch::finished&& done, time_point now,
+                 actions& out)
+{
+    auto const found = self.in_flight.find(done.ticket);
+    if (found == self.in_flight.end())
+        return;
+    running const ended = std::move(found->second);
+    self.in_flight.erase(found);
+    service_state& service = self.services.at(ended.what.service);
+    homed_state& server = self.servers.at(ended.server);
+    free_slot(server, ended);
+    charge_end(service.shares, ended.what.priority, ended.charged,
+               done.latency);
+    emit_sample(ended, done, service.priorities[ended.what.priority].estimate,
+                now, out);
+    learn(service, server, ended, done, now);
+    work_result result = result_of(self, ended, std::move(done));
+    if (!ended.what.claim.id.empty())
+        claim_ended(self.claims, ended.what.claim, result, now);
+    out.answers.push_back(
+        {ended.what.origin, ended.what.origin_address, std::move(result)});
+    if (server.state == members::server_state::gone && server.in_flight == 0)
+        self.servers.erase(ended.server);
+    start_queued(self, service, now, out);
+}
+
+void on_cancel(state& self, cancel const& which, time_point now, actions& out)
+{
+    eligible const matches = [&](entry const& item)
+    { return is_attempt(item.what, which); };
+    for (auto& [name, service] : self.services)
+        refuse_matching(self, service, matches, error_kind::cancelled,
+                        "caller_gone", now, out);
+    for (auto const& [ticket, begun] : self.in_flight)
+    {
+        if (is_attempt(begun.what, which) && begun.what.repeatable)
+            out.cancels.push_back({ticket});
+    }
+}
+
+void on_fence(state& self, claims::fence const& request, time_point now,
+              actions& out)
+{
+    claims::fence_answer reply;
+    if (request.home == self.self)
+        reply = fence_claim(self.claims, request.claim, now);
+    reply.claim = request.claim;
+    reply.home = self.self;
+    out.fences.push_back(
+        {request.sender, request.sender_address, std::move(reply)});
+    if (request.home != self.self ||
+        out.fences.back().answer.state != claims::fence_state::fenced)
+        return;
+    eligible const is_fenced = [&](entry const& item)
+    {
+        return item.what.claim.id == request.claim.id &&
+               item.what.claim.epoch <= request.claim.epoch;
+    };
+    // The successor may run the claim, so the attempt is not "not run".
+    for (auto& [name, service] : self.services)
+        refuse_matching(self, service, is_fenced, error_kind::outcome_unknown,
+                        "claim_fenced", now, out);
+}
+
+void on_drain(state& self)
+{
+    self.draining = true;
+}
+
+time_point on_tick(state& self, time_point now, actions& out)
+{
+    std::size_t queued = 0;
+    for (auto& item : self.services)
+    {
+        service_state& service = item.second;
+        if (service.queued == 0)
+            continue;
+        eligible const is_late = [&](entry const& waiting)
+        { return misses_deadline(service, waiting.what, now); };
+        refuse_matching(self, service, is_late, error_kind::deadline_unmet,
+                        "deadline_in_queue", now, out);
+        start_queued(self, service, now, out);
+        queued += service.queued;
+    }
+    forget_claims(self.claims, now);
+    report_loads(self, now, out);
+    if (queued > 0)
+        return now + queue_check;
+    return now + (has_changed_load(self) ? load_interval : idle_check);
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/decide.hpp
@@ -0,0 +1,40 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_DECIDE_HPP
+#define GOOSEBERRYCOVE_ADMISSION_DECIDE_HPP
+
+#include "state.hpp"
+
+namespace gooseberrycove::admission
+{
+
+/// Queues one attempt or refuses it. An accepted attempt gets one result.
+void on_work(state& self, work&& what, time_point now, actions& out);
+
+/// Removes queued work. Running repeatable work is cancelled; running
+/// non-repeatable work goes on, so that its answer can be recorded.
+void on_cancel(state& self, cancel const& which, time_point now, actions& out);
+
+void on_finished(state& self, dispatch::finished&& done, time_point now,
+                 actions& out);
+
+void on_homed_server(state& self, members::homed_server const& change,
+                     time_point now, actions& out);
+
+/// Replaces the policy of one service.
+void on_policy(state& self, service_policy const& policy, time_point now,
+               actions& out);
+
+void on_verdict(state& self, health::verdict const& verdict, time_point now,
+                actions& out);
+
+void on_fence(state& self, claims::fence const& request, time_point now,
+              actions& out);
+
+void on_drain(state& self);
+
+/// Refuses queued work that is past its deadline and reports loads. Returns
+/// the time of the next call.
+time_point on_tick(state& self, time_point now, actions& out);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- /dev/null
+++ b/src/admission/enter.cpp
@@ -0,0 +1,203 @@
+#include "decide.hpp"
+#include "refuse.hpp"
+#include "schedule.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+struct refusal
+{
+    error_kind kind = error_kind::none;
+    std::string_view reason;
+};
+
+bool has_control_character(std::string_view text)
+{
+    return std::ranges::any_of(
+        text, [](char c) { return static_cast<unsigned char>(c) < 0x20; });
+}
+
+/// A line break in any of these would let a caller add header lines.
+bool is_malformed(work const& what)
+{
+    return what.priority >= max_priorities || what.method.empty() ||
+           !what.target.starts_with('/') ||
+           has_control_character(what.method) ||
+           has_control_character(what.target) ||
+           has_control_character(what.content_type) ||
+           has_control_character(what.idempotency_key) ||
+           has_control_character(what.traceparent);
+}
+
+refusal refuse_by_server(homed_state const& server, work const& what)
+{
+    if (server.state == members::server_state::draining)
+        return {error_kind::draining, "server_draining"};
+    if (!takes_work(server, what.repeatable))
+        return {error_kind::no_server, "server_not_eligible"};
+    if (server.health.health == health_state::probation &&
+        server.in_flight + server.queued > 0)
+        return {error_kind::overloaded, "probation_busy"};
+    return {};
+}
+
+bool takes_in_time(service_state const& service, homed_state const& server,
+                   work const& what, time_point now)
+{
+    duration const wait =
+        expected_wait(service, server, what.priority, what.deadline, now);
+    return !misses_deadline(service, what, now + wait);
+}
+
+refusal check_server(state const& self, service_state const& service,
+                     std::string const& name, work const& what, time_point now)
+{
+    auto const found = self.servers.find(name);
+    if (found == self.servers.end() || found->second.service != what.service)
+        return {error_kind::no_server, "not_homed_here"};
+    refusal const refused = refuse_by_server(found->second, what);
+    if (refused.kind != error_kind::none)
+        return refused;
+    if (!takes_in_time(service, found->second, what, now))
+        return {error_kind::deadline_unmet, "deadline_at_entry"};
+    return {};
+}
+
+/// Work without a chosen server needs one server that could take it.
+refusal check_any_server(state const& self, service_state const& service,
+                         work const& what, time_point now)
+{
+    refusal last{error_kind::no_server, "not_homed_here"};
+    for (std::string const& name : service.servers)
+    {
+        last = check_server(self, service, name, what, now);
+        if (last.kind == error_kind::none)
+            break;
+    }
+    return last;
+}
+
+refusal check_claim(claim_entry known)
+{
+    switch (known)
+    {
+    case claim_entry::accepted:
+        break;
+    case claim_entry::no_room:
+        return {error_kind::overloaded, "claim_memory_full"};
+    case claim_entry::refused_before:
+        return {error_kind::no_server, "claim_refused_before"};
+    case claim_entry::fenced:
+        return {error_kind::outcome_unknown, "claim_fenced"};
+    case claim_entry::running:
+        return {error_kind::in_progress, "claim_running"};
+    case claim_entry::finished:
+        return {error_kind::outcome_unknown, "claim_finished"};
+    }
+    return {};
+}
+
+/// Makes room for work of \p priority in its full queue. Refuses the entry
+/// with the latest deadline; returns false when that is the new work.
+bool make_room(state& self, service_state& service, priority_index victim,
+               work const& what, time_point now, actions& out)
+{
+    priority_queue& queue = service.priorities[victim].queue;
+    std::size_t const latest = latest_deadline(queue);
+    if (victim == what.priority &&
+        queue.entries[latest].what.deadline <= what.deadline)
+        return false;
+    refuse_queued(self, service, remove_at(queue, latest),
+                  error_kind::overloaded, "queue_full", now, out);
+    return true;
+}
+
+/// The lowest-ranked backlogged priority above its minimum share; without one
+/// the lowest-ranked backlogged priority.
+priority_index victim_of(service_state const& service)
+{
+    priority_index lowest = 0;
+    for (priority_index i = max_priorities; i > 0; --i)
+    {
+        if (service.priorities[i - 1].queue.entries.empty())
+            continue;
+        if (service.shares.credit_us[i - 1] <= 0)
+            return i - 1;
+        lowest = std::max<priority_index>(lowest, i - 1);
+    }
+    return lowest;
+}
+
+bool fits(state& self, service_state& service, work const& what, time_point now,
+          actions& out)
+{
+    if (service.priorities[what.priority].queue.entries.size() >= max_queue)
+        return make_room(self, service, what.priority, what, now, out);
+    if (service.queued < max_service_queue)
+        return true;
+    priority_index const victim = victim_of(service);
+    return victim >= what.priority &&
+           make_room(self, service, victim, what, now, out);
+}
+
+refusal check_work(state const& self, work const& what, time_point now)
+{
+    if (self.draining)
+        return {error_kind::draining, "daemon_draining"};
+    if (is_malformed(what))
+        return {error_kind::bad_request, "malformed"};
+    auto const found = self.services.find(what.service);
+    if (found == self.services.end())
+        return {error_kind::no_server, "not_homed_here"};
+    return what.server.empty()
+               ? check_any_server(self, found->second, what, now)
+               : check_server(self, found->second, what.server, what, now);
+}
+
+void enqueue(state& self, service_state& service, work&& what, time_point now,
+             actions& out)
+{
+    if (what.priority == urgent_priority(service.policy))
+        service.urgent_seen = now;
+    ++service.queued;
+    count_queued(self, what.server, 1);
+    priority_queue& queue = service.priorities[what.priority].queue;
+    push(queue, std::move(what), now);
+    start_queued(self, service, now, out);
+}
+
+} // namespace
+
+void on_work(state& self, work&& what, time_point now, actions& out)
+{
+    bool const claimed = !what.claim.id.empty();
+    // A claim that ran here must never be answered "not run", whatever else
+    // stands against the attempt.
+    refusal refused =
+        claimed ? check_claim(known_claim(self.claims, what.claim)) : refusal{};
+    if (refused.kind == error_kind::none)
+        refused = check_work(self, what, now);
+    if (refused.kind == error_kind::none)
+    {
+        service_state& service = self.services.at(what.service);
+        advance_shares(self, service, now);
+        if (!fits(self, service, what, now, out))
+            refused = {error_kind::overloaded, "queue_full"};
+        else if (claimed)
+            refused = check_claim(enter_claim(self.claims, what.claim, now));
+    }
+    if (refused.kind != error_kind::none)
+    {
+        refuse(self, what, refused.kind, refused.reason, out);
+        return;
+    }
+    service_state& service = self.services.at(what.service);
+    enqueue(self, service, std::move(what), now, out);
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/estimate.cpp
@@ -0,0 +1,46 @@
+#include "estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+/// Samples over which the moments move. Long enough for a stable deviation,
+/// short enough to follow a service within a few seconds of load.
+constexpr double window = 200;
+
+constexpr double samples_for_deviation = 20;
+
+} // namespace
+
+void add_sample(service_estimate& estimate, duration latency)
+{
+    double const value =
+        std::max<double>(1, static_cast<double>(latency.count()));
+    estimate.samples = std::min(estimate.samples + 1, window);
+    double const weight = 1 / estimate.samples;
+    estimate.mean_us += weight * (value - estimate.mean_us);
+    double const difference = std::log(value) - estimate.mean_log;
+    estimate.mean_log += weight * difference;
+    estimate.variance_log = (1 - weight) * (estimate.variance_log +
+                                            weight * difference * difference);
+}
+
+duration expected_time(service_estimate const& estimate)
+{
+    return duration(static_cast<duration::rep>(estimate.mean_us));
+}
+
+duration quantile_time(service_estimate const& estimate, double sigmas)
+{
+    if (estimate.samples < samples_for_deviation)
+        return expected_time(estimate);
+    return duration(static_cast<duration::rep>(std::exp(
+        estimate.mean_log + sigmas * std::sqrt(estimate.variance_log))));
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/estimate.hpp
@@ -0,0 +1,29 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_ESTIMATE_HPP
+#define GOOSEBERRYCOVE_ADMISSION_ESTIMATE_HPP
+
+#include <gooseberrycove/types.hpp>
+
+namespace gooseberrycove::admission
+{
+
+/// Moving moments of the service time of one priority of one service.
+struct service_estimate
+{
+    double samples = 0;
+    double mean_us = 0;
+    double mean_log = 0;
+    double variance_log = 0;
+};
+
+void add_sample(service_estimate& estimate, duration latency);
+
+/// Zero before the first sample.
+duration expected_time(service_estimate const& estimate);
+
+/// Quantile of the log-normal fit, \p sigmas deviations above the median.
+/// The mean before there are enough samples for a deviation.
+duration quantile_time(service_estimate const& estimate, double sigmas);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- /dev/null
+++ b/src/admission/fence.cpp
@@ -0,0 +1,182 @@
+#include "fence.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+/// Memory of a record without its result, with its entries in both containers.
+constexpr std::size_t record_overhead = 512;
+
+std::size_t size_of(work_result const& result)
+{
+    return result.body.size() + result.content_type.size() +
+           result.detail.size();
+}
+
+void erase_record(claim_memory& memory, std::string const& id)
+{
+    auto const found = memory.records.find(id);
+    memory.bytes -= record_overhead + size_of(found->second.result);
+    memory.records.erase(found);
+}
+
+bool is_settled(claim_record const& record)
+{
+    return record.phase != claim_phase::queued &&
+           record.phase != claim_phase::running;
+}
+
+void forget_older(claim_memory& memory, time_point limit)
+{
+    while (!memory.settled.empty() && memory.settled.front().second < limit)
+    {
+        auto const found = memory.records.find(memory.settled.front().first);
+        if (found != memory.records.end() && is_settled(found->second) &&
+            found->second.settled < limit)
+            erase_record(memory, found->first);
+        memory.settled.pop_front();
+    }
+}
+
+bool is_full(claim_memory const& memory, std::size_t reserve)
+{
+    return memory.records.size() >= memory.max_records + reserve ||
+           memory.bytes >= memory.max_bytes + reserve * record_overhead;
+}
+
+bool make_room(claim_memory& memory, std::size_t reserve, time_point now)
+{
+    if (is_full(memory, reserve))
+        forget_older(memory, now - min_claim_age);
+    return !is_full(memory, reserve);
+}
+
+claim_record& add_record(claim_memory& memory, claim_ref const& claim)
+{
+    memory.bytes += record_overhead;
+    claim_record& record = memory.records[claim.id];
+    record.epoch = claim.epoch;
+    return record;
+}
+
+void settle(claim_memory& memory, std::string const& id, claim_record& record,
+            claim_phase phase, time_point now)
+{
+    record.phase = phase;
+    record.settled = now;
+    memory.settled.emplace_back(id, now);
+}
+
+claim_entry judge(claim_record const& record, claim_ref const& claim)
+{
+    switch (record.phase)
+    {
+    case claim_phase::queued:
+    case claim_phase::running:
+        return claim_entry::running;
+    case claim_phase::finished:
+        return claim_entry::finished;
+    case claim_phase::refused:
+    case claim_phase::fenced:
+        break;
+    }
+    if (claim.epoch <= record.epoch)
+        return record.phase == claim_phase::fenced
+                   ? claim_entry::fenced
+                   : claim_entry::refused_before;
+    return claim_entry::accepted;
+}
+
+} // namespace
+
+claim_entry known_claim(claim_memory const& memory, claim_ref const& claim)
+{
+    auto const found = memory.records.find(claim.id);
+    return found == memory.records.end() ? claim_entry::accepted
+                                         : judge(found->second, claim);
+}
+
+claim_entry enter_claim(claim_memory& memory, claim_ref const& claim,
+                        time_point now)
+{
+    auto const found = memory.records.find(claim.id);
+    if (found != memory.records.end())
+    {
+        claim_entry const judged = judge(found->second, claim);
+        if (judged != claim_entry::accepted)
+            return judged;
+        found->second.epoch = claim.epoch;
+        found->second.phase = claim_phase::queued;
+        return judged;
+    }
+    if (!make_room(memory, 0, now))
+        return claim_entry::no_room;
+    add_record(memory, claim);
+    return claim_entry::accepted;
+}
+
+void claim_started(claim_memory& memory, claim_ref const& claim)
+{
+    memory.records.at(claim.id).phase = claim_phase::running;
+}
+
+void claim_ended(claim_memory& memory, claim_ref const& claim,
+                 work_result const& result, time_point now)
+{
+    claim_record& record = memory.records.at(claim.id);
+    if (result.result == outcome::not_run)
+    {
+        settle(memory, claim.id, record, claim_phase::refused, now);
+        return;
+    }
+    record.result = result;
+    record.result.statuses.clear();
+    memory.bytes += size_of(result);
+    settle(memory, claim.id, record, claim_phase::finished, now);
+}
+
+claims::fence_answer fence_claim(claim_memory& memory, claim_ref const& claim,
+                                 time_point now)
+{
+    claims::fence_answer answer;
+    answer.claim = claim;
+    auto found = memory.records.find(claim.id);
+    if (found == memory.records.end())
+    {
+        // Fences have room of their own, so that claims can be settled while
+        // new ones are refused. Without room the home cannot promise to
+        // refuse, and "running" makes the successor answer unknown.
+        answer.state = claims::fence_state::running;
+        if (!make_room(memory, memory.max_records / 4, now))
+            return answer;
+        add_record(memory, claim);
+        found = memory.records.find(claim.id);
+    }
+    claim_record& record = found->second;
+    if (record.phase == claim_phase::running)
+    {
+        answer.state = claims::fence_state::running;
+        return answer;
+    }
+    if (record.phase == claim_phase::finished)
+    {
+        answer.state = claims::fence_state::finished;
+        answer.result = record.result;
+        return answer;
+    }
+    record.epoch = std::max(record.epoch, claim.epoch);
+    settle(memory, claim.id, record, claim_phase::fenced, now);
+    answer.state = claims::fence_state::fenced;
+    return answer;
+}
+
+void forget_claims(claim_memory& memory, time_point now)
+{
+    forget_older(memory, now - max_claim_age);
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/limit.hpp
@@ -0,0 +1,50 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_LIMIT_HPP
+#define GOOSEBERRYCOVE_ADMISSION_LIMIT_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace gooseberrycove::admission
+{
+
+/// Requests in flight that a server is given: additive increase and
+/// multiplicative decrease on the latency gradient, because reported slots
+/// may be wrong. The gradient is the mean difference of log latency at the
+/// limit to that of the same priority at half of the declared slots or less.
+struct adaptive_limit
+{
+    std::uint32_t declared = 1;
+    double limit = 1;
+    /// Moving mean of log latency at low concurrency, for each priority.
+    std::array<double, max_priorities> low_log{};
+    std::array<double, max_priorities> low_samples{};
+    /// Sum of the differences at the limit since its last change.
+    double high_sum = 0;
+    std::uint32_t high_samples = 0;
+    /// No attempt above the declared slots before this time.
+    time_point next_attempt;
+    duration attempt_pause{0};
+};
+
+void set_declared(adaptive_limit& limit, std::uint32_t slots);
+
+/// Takes the latency of work that was started as the \p concurrency -th
+/// request in flight.
+/// \param backlogged  work waits for this server
+void on_latency(adaptive_limit& limit, priority_index priority,
+                duration latency, std::uint32_t concurrency, bool backlogged,
+                time_point now);
+
+/// The server refused work as overloaded.
+void on_shed(adaptive_limit& limit);
+
+/// Slots that may be used: the limit, and a linear ramp from 1 to the declared
+/// slots during \p warmup after \p announced.
+std::uint32_t usable_slots(adaptive_limit const& limit, time_point announced,
+                           duration warmup, time_point now);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- /dev/null
+++ b/src/admission/queue.cpp
@@ -0,0 +1,99 @@
+#include "queue.hpp"
+
+#include <algorithm>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+/// Accounts whose virtual time is remembered.
+constexpr std::size_t max_accounts = 2 * max_queue;
+
+duration virtual_time_of(fair_shares const& shares, std::string const& account)
+{
+    auto const found = shares.virtual_time.find(account);
+    return found == shares.virtual_time.end()
+               ? shares.now
+               : std::max(shares.now, found->second);
+}
+
+/// Accounts that are not ahead have the present virtual time anyway. When many
+/// accounts with one request each remain, their lead is a single request.
+void forget_accounts(fair_shares& shares)
+{
+    std::erase_if(shares.virtual_time,
+                  [&](auto const& item) { return item.second <= shares.now; });
+    if (shares.virtual_time.size() > max_accounts)
+        shares.virtual_time.clear();
+}
+
+} // namespace
+
+void push(priority_queue& queue, work&& what, time_point now)
+{
+    queue.entries.push_back({std::move(what), now});
+}
+
+std::optional<std::size_t> select(priority_queue const& queue,
+                                  eligible const& may_take, duration slack)
+{
+    std::vector<std::pair<std::size_t, duration>> candidates;
+    duration least = duration::max();
+    for (std::size_t i = 0; i < queue.entries.size(); ++i)
+    {
+        if (!may_take(queue.entries[i]))
+            continue;
+        candidates.emplace_back(
+            i, virtual_time_of(queue.shares, queue.entries[i].what.account));
+        least = std::min(least, candidates.back().second);
+    }
+    std::optional<std::size_t> best;
+    for (auto const& [position, tag] : candidates)
+    {
+        if (tag > least + slack)
+            continue;
+        if (!best || queue.entries[position].what.deadline <
+                         queue.entries[*best].what.deadline)
+            best = position;
+    }
+    return best;
+}
+
+entry remove_at(priority_queue& queue, std::size_t position)
+{
+    entry taken = std::move(queue.entries[position]);
+    if (position + 1 != queue.entries.size())
+        queue.entries[position] = std::move(queue.entries.back());
+    queue.entries.pop_back();
+    return taken;
+}
+
+entry serve_at(priority_queue& queue, std::size_t position, duration cost)
+{
+    entry taken = remove_at(queue, position);
+    fair_shares& shares = queue.shares;
+    duration const tag = virtual_time_of(shares, taken.what.account);
+    // The accounts furthest behind set the virtual time; an entry within the
+    // slack may be ahead of them.
+    duration least = tag;
+    for (entry const& other : queue.entries)
+        least = std::min(least, virtual_time_of(shares, other.what.account));
+    shares.now = std::max(shares.now, least);
+    shares.virtual_time[taken.what.account] = tag + std::max(cost, duration(1));
+    if (shares.virtual_time.size() > max_accounts)
+        forget_accounts(shares);
+    return taken;
+}
+
+std::size_t latest_deadline(priority_queue const& queue)
+{
+    auto const latest =
+        std::max_element(queue.entries.begin(), queue.entries.end(),
+                         [](entry const& left, entry const& right)
+                         { return left.what.deadline < right.what.deadline; });
+    return static_cast<std::size_t>(latest - queue.entries.begin());
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/refuse.cpp
@@ -0,0 +1,108 @@
+#include "refuse.hpp"
+
+#include "schedule.hpp"
+
+namespace gooseberrycove::admission
+{
+
+decision make_decision(event what, work const& of, std::string_view server,
+                       std::string_view reason)
+{
+    decision made;
+    made.what = what;
+    made.request = of.id;
+    made.service = of.service;
+    made.priority = of.priority;
+    made.server = server;
+    made.reason = reason;
+    return made;
+}
+
+namespace
+{
+
+server_status status_of(homed_state const& server)
+{
+    server_status status = server.health;
+    status.server = server.name;
+    status.service = server.service;
+    status.slots = static_cast<std::uint32_t>(server.limit.limit);
+    status.in_flight = server.in_flight;
+    status.queued = server.queued;
+    return status;
+}
+
+} // namespace
+
+work_result make_result(state const& self, work const& what, error_kind kind,
+                        outcome result)
+{
+    work_result made;
+    made.id = what.id;
+    made.attempt = what.attempt;
+    made.kind = kind;
+    made.result = result;
+    made.server = what.server;
+    made.home = self.self;
+    auto const service = self.services.find(what.service);
+    if (service == self.services.end())
+        return made;
+    for (std::string const& name : service->second.servers)
+        made.statuses.push_back(status_of(self.servers.at(name)));
+    return made;
+}
+
+void refuse(state const& self, work const& what, error_kind kind,
+            std::string_view reason, actions& out)
+{
+    outcome const ended = kind == error_kind::cancelled
+                              ? outcome::not_run
+                              : answer_of(kind).result;
+    work_result result = make_result(self, what, kind, ended);
+    result.status = answer_of(kind).status;
+    result.detail = reason;
+    out.decisions.push_back(
+        make_decision(event::work_refused, what, what.server, reason));
+    out.answers.push_back(
+        {what.origin, what.origin_address, std::move(result)});
+}
+
+void count_queued(state& self, std::string const& server, int change)
+{
+    auto const found = self.servers.find(server);
+    if (found == self.servers.end())
+        return;
+    found->second.queued += static_cast<std::uint32_t>(change);
+    found->second.load_changed = true;
+}
+
+void refuse_queued(state& self, service_state& service, entry&& taken,
+                   error_kind kind, std::string_view reason, time_point now,
+                   actions& out)
+{
+    --service.queued;
+    count_queued(self, taken.what.server, -1);
+    refuse(self, taken.what, kind, reason, out);
+    // A fenced claim is settled already.
+    if (!taken.what.claim.id.empty() && kind != error_kind::outcome_unknown)
+        claim_ended(self.claims, taken.what.claim, out.answers.back().result,
+                    now);
+}
+
+void refuse_matching(state& self, service_state& service,
+                     eligible const& matches, error_kind kind,
+                     std::string_view reason, time_point now, actions& out)
+{
+    for (priority_state& priority : service.priorities)
+    {
+        for (std::size_t i = priority.queue.entries.size(); i > 0; --i)
+        {
+            if (!matches(priority.queue.entries[i - 1]))
+                continue;
+            refuse_queued(self, service, remove_at(priority.queue, i - 1), kind,
+                          reason, now, out);
+        }
+    }
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/schedule.cpp
@@ -0,0 +1,266 @@
+#include "schedule.hpp"
+
+#include "refuse.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+
+namespace gooseberrycove::admission
+{
+
+namespace
+{
+
+/// Work below this expected time may use the reserved slots while urgent work
+/// is absent, because the slot is free again soon.
+constexpr duration short_work{100'000};
+constexpr duration urgent_absence{1'000'000};
+
+/// Servers with fewer slots have none in reserve.
+constexpr std::uint32_t least_slots_for_reserve = 3;
+
+/// Accounts may be ahead of each other by this many pieces of work before the
+/// earliest deadline gives way to the fair share.
+constexpr int fair_slack_items = 4;
+
+/// Deviations above the median of the service time that a deadline allows
+/// for. Non-repeatable work that times out leaves an unknown outcome.
+constexpr double repeatable_sigmas = 1.0;
+constexpr double claimed_sigmas = 2.33;
+
+using priority_order = std::array<priority_index, max_priorities>;
+
+/// Time for which a priority's share is owed; 0 for one at or above it.
+double owed_time(service_state const& service, priority_index priority)
+{
+    double const share = service.policy.priorities[priority].min_share;
+    double const credit = service.shares.credit_us[priority];
+    return credit > 0 && share > 0 ? credit / share : 0;
+}
+
+/// Priorities below their minimum share first, then by rank. Among the former
+/// the one that is owed most goes first: by rank, the lower ones would starve
+/// when a server works slower than its slots promise.
+priority_order order_of(service_state const& service)
+{
+    priority_order order{};
+    std::iota(order.begin(), order.end(), priority_index{0});
+    std::ranges::stable_sort(order, std::ranges::greater{},
+                             [&](priority_index priority)
+                             { return owed_time(service, priority); });
+    return order;
+}
+
+bool reserve_is_open(service_state const& service, priority_index priority,
+                     time_point now)
+{
+    duration const expected =
+        expected_time(service.priorities[priority].estimate);
+    return expected < short_work && now - service.urgent_seen >= urgent_absence;
+}
+
+bool has_slot(service_state const& service, homed_state const& server,
+              priority_index priority, time_point now)
+{
+    std::uint32_t const slots = slots_of(server, service.policy, now);
+    if (server.in_flight >= slots)
+        return false;
+    if (priority == urgent_priority(service.policy) ||
+        slots < least_slots_for_reserve)
+        return true;
+    std::uint32_t const reserved =
+        std::min(service.policy.reserved_slots, slots - 1);
+    return server.lower_in_flight + reserved < slots ||
+           reserve_is_open(service, priority, now);
+}
+
+void start(state& self, service_state& service, homed_state& server,
+           entry&& taken, duration charged, actions& out)
+{
+    --service.queued;
+    count_queued(self, taken.what.server, -1);
+    running begun;
+    begun.what = taken.what;
+    begun.what.body.clear();
+    begun.what.server = server.name;
+    begun.server = server.name;
+    begun.charged = charged;
+    begun.urgent = taken.what.priority == urgent_priority(service.policy);
+    begun.concurrency = ++server.in_flight;
+    server.lower_in_flight += begun.urgent ? 0 : 1;
+    server.load_changed = true;
+    if (!taken.what.claim.id.empty())
+        claim_started(self.claims, taken.what.claim);
+    charge_start(service.shares, taken.what.priority, charged);
+    out.decisions.push_back(
+        make_decision(event::work_started, taken.what, server.name,
+                      taken.what.server.empty() ? "free_slot" : "routed"));
+    out.starts.push_back({++self.last_ticket, server.name, server.address,
+                          std::move(taken.what)});
+    self.in_flight.emplace(self.last_ticket, std::move(begun));
+}
+
+/// Starts one piece of work of a priority at a server that has a slot for it.
+bool start_one(state& self, service_state& service, homed_state& server,
+               priority_index priority, time_point now, actions& out)
+{
+    priority_state& from = service.priorities[priority];
+    duration const expected = expected_time(from.estimate);
+    eligible const may_take = [&](entry const& item)
+    {
+        return (item.what.server.empty() || item.what.server == server.name) &&
+               takes_work(server, item.what.repeatable);
+    };
+    while (auto const position =
+               select(from.queue, may_take, fair_slack_items * expected))
+    {
+        if (misses_deadline(service, from.queue.entries[*position].what, now))
+        {
+            refuse_queued(self, service, remove_at(from.queue, *position),
+                          error_kind::deadline_unmet, "deadline_before_start",
+                          now, out);
+            continue;
+        }
+        start(self, service, server, serve_at(from.queue, *position, expected),
+              expected, out);
+        return true;
+    }
+    return false;
+}
+
+bool start_next(state& self, service_state& service, homed_state& server,
+                time_point now, actions& out)
+{
+    for (priority_index const priority : order_of(service))
+    {
+        if (service.priorities[priority].queue.entries.empty() ||
+            !has_slot(service, server, priority, now))
+            continue;
+        if (start_one(self, service, server, priority, now, out))
+            return true;
+    }
+    return false;
+}
+
+double to_us(duration time)
+{
+    return static_cast<double>(time.count());
+}
+
+/// Slot-time of a priority's entries that the server may get.
+double backlog_us(service_state const& service, homed_state const& server,
+                  priority_index priority, time_point deadline)
+{
+    double items = 0;
+    for (entry const& waiting : service.priorities[priority].queue.entries)
+    {
+        if (waiting.what.deadline > deadline)
+            continue;
+        if (waiting.what.server.empty())
+            items += 1.0 / static_cast<double>(service.servers.size());
+        else if (waiting.what.server == server.name)
+            ++items;
+    }
+    return items * to_us(expected_time(service.priorities[priority].estimate));
+}
+
+} // namespace
+
+priority_index urgent_priority(service_policy const& policy)
+{
+    for (priority_index i = 0; i < max_priorities; ++i)
+    {
+        if (policy.priorities[i].declared)
+            return i;
+    }
+    return 0;
+}
+
+std::uint32_t slots_of(homed_state const& server, service_policy const& policy,
+                       time_point now)
+{
+    if (server.health.health == health_state::probation)
+        return 1;
+    return usable_slots(server.limit, server.announced, policy.warmup, now);
+}
+
+bool takes_work(homed_state const& server, bool repeatable)
+{
+    return server.state == members::server_state::serving &&
+           (repeatable || server.health.health != health_state::probation);
+}
+
+bool misses_deadline(service_state const& service, work const& what,
+                     time_point start)
+{
+    service_estimate const& estimate =
+        service.priorities[what.priority].estimate;
+    double const sigmas = what.repeatable ? repeatable_sigmas : claimed_sigmas;
+    duration const needed =
+        std::max(expected_time(estimate), quantile_time(estimate, sigmas));
+    return start >= what.deadline || start + needed > what.deadline;
+}
+
+void start_queued(state& self, service_state& service, time_point now,
+                  actions& out)
+{
+    advance_shares(self, service, now);
+    bool started = service.queued > 0;
+    // One start per server and pass spreads work that no server was chosen for.
+    while (started && service.queued > 0)
+    {
+        started = false;
+        for (std::string const& name : service.servers)
+            started |=
+                start_next(self, service, self.servers.at(name), now, out);
+    }
+}
+
+duration expected_wait(service_state const& service, homed_state const& server,
+                       priority_index priority, time_point deadline,
+                       time_point now)
+{
+    if (has_slot(service, server, priority, now) &&
+        service.priorities[priority].queue.entries.empty())
+        return duration(0);
+    double ahead = 0;
+    double lower_shares = 0;
+    for (priority_index i = 0; i < max_priorities; ++i)
+    {
+        if (i < priority)
+            ahead += backlog_us(service, server, i, time_point::max());
+        else if (i > priority && !service.priorities[i].queue.entries.empty())
+            lower_shares += service.policy.priorities[i].min_share;
+    }
+    double const own =
+        backlog_us(service, server, priority, deadline) +
+        to_us(expected_time(service.priorities[priority].estimate));
+    double const slots = slots_of(server, service.policy, now);
+    double wait = (ahead + own) / (slots * std::max(0.05, 1 - lower_shares));
+    // The minimum share bounds the wait under a flood of more urgent work.
+    double const share = service.policy.priorities[priority].min_share;
+    if (share > 0)
+        wait = std::min(wait, own / (slots * share));
+    return duration(static_cast<duration::rep>(wait));
+}
+
+void advance_shares(state const& self, service_state& service, time_point now)
+{
+    double slots = 0;
+    for (std::string const& name : service.servers)
+    {
+        homed_state const& server = self.servers.at(name);
+        if (server.state == members::server_state::serving)
+            slots += slots_of(server, service.policy, now);
+    }
+    std::array<double, max_priorities> entitled{};
+    for (std::size_t i = 0; i < max_priorities; ++i)
+    {
+        if (!service.priorities[i].queue.entries.empty())
+            entitled[i] = slots * service.policy.priorities[i].min_share;
+    }
+    advance(service.shares, entitled, now);
+}
+
+} // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/schedule.hpp
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_SCHEDULE_HPP
+#define GOOSEBERRYCOVE_ADMISSION_SCHEDULE_HPP
+
+#include "state.hpp"
+
+namespace gooseberrycove::admission
+{
+
+/// The most urgent priority that the service declares.
+priority_index urgent_priority(service_policy const& policy);
+
+/// Requests that a server may have in flight at \p now.
+std::uint32_t slots_of(homed_state const& server, service_policy const& policy,
+                       time_point now);
+
+/// Whether the server takes new work of this repeatability in its state.
+bool takes_work(homed_state const& server, bool repeatable);
+
+/// Starts queued work of a service while its servers have free slots.
+void start_queued(state& self, service_state& service, time_point now,
+                  actions& out);
+
+/// Time until work of a priority that is queued now would start at a server.
+duration expected_wait(service_state const& service, homed_state const& server,
+                       priority_index priority, time_point deadline,
+                       time_point now);
+
+/// Whether work with this deadline can no longer be answered in time when it
+/// starts at \p start.
+bool misses_deadline(service_state const& service, work const& what,
+                     time_point start);
+
+/// Brings the credits of the service's minimum shares to \p now.
+void advance_shares(state const& self, service_state& service, time_point now);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- /dev/null
+++ b/src/admission/state.hpp
@@ -0,0 +1,143 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_STATE_HPP
+#define GOOSEBERRYCOVE_ADMISSION_STATE_HPP
+
+#include "estimate.hpp"
+#include "fence.hpp"
+#include "limit.hpp"
+#include "queue.hpp"
+#include "share.hpp"
+#include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/event.hpp>
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gooseberrycove::admission
+{
+
+/// What the configuration says about one priority of a service.
+struct priority_policy
+{
+    bool declared = false;
+    double min_share = 0;
+    duration target{0};
+};
+
+/// What the configuration says about a service.
+struct service_policy
+{
+    std::string service;
+    std::uint32_t reserved_slots = 1;
+    duration warmup{0};
+    std::array<priority_policy, max_priorities> priorities{};
+};
+
+/// A backend server homed here.
+struct homed_state
+{
+    std::string name;
+    std::string service;
+    std::string address;
+    members::server_state state = members::server_state::serving;
+    /// Last verdict; its load figures are not used.
+    server_status health;
+    std::uint64_t incarnation = 0;
+    adaptive_limit limit;
+    time_point announced;
+    std::uint32_t in_flight = 0;
+    /// Requests in flight that are not of the most urgent priority.
+    std::uint32_t lower_in_flight = 0;
+    std::uint32_t queued = 0;
+    bool load_changed = false;
+    time_point load_reported;
+};
+
+struct priority_state
+{
+    priority_queue queue;
+    service_estimate estimate;
+};
+
+/// A service with at least one server homed here.
+struct service_state
+{
+    service_policy policy;
+    std::array<priority_state, max_priorities> priorities{};
+    std::vector<std::string> servers;
+    share_credit shares;
+    /// Last time at which the most urgent priority had work here.
+    time_point urgent_seen;
+    std::size_t queued = 0;
+};
+
+/// Work that dispatch has.
+struct running
+{
+    work what;
+    std::string server;
+    duration charged{0};
+    /// Requests in flight at the server, with this one, when it started.
+    std::uint32_t concurrency = 0;
+    bool urgent = false;
+};
+
+struct state
+{
+    daemon_ref self;
+    std::unordered_map<std::string, service_state> services;
+    std::unordered_map<std::string, homed_state> servers;
+    std::unordered_map<std::string, service_policy> policies;
+    /// By ticket.
+    std::map<std::uint64_t, running> in_flight;
+    std::uint64_t last_ticket = 0;
+    claim_memory claims;
+    bool draining = false;
+};
+
+/// A result and the daemon that gets it.
+struct answer
+{
+    daemon_ref origin;
+    std::string address;
+    work_result result;
+};
+
+struct fence_reply
+{
+    daemon_ref asked_by;
+    std::string address;
+    claims::fence_answer answer;
+};
+
+/// One placement decision, for the log.
+struct decision
+{
+    event what = event::work_queued;
+    request_id request;
+    std::string service;
+    priority_index priority = 0;
+    std::string server;
+    std::string reason;
+};
+
+/// What the thread has to do after a decision.
+struct actions
+{
+    std::vector<dispatch::start> starts;
+    std::vector<dispatch::cancel> cancels;
+    std::vector<answer> answers;
+    std::vector<fence_reply> fences;
+    std::vector<health::sample> samples;
+    std::vector<health::server_known> known;
+    std::vector<members::server_load> loads;
+    std::vector<decision> decisions;
+};
+
+/// Changes of a server's load are reported at most this often.
+inline constexpr duration load_interval{200'000};
+
+} // namespace gooseberrycove::admission
+
+#endif
