Read settings of all programs in one place

Cause: the platform stand-in repeated the flags and the reading of settings. Change: it uses run_with_settings(); read_settings() is public so that a daemon can read again on SIGHUP.

--- a/src/fake_platform/main.cpp
+++ b/src/fake_platform/main.cpp
@@ -1,14 +1,8 @@
 #include "fake_platform/http.hpp"
+#include "tool_settings/tool_settings.hpp"
 #include <gooseberrycove/settings.hpp>
 
-#include <gflags/gflags.h>
-
-#include <iostream>
-#include <sstream>
-
-DEFINE_string(settings, "", "settings file in INI form");
-DEFINE_string(set, "", "overrides: section.key=value,section.key=value");
-DEFINE_bool(check_settings, false, "check the settings, then exit");
+#include <vector>
 
 namespace
 {
@@ -25,46 +19,23 @@
     {"platform", "seed", setting_type::number, "1", false, 0, 4294967295.0,
      "seed for the choice of lost replies"}};
 
-settings read_settings()
+int serve(settings const& values)
 {
-    settings_builder builder(schema);
-    if (!FLAGS_settings.empty())
-        builder.file(FLAGS_settings, read_file(FLAGS_settings));
-    std::istringstream overrides(FLAGS_set);
-    for (std::string item; std::getline(overrides, item, ',');)
-        builder.override_value(item);
-    return builder.build();
+    fake_platform::state platform = fake_platform::make_state(
+        values.real("platform", "reads_per_s"),
+        values.real("platform", "writes_per_s"),
+        values.number("platform", "seed"), clock_now());
+    fake_platform::serve(platform, values.text("platform", "listen"));
+    return 0;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetVersionString("0.1.0");
-    gflags::SetUsageMessage(
+    return tool_settings::run_with_settings(
+        argc, argv,
         "stand-in for the platform's table service and object store\n"
-        "  gcove_platform --set=platform.listen=127.0.0.1:7000");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try
-    {
-        settings const values = read_settings();
-        if (FLAGS_check_settings)
-            return 0;
-        fake_platform::state platform = fake_platform::make_state(
-            values.real("platform", "reads_per_s"),
-            values.real("platform", "writes_per_s"),
-            values.number("platform", "seed"), clock_now());
-        fake_platform::serve(platform, values.text("platform", "listen"));
-        return 0;
-    }
-    catch (settings_error const& fault)
-    {
-        std::cerr << fault.what() << '\n';
-        return 2;
-    }
-    catch (std::exception const& fault)
-    {
-        std::cerr << "gcove_platform: " << fault.what() << '\n';
-        return 1;
-    }
+        "  gcove_platform --set=platform.listen=127.0.0.1:7000",
+        schema, serve);
 }
--- a/src/tool_settings/tool_settings.cpp
+++ b/src/tool_settings/tool_settings.cpp
@@ -34,6 +34,8 @@
     return text.str();
 }
 
+} // namespace
+
 settings read_settings(std::span<setting const> schema)
 {
     settings_builder builder(schema);
@@ -45,8 +47,6 @@
     return builder.build();
 }
 
-} // namespace
-
 int run_with_settings(int argc, char** argv, std::string_view usage,
                       std::span<setting const> schema,
                       std::function<int(settings const&)> const& run)
--- a/src/tool_settings/tool_settings.hpp
+++ b/src/tool_settings/tool_settings.hpp
@@ -10,8 +10,12 @@
 namespace gooseberrycove::tool_settings
 {
 
-/// Parses the flags of a tool, reads its settings and calls \p run with them.
-/// Returns the exit code: that of \p run, 0 after --check_settings, 2 for
+/// Reads the file and the overrides that the flags name, again on each call.
+/// \throws settings_error with every fault
+settings read_settings(std::span<setting const> schema);
+
+/// Parses the flags of a program, reads its settings and calls \p run with
+/// them. Returns the exit code: that of \p run, 0 after --check_settings, 2 for
 /// settings that cannot be used, 1 for another failure.
 int run_with_settings(int argc, char** argv, std::string_view usage,
                       std::span<setting const> schema,
