Add the history checker

The invariants I1 to I7 are promises about all records of a run, so one program reads the histories of load tool, servers and observers and checks one rule for each.

--- /dev/null
+++ b/src/check/request_rules.cpp
@@ -0,0 +1,127 @@
+#include "check/rules.hpp"
+
+#include <unordered_map>
+
+namespace gooseberrycove::check
+{
+
+namespace
+{
+
+using evidence::record;
+
+/// Records by request id or by key.
+using record_index =
+    std::unordered_map<std::string_view, std::vector<record const*>>;
+
+/// Records of one event by a member that is not empty.
+record_index index_by(std::span<record const> records, std::string_view event,
+                      std::string record::*member)
+{
+    record_index result;
+    for (record const& item : records)
+    {
+        if (item.event == event && !(item.*member).empty())
+            result[item.*member].push_back(&item);
+    }
+    return result;
+}
+
+void add_violation(findings& to, std::string_view what,
+                   std::span<record const* const> records)
+{
+    violation next{std::string(what), {}};
+    for (record const* item : records)
+        next.records.push_back(*item);
+    to.violations.push_back(std::move(next));
+}
+
+void check_response(record const& response, findings& out)
+{
+    record const* const only[]{&response};
+    if (response.complete == false)
+        add_violation(out, "the response is not whole", only);
+    if (response.own == false)
+        add_violation(out, "the response is another request's", only);
+}
+
+/// Keyed work may be answered by the record of an earlier attempt, so its key
+/// identifies it; other work is identified by its request id.
+void check_was_run(record const& response, record_index const& starts,
+                   record_index const& keyed_starts, findings& out)
+{
+    if (response.outcome != "ran")
+        return;
+    bool const started =
+        starts.contains(response.request) ||
+        (!response.key.empty() && keyed_starts.contains(response.key));
+    if (started)
+        return;
+    record const* const only[]{&response};
+    add_violation(out, "no backend server has run the answered request", only);
+}
+
+} // namespace
+
+findings check_responses(std::span<record const> records, bounds const&)
+{
+    findings result;
+    auto const requests = index_by(records, "request", &record::request);
+    auto const responses = index_by(records, "response", &record::request);
+    auto const starts = index_by(records, "start", &record::request);
+    auto const keyed_starts = index_by(records, "start", &record::key);
+    for (record const& item : records)
+    {
+        if (item.event != "response")
+            continue;
+        ++result.examined;
+        check_response(item, result);
+        record const* const only[]{&item};
+        if (!requests.contains(item.request))
+            add_violation(result, "the response answers no request", only);
+        if (!starts.empty())
+            check_was_run(item, starts, keyed_starts, result);
+    }
+    for (auto const& [request, items] : responses)
+    {
+        if (items.size() > 1)
+            add_violation(result, "one request has several responses", items);
+    }
+    return result;
+}
+
+findings check_not_run(std::span<record const> records, bounds const&)
+{
+    findings result;
+    auto const starts = index_by(records, "start", &record::request);
+    for (record const& item : records)
+    {
+        if (item.event != "response" || item.outcome != "not_run")
+            continue;
+        ++result.examined;
+        auto const found = starts.find(item.request);
+        if (found == starts.end())
+            continue;
+        std::vector<record const*> involved{&item};
+        involved.insert(involved.end(), found->second.begin(),
+                        found->second.end());
+        add_violation(result, "the request was told not run, but it ran",
+                      involved);
+    }
+    return result;
+}
+
+findings check_at_most_once(std::span<record const> records, bounds const&)
+{
+    findings result;
+    for (auto const& [key, items] : index_by(records, "start", &record::key))
+    {
+        ++result.examined;
+        if (items.size() > 1)
+            add_violation(result, "non-repeatable work ran several times",
+                          items);
+    }
+    return result;
+}
+
+} // namespace gooseberrycove::check
--- a/src/evidence/history.cpp
+++ b/src/evidence/history.cpp
@@ -17,7 +17,7 @@
 template <class Value>
 using field = std::pair<char const*, Value record::*>;
 
-constexpr std::array<field<std::string>, 9> texts{{
+constexpr std::array<field<std::string>, 10> texts{{
     {"event", &record::event},
     {"request", &record::request},
     {"key", &record::key},
@@ -25,6 +25,7 @@
     {"server", &record::server},
     {"service", &record::service},
     {"daemon", &record::daemon},
+    {"address", &record::address},
     {"outcome", &record::outcome},
     {"reason", &record::reason},
 }};
--- a/src/evidence/history.hpp
+++ b/src/evidence/history.hpp
@@ -26,6 +26,8 @@
     std::string server;
     std::string service;
     std::string daemon;
+    /// `ip:port` at which callers reach the daemon.
+    std::string address;
     std::string outcome;
     std::string reason;
     std::int64_t status = 0;
--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -93,6 +93,7 @@
 {
     auto const options = read_announce_options(values);
     evidence::history_log history(values.text("server", "history"));
+    history.add(process_record(values, "begin"));
     curl_global_init(CURL_GLOBAL_DEFAULT);
     fake_server::announce_inbox inbox(64);
     std::thread announcer(
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -31,7 +31,7 @@
     result.request = what.requests.back();
     result.key = what.key;
     result.stream = state.options.streams[what.stream].name;
-    result.daemon = target;
+    result.address = target;
     result.time_us = evidence::to_micros(now);
     return result;
 }
