--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -89,6 +89,11 @@
     return result;
 }
 
+void check(settings const& values)
+{
+    read_announce_options(values);
+}
+
 int run(settings const& values)
 {
     auto const options = read_announce_options(values);
@@ -127,5 +132,6 @@
 int main(int argc, char** argv)
 {
     return tool_settings::run_with_settings(
-        argc, argv, "Backend server stand-in with faults.", schema, run);
+        argc, argv,
+        {"Backend server stand-in with faults.", schema, check, run});
 }
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -90,10 +90,15 @@
     }
 }
 
-int run(settings const& values)
+void check(settings const& values)
 {
+    load::parse_streams(values.text("load", "streams"));
     if (FLAGS_output != "table" && FLAGS_output != "json")
         throw settings_error("--output: allowed: table, json");
+}
+
+int run(settings const& values)
+{
     load::plan_options const options = read_options(values);
     evidence::history_log history(values.text("load", "history"));
     curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -121,5 +126,5 @@
 int main(int argc, char** argv)
 {
     return tool_settings::run_with_settings(
-        argc, argv, "Open-loop load with histories.", schema, run);
+        argc, argv, {"Open-loop load with histories.", schema, check, run});
 }
--- a/src/tool_settings/tool_settings.cpp
+++ b/src/tool_settings/tool_settings.cpp
@@ -47,11 +47,9 @@
 
 } // namespace
 
-int run_with_settings(int argc, char** argv, std::string_view usage,
-                      std::span<setting const> schema,
-                      std::function<int(settings const&)> const& run)
+int run_with_settings(int argc, char** argv, tool const& what)
 {
-    gflags::SetUsageMessage(usage_text(usage, schema));
+    gflags::SetUsageMessage(usage_text(what.usage, what.schema));
     gflags::SetVersionString(GCOVE_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     google::InitGoogleLogging(argv[0]);
@@ -61,8 +59,9 @@
         if (argc > 1)
             throw settings_error(std::string("unexpected argument: ") +
                                  argv[1]);
-        settings const values = read_settings(schema);
-        return FLAGS_check_settings ? 0 : run(values);
+        settings const values = read_settings(what.schema);
+        what.check(values);
+        return FLAGS_check_settings ? 0 : what.run(values);
     }
     catch (settings_error const& fault)
     {
--- a/src/tool_settings/tool_settings.hpp
+++ b/src/tool_settings/tool_settings.hpp
@@ -3,19 +3,26 @@
 
 #include <gooseberrycove/settings.hpp>
 
-#include <functional>
 #include <span>
 #include <string_view>
 
 namespace gooseberrycove::tool_settings
 {
 
-/// Parses the flags of a tool, reads its settings and calls \p run with them.
-/// Returns the exit code: that of \p run, 0 after --check_settings, 2 for
-/// settings that cannot be used, 1 for another failure.
-int run_with_settings(int argc, char** argv, std::string_view usage,
-                      std::span<setting const> schema,
-                      std::function<int(settings const&)> const& run);
+struct tool
+{
+    std::string_view usage;
+    std::span<setting const> schema;
+    /// Throws settings_error for values that the schema cannot check.
+    void (*check)(settings const& values);
+    /// Returns the exit code.
+    int (*run)(settings const& values);
+};
+
+/// Parses the flags, reads and checks the settings and runs the tool. Returns
+/// its exit code, 0 after --check_settings, 2 for settings that cannot be
+/// used, 1 for another failure.
+int run_with_settings(int argc, char** argv, tool const& what);
 
 } // namespace gooseberrycove::tool_settings
 
