--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -151,6 +151,16 @@
     send_all(*out.members, todo.loads, "members");
 }
 
+void publish_in_flight(state const& self, wiring const& out)
+{
+    if (!out.in_flight)
+        return;
+    std::size_t count = self.in_flight.size();
+    for (auto const& [name, service] : self.services)
+        count += service.queued;
+    out.in_flight->store(count);
+}
+
 /// Hands each kind of message to its decision.
 struct handler
 {
@@ -217,6 +227,7 @@
             actions todo;
             time_point const next = on_tick(self.decisions, now, todo);
             perform(self, out, now, todo);
+            publish_in_flight(self.decisions, out);
             return next;
         });
 }
--- a/src/admission/admission_thread.hpp
+++ b/src/admission/admission_thread.hpp
@@ -5,6 +5,8 @@
 #include <gooseberrycove/peer.hpp>
 #include <gooseberrycove/routing.hpp>
 
+#include <atomic>
+
 namespace gooseberrycove::admission
 {
 
@@ -20,6 +22,8 @@
     daemon_ref self;
     /// Peer address of this daemon, `ip:port`.
     std::string address;
+    /// Attempts queued or running here; the owner reads it while it drains.
+    std::atomic<std::size_t>* in_flight = nullptr;
 };
 
 /// Runs until \p requests is closed and empty. The owner waits for the work
--- a/src/fake_platform/main.cpp
+++ b/src/fake_platform/main.cpp
@@ -33,9 +33,9 @@
 
 int main(int argc, char** argv)
 {
-    return tool_settings::run_with_settings(
-        argc, argv,
+    tool_settings::tool const what{
         "stand-in for the platform's table service and object store\n"
         "  gcove_platform --set=platform.listen=127.0.0.1:7000",
-        schema, serve);
+        schema, nullptr, serve};
+    return tool_settings::run_with_settings(argc, argv, what);
 }
--- a/src/tool_settings/tool_settings.hpp
+++ b/src/tool_settings/tool_settings.hpp
@@ -3,7 +3,6 @@
 
 #include <gooseberrycove/settings.hpp>
 
-#include <functional>
 #include <span>
 #include <string_view>
 
@@ -14,12 +13,22 @@
 /// \throws settings_error with every fault
 settings read_settings(std::span<setting const> schema);
 
-/// Parses the flags of a program, reads its settings and calls \p run with
-/// them. Returns the exit code: that of \p run, 0 after --check_settings, 2 for
-/// settings that cannot be used, 1 for another failure.
-int run_with_settings(int argc, char** argv, std::string_view usage,
-                      std::span<setting const> schema,
-                      std::function<int(settings const&)> const& run);
+/// What a program brings to run_with_settings().
+struct tool
+{
+    std::string_view usage;
+    std::span<setting const> schema;
+    /// Throws settings_error for values that the schema cannot check. May be
+    /// null.
+    void (*check)(settings const& values);
+    /// Returns the exit code.
+    int (*run)(settings const& values);
+};
+
+/// Parses the flags, reads and checks the settings and runs the tool. Returns
+/// its exit code, 0 after --check_settings, 2 for settings that cannot be
+/// used, 1 for another failure.
+int run_with_settings(int argc, char** argv, tool const& what);
 
 } // namespace gooseberrycove::tool_settings
 
