--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -141,8 +141,6 @@
                                { return item.second.load_changed; });
 }
 
-/// Interval in which queued work is checked against its deadline.
-constexpr duration queue_check{20'000};
 constexpr duration idle_check{1'000'000};
 
 } // namespace
@@ -216,7 +214,12 @@
     self.draining = true;
 }
 
-time_point on_tick(state& self, time_point now, actions& out)
+namespace
+{
+
+/// Refuses late entries and uses slots that a ramp or an opened reserve
+/// frees without a message. Returns the entries that remain.
+std::size_t check_queues(state& self, time_point now, actions& out)
 {
     std::size_t queued = 0;
     for (auto& item : self.services)
@@ -231,11 +234,23 @@
         start_queued(self, service, now, out);
         queued += service.queued;
     }
-    forget_claims(self.claims, now);
+    return queued;
+}
+
+} // namespace
+
+time_point on_tick(state& self, time_point now, actions& out)
+{
+    if (now >= self.next_queue_check)
+    {
+        std::size_t const queued = check_queues(self, now, out);
+        self.next_queue_check = now + (queued > 0 ? queue_check : idle_check);
+        forget_claims(self.claims, now);
+    }
     report_loads(self, now, out);
-    if (queued > 0)
-        return now + queue_check;
-    return now + (has_changed_load(self) ? load_interval : idle_check);
+    if (has_changed_load(self))
+        return std::min(self.next_queue_check, now + load_interval);
+    return self.next_queue_check;
 }
 
 } // namespace gooseberrycove::admission
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -169,6 +169,9 @@
     priority_queue& queue = service.priorities[what.priority].queue;
     push(queue, std::move(what), now);
     start_queued(self, service, now, out);
+    if (service.queued > 0)
+        self.next_queue_check =
+            std::min(self.next_queue_check, now + queue_check);
 }
 
 } // namespace
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -93,6 +93,7 @@
     std::map<std::uint64_t, running> in_flight;
     std::uint64_t last_ticket = 0;
     claim_memory claims;
+    time_point next_queue_check;
     bool draining = false;
 };
 
@@ -135,6 +136,9 @@
     std::vector<decision> decisions;
 };
 
+/// Interval in which queued work is checked against its deadline.
+inline constexpr duration queue_check{20'000};
+
 /// Changes of a server's load are reported at most this often.
 inline constexpr duration load_interval{200'000};
 
