--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -133,5 +133,5 @@
 {
     return tool_settings::run_with_settings(
         argc, argv,
-        {"Backend server stand-in with faults.", schema, check, run});
+        "Backend server stand-in with faults.", schema, run, check);
 }
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -126,5 +126,5 @@
 int main(int argc, char** argv)
 {
     return tool_settings::run_with_settings(
-        argc, argv, {"Open-loop load with histories.", schema, check, run});
+        argc, argv, "Open-loop load with histories.", schema, run, check);
 }
