--- a/src/tool_settings/tool_settings.cpp
+++ b/src/tool_settings/tool_settings.cpp
@@ -47,9 +47,12 @@
     return builder.build();
 }
 
-int run_with_settings(int argc, char** argv, tool const& what)
+int run_with_settings(int argc, char** argv, std::string_view usage,
+                      std::span<setting const> schema,
+                      std::function<int(settings const&)> const& run,
+                      std::function<void(settings const&)> const& check)
 {
-    gflags::SetUsageMessage(usage_text(what.usage, what.schema));
+    gflags::SetUsageMessage(usage_text(usage, schema));
     gflags::SetVersionString(GCOVE_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     google::InitGoogleLogging(argv[0]);
@@ -59,10 +62,10 @@
         if (argc > 1)
             throw settings_error(std::string("unexpected argument: ") +
                                  argv[1]);
-        settings const values = read_settings(what.schema);
-        if (what.check)
-            what.check(values);
-        return FLAGS_check_settings ? 0 : what.run(values);
+        settings const values = read_settings(schema);
+        if (check)
+            check(values);
+        return FLAGS_check_settings ? 0 : run(values);
     }
     catch (settings_error const& fault)
     {
