Add the at-most-once claims

Work that must not run twice needs a claim in the table service that survives lost replies, pauses and crashes of the claimant.

--- /dev/null
+++ b/src/claims/row.cpp
@@ -0,0 +1,128 @@
+#include "claims/row.hpp"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace gooseberrycove::claims
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// JSON text must be UTF-8, and a response body need not be.
+std::string to_base64(std::string_view bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3), '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<unsigned char const*>(bytes.data()),
+                    static_cast<int>(bytes.size()));
+    return text;
+}
+
+std::string from_base64(std::string_view text)
+{
+    std::string bytes(3 * (text.size() / 4), '\0');
+    int const size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()),
+                        static_cast<int>(text.size()));
+    if (size < 0)
+        throw error(error_kind::internal, "claim row holds no base64 body");
+    std::size_t const padding =
+        text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
+    bytes.resize(static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+json to_json(daemon_ref who)
+{
+    return json::array({who.id, who.incarnation});
+}
+
+daemon_ref to_daemon(json const& value)
+{
+    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+}
+
+json to_json(work_result const& answer)
+{
+    return {{"status", answer.status},
+            {"content_type", to_base64(answer.content_type)},
+            {"body", to_base64(answer.body)},
+            {"server", answer.server}};
+}
+
+work_result to_answer(json const& value)
+{
+    work_result answer;
+    answer.result = outcome::ran;
+    answer.status = value.at("status").get<int>();
+    answer.content_type =
+        from_base64(value.at("content_type").get<std::string>());
+    answer.body = from_base64(value.at("body").get<std::string>());
+    answer.server = value.at("server").get<std::string>();
+    return answer;
+}
+
+claim_row to_row(json const& value)
+{
+    claim_row row;
+    row.id = value.at("id").get<std::string>();
+    row.epoch = value.at("epoch").get<std::uint64_t>();
+    row.grant = value.at("grant").get<std::string>();
+    row.body_hash = value.at("body_hash").get<std::uint64_t>();
+    for (json const& home : value.at("homes"))
+        row.homes.push_back({to_daemon(home.at("daemon")), home.at("address")});
+    row.claimant = to_daemon(value.at("claimant"));
+    row.done = value.at("state").get<std::string>() == "done";
+    if (row.done)
+        row.answer = to_answer(value.at("answer"));
+    return row;
+}
+
+} // namespace
+
+std::string row_key(std::string_view account, std::string_view key)
+{
+    std::string result = "claim/";
+    result.append(account).append("/").append(key);
+    return result;
+}
+
+std::string encode_row(claim_row const& row)
+{
+    json homes = json::array();
+    for (claim_home const& home : row.homes)
+        homes.push_back(
+            {{"daemon", to_json(home.daemon)}, {"address", home.address}});
+    json value = {{"id", row.id},
+                  {"epoch", row.epoch},
+                  {"grant", row.grant},
+                  {"body_hash", row.body_hash},
+                  {"homes", std::move(homes)},
+                  {"claimant", to_json(row.claimant)},
+                  {"state", row.done ? "done" : "claimed"}};
+    if (row.done)
+        value["answer"] = to_json(row.answer);
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<claim_row> decode_row(std::string_view text)
+{
+    try
+    {
+        return to_row(json::parse(text));
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+    catch (error const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace gooseberrycove::claims
