Add the daemon

Cause: the slices ran only in their tests. Change: gcove_daemon runs each duty on its own thread, checks its settings, rereads keys on SIGHUP and drains on SIGTERM. Metrics count answers by priority and outcome, the latency added, members and the version in force.

--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -49,6 +49,8 @@
     self.to.ready.store(true);
     // Peers take a version as that of a ready daemon.
     std::uint64_t const version = current->version();
+    if (self.to.counts)
+        self.to.counts->set_config_version(version);
     if (self.last.members != version &&
         self.to.members.try_push(members::own_version{version}))
         self.last.members = version;
--- a/src/config/config_thread.hpp
+++ b/src/config/config_thread.hpp
@@ -4,6 +4,7 @@
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/config.hpp>
 #include <gooseberrycove/members.hpp>
+#include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/peer.hpp>
 #include <gooseberrycove/routing.hpp>
 #include <gooseberrycove/store.hpp>
@@ -26,6 +27,8 @@
     std::string own_address;
     /// Set once this daemon holds a configuration that it may serve by.
     std::atomic<bool>& ready;
+    /// May be null.
+    metrics* counts = nullptr;
 };
 
 /// Runs until the ring is closed.
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,116 @@
+#include "daemon.hpp"
+#include "daemon_settings.hpp"
+#include "tool_settings/tool_settings.hpp"
+#include <gooseberrycove/event.hpp>
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+
+namespace
+{
+
+using namespace gooseberrycove;
+
+constexpr int exit_failed = 1;
+
+sigset_t block_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int const number : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&signals, number);
+    // Threads inherit the mask, so that only wait_for_end() sees signals.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void reload(daemon_process& process)
+{
+    try
+    {
+        FLAGS_minloglevel =
+            static_cast<int>(tool_settings::read_settings(daemon_schema())
+                                 .number("daemon", "log_level"));
+        process.reload_keys();
+        log_info(event_line(event::settings_reloaded));
+    }
+    catch (settings_error const& fault)
+    {
+        LOG(ERROR) << "settings unchanged: " << fault.what();
+    }
+}
+
+void wait_for_end(sigset_t const& signals, daemon_process& process)
+{
+    for (int number = SIGHUP; number == SIGHUP;)
+    {
+        sigwait(&signals, &number);
+        if (number == SIGHUP)
+            reload(process);
+    }
+}
+
+std::unique_ptr<daemon_process> make_daemon(settings const& values)
+{
+    // The wall clock makes the number rise over restarts, since a VM keeps
+    // nothing.
+    auto const incarnation =
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    return daemon_builder()
+        .values(values)
+        .incarnation(static_cast<std::uint64_t>(incarnation.count()))
+        .build();
+}
+
+/// Reads the key files, which the schema cannot check.
+void check(settings const& values)
+{
+    make_daemon(values);
+}
+
+int run(settings const& values)
+{
+    sigset_t const signals = block_signals();
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    FLAGS_minloglevel = static_cast<int>(values.number("daemon", "log_level"));
+    auto const process = make_daemon(values);
+    std::atomic<bool> failed{false};
+    log_info(event_line(event::process_started)
+                 .field("name", values.text("daemon", "name")));
+    process->start(
+        [&failed](std::string_view what)
+        {
+            LOG(ERROR) << what;
+            failed = true;
+            ::kill(::getpid(), SIGTERM);
+        });
+    wait_for_end(signals, *process);
+    log_info(event_line(event::process_draining));
+    auto const limit =
+        std::chrono::seconds(values.number("daemon", "drain_seconds"));
+    process->drain(failed ? clock_now() : clock_now() + limit);
+    process->stop();
+    log_info(event_line(event::process_stopped));
+    return failed ? exit_failed : 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return tool_settings::run_with_settings(
+        argc, argv,
+        "one daemon of the proxy fleet\n"
+        "  gcove_daemon --settings=daemon.ini\n"
+        "  gcove_daemon --settings=daemon.ini --check_settings\n"
+        "  gcove_daemon --settings=daemon.ini --set=daemon.log_level=1\n"
+        "SIGTERM drains, SIGHUP rereads key files and the log level.\n"
+        "Exit codes: 0 stopped, 1 failed, 2 bad settings.",
+        daemon_schema(), run, check);
+}
--- a/src/health/health_thread.cpp
+++ b/src/health/health_thread.cpp
@@ -42,7 +42,12 @@
     for (told_verdict& told : todo.verdicts)
     {
         if (told.changed)
+        {
             unsent.push_back(told.what);
+            if (to.counts)
+                to.counts->count_health_change(
+                    to_string(told.what.status.health));
+        }
         to.members->try_push(std::move(told.what));
     }
     while (!unsent.empty() && to.admission->try_push(verdict(unsent.front())))
--- a/src/health/health_thread.hpp
+++ b/src/health/health_thread.hpp
@@ -5,6 +5,7 @@
 #include <gooseberrycove/dispatch.hpp>
 #include <gooseberrycove/health.hpp>
 #include <gooseberrycove/members.hpp>
+#include <gooseberrycove/metrics.hpp>
 
 namespace gooseberrycove::health
 {
@@ -15,6 +16,8 @@
     members::inbox* members = nullptr;
     admission::inbox* admission = nullptr;
     dispatch::inbox* dispatch = nullptr;
+    /// May be null.
+    metrics* counts = nullptr;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/members/members_thread.cpp
+++ b/src/members/members_thread.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// The sizes in the metrics are counted over all peers, so not on each tick.
+constexpr duration size_period{1'000'000};
+
 struct handler
 {
     state& s;
@@ -142,6 +145,17 @@
     push_latest(*to.claims, kept.daemons);
 }
 
+void publish_sizes(state const& s, wiring const& to)
+{
+    if (!to.counts)
+        return;
+    auto const alive = std::ranges::count_if(
+        s.peers, [](member const& item)
+        { return item.record.state == peer_state::alive; });
+    to.counts->set_members(static_cast<std::size_t>(alive) + 1, s.servers.used,
+                           s.servers.by_service.size());
+}
+
 void log_dropped(backlog& kept)
 {
     if (kept.dropped == 0)
@@ -159,6 +173,7 @@
     state s = make_state(to.self, to.seeds, to.seed, clock_now());
     actions out;
     backlog kept;
+    time_point next_sizes;
     run_duty(
         requests,
         [&](message const& what, time_point now) {
@@ -170,6 +185,11 @@
             perform(out, kept, requests, to);
             out = actions{};
             log_dropped(kept);
+            if (now >= next_sizes)
+            {
+                publish_sizes(s, to);
+                next_sizes = now + size_period;
+            }
             return next;
         });
 }
--- a/src/members/members_thread.hpp
+++ b/src/members/members_thread.hpp
@@ -6,6 +6,7 @@
 #include <gooseberrycove/config.hpp>
 #include <gooseberrycove/health.hpp>
 #include <gooseberrycove/members.hpp>
+#include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/peer.hpp>
 #include <gooseberrycove/routing.hpp>
 #include <gooseberrycove/store.hpp>
@@ -31,6 +32,8 @@
     std::vector<std::string> seeds;
     /// Seed of the random choices.
     std::uint64_t seed = 0;
+    /// May be null.
+    metrics* counts = nullptr;
 };
 
 /// Runs until \p requests is closed.
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -46,8 +46,9 @@
                                                   : answer_of(kind).result))
         .field("attempts", static_cast<unsigned>(what.attempts.size()));
     out.log.push_back(std::move(line));
-    out.replies.push_back(
-        {what.from.id, kind, std::string(detail), std::move(result)});
+    out.replies.push_back({what.from.id, kind, std::string(detail),
+                           std::move(result), what.priority_name,
+                           what.from.received});
 }
 
 void end_claim(request const& what, work_result const& result, bool not_run,
@@ -172,7 +173,12 @@
         .field("detail", detail)
         .field("passed_over", passed_over);
     out.log.push_back(std::move(line));
-    out.replies.push_back({what.from.id, kind, std::string(detail), {}});
+    out.replies.push_back({what.from.id,
+                           kind,
+                           std::string(detail),
+                           {},
+                           what.priority_name,
+                           what.from.received});
 }
 
 void refuse(state& self, request& what, error_kind kind,
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -84,6 +84,20 @@
     return refused;
 }
 
+void count(reply const& item, wiring const& to, time_point now)
+{
+    if (!to.counts)
+        return;
+    bool const answered = item.kind == error_kind::none;
+    to.counts->count_request(
+        item.priority,
+        answered ? item.result.result : answer_of(item.kind).result,
+        answered ? item.result.status : answer_of(item.kind).status);
+    if (item.result.service_time.count() > 0)
+        to.counts->observe_added_latency(now - item.received -
+                                         item.result.service_time);
+}
+
 void perform(state& self, actions& todo, outbox& waiting, wiring const& to,
              time_point now)
 {
@@ -98,6 +112,8 @@
                 on_result(self, std::move(*refused), now, todo);
         }
     }
+    for (reply const& item : todo.replies)
+        count(item, to, now);
     for (reply& item : todo.replies)
         waiting.answers.emplace_back(encode(std::move(item)));
     for (claims::message& item : todo.claim_messages)
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_ROUTING_ROUTING_THREAD_HPP
 
 #include <gooseberrycove/front.hpp>
+#include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/peer.hpp>
 #include <gooseberrycove/routing.hpp>
 
@@ -19,6 +20,8 @@
     /// Own peer address, `ip:port`.
     std::string address;
     std::string data_centre;
+    /// May be null.
+    metrics* counts = nullptr;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -124,6 +124,9 @@
     error_kind kind = error_kind::none;
     std::string detail;
     work_result result;
+    /// For metrics; empty when no route was matched.
+    std::string priority = {};
+    time_point received = {};
 };
 
 /// Work or a cancellation for the home at `address`; this daemon's own
