--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -132,6 +132,5 @@
 int main(int argc, char** argv)
 {
     return tool_settings::run_with_settings(
-        argc, argv,
-        "Backend server stand-in with faults.", schema, run, check);
+        argc, argv, "Backend server stand-in with faults.", schema, run, check);
 }
--- /dev/null
+++ b/testsuite/fleet.sh
@@ -0,0 +1,212 @@
+# shellcheck shell=bash
+# Starts a fleet on loopback and observes it. Needs lib.sh and the variables
+# bin (folder of the programs) and run (folder for settings and histories).
+
+declare -A listen admin peer pid_of server_address
+daemons=()
+servers=()
+admin_key=demo-admin-key
+secret=demo-secret
+admin_key_file() { echo "$run/admin.key"; }
+
+# Microseconds of the monotonic clock, in steps of 10 ms.
+now_us() {
+    local up
+    read -r up _ </proc/uptime
+    echo "${up/./}0000"
+}
+
+# record EVENT NAME=JSON_VALUE...: appends to the observer's history.
+record() {
+    local line="{\"event\":\"$1\"" field
+    shift
+    for field in "$@"; do
+        line+=",\"${field%%=*}\":${field#*=}"
+    done
+    echo "$line}" >>"$run/observer.jsonl"
+}
+
+write_keys() {
+    echo "$admin_key" >"$run/admin.key"
+    echo demo-announce-key >"$run/announce.key"
+    echo demo-peer-key >"$run/peer.key"
+}
+
+start_platform() {
+    free_port platform_port
+    printf '[platform]\nlisten = 127.0.0.1:%s\n' "$platform_port" \
+        >"$run/platform.ini"
+    start "$run/platform.log" "$bin/gcove_platform" \
+        --settings "$run/platform.ini"
+    pid_of[platform]=$last_pid
+    wait_until 10 http_ok "http://127.0.0.1:$platform_port/stats" ||
+        fail "the platform does not answer, see $run/platform.log"
+}
+
+# name_daemon NAME: chooses its addresses, so that others can name them.
+name_daemon() {
+    local name=$1 port
+    daemons+=("$name")
+    free_port port && listen[$name]=127.0.0.1:$port
+    free_port port && admin[$name]=127.0.0.1:$port
+    free_port port && peer[$name]=127.0.0.1:$port
+}
+
+# start_daemon NAME DATA_CENTRE
+start_daemon() {
+    local name=$1 data_centre=$2
+    cat >"$run/$name.ini" <<INI
+[daemon]
+name = $name
+data_centre = $data_centre
+listen = ${listen[$name]}
+admin = ${admin[$name]}
+peer = ${peer[$name]}
+seeds = ${peer[${daemons[0]}]} ${peer[${daemons[1]}]}
+peer_key_file = $run/peer.key
+admin_key_file = $run/admin.key
+announce_key_file = $run/announce.key
+platform = 127.0.0.1:$platform_port
+INI
+    start "$run/$name.log" "$bin/gcove_daemon" --settings "$run/$name.ini"
+    pid_of[$name]=$last_pid
+}
+
+# start_server NAME SERVICE SEED ADMIN_ADDRESS...: announces to the first
+# reachable address.
+start_server() {
+    local name=$1 service=$2 seed=$3 port
+    shift 3
+    free_port port
+    server_address[$name]=127.0.0.1:$port
+    servers+=("$name")
+    cat >"$run/$name.ini" <<INI
+[server]
+name = $name
+service = $service
+listen = 127.0.0.1:$port
+announce_to = $*
+announce_key_file = $run/announce.key
+slots = 4
+connections = 400
+mean_ms = 15
+seed = $seed
+history = $run/$name.jsonl
+INI
+    start "$run/$name.log" "$bin/gcove_server" --settings "$run/$name.ini"
+    pid_of[$name]=$last_pid
+}
+
+# admin_get DAEMON PATH
+admin_get() {
+    curl -sf -m 2 -H "Authorization: Bearer $admin_key" \
+        "http://${admin[$1]}$2"
+}
+
+# version_of DAEMON: the configuration version in force, or nothing.
+version_of() {
+    curl -sf -m 2 -o /dev/null -D - -H "Authorization: Bearer $admin_key" \
+        "http://${admin[$1]}/config" |
+        sed -n 's/^[Ee][Tt]ag: *"\([0-9]*\)".*/\1/p'
+}
+
+# patch DAEMON BASE FILE: true when the patch was accepted.
+patch() {
+    if [ -x "$bin/gcove_ctl" ]; then
+        "$bin/gcove_ctl" "--daemon=${admin[$1]}" \
+            "--admin_key_file=$run/admin.key" config patch "$3" "--base=$2" \
+            >"$run/patch.out" 2>&1
+        return
+    fi
+    curl -sf -m 10 -X PATCH -H "Authorization: Bearer $admin_key" \
+        -H "If-Match: \"$2\"" -H 'X-Author: demo' --data-binary "@$3" \
+        -o "$run/patch.out" "http://${admin[$1]}/config"
+}
+
+# accept_patch DAEMON BASE FILE: patches and records the accepted version.
+accept_patch() {
+    local at
+    at=$(now_us)
+    patch "$1" "$2" "$3" || return 1
+    record accepted "version=$(($2 + 1))" "time_us=$at"
+}
+
+# all_have VERSION
+all_have() {
+    local name version
+    for name in "${daemons[@]}"; do
+        version=$(version_of "$name")
+        [ "${version:-0}" -ge "$1" ] || return 1
+    done
+}
+
+# server_json NAME: entry of the directory as the first daemon knows it.
+server_json() {
+    admin_get "${daemons[0]}" /servers |
+        jq -c --arg name "$1" '.servers[] | select(.server == $name)'
+}
+
+# is_ejected NAME: the first daemon knows of its ejection.
+is_ejected() {
+    [ "$(server_json "$1" | jq -r .health)" = ejected ]
+}
+
+# drain_server NAME: drains through the daemon that is its home.
+drain_server() {
+    local home
+    home=$(server_json "$1" | jq -r .home_admin)
+    if [ -x "$bin/gcove_ctl" ]; then
+        "$bin/gcove_ctl" "--daemon=$home" "--admin_key_file=$run/admin.key" \
+            drain "$1" >"$run/drain.out" 2>&1
+        return
+    fi
+    curl -sf -m 5 -X POST -H "Authorization: Bearer $admin_key" \
+        -o "$run/drain.out" "http://$home/servers/$1/drain"
+}
+
+# stop_daemon NAME: graceful stop; its exit code is in stop_code.
+stop_daemon() {
+    record daemon_stop "daemon=\"$1\"" "address=\"${listen[$1]}\"" \
+        graceful=true "time_us=$(now_us)"
+    kill -TERM "${pid_of[$1]}"
+    stop_code=0
+    wait "${pid_of[$1]}" || stop_code=$?
+    local left=() name
+    for name in "${daemons[@]}"; do
+        [ "$name" = "$1" ] || left+=("$name")
+    done
+    daemons=("${left[@]}")
+}
+
+# observe_daemon NAME: records the version in force, the ejections honoured
+# and the servers that the daemon's own homes have ejected.
+observe_daemon() {
+    local name=$1 version services
+    version=$(version_of "$name")
+    [ -n "$version" ] || return 0
+    record version "daemon=\"$name\"" "version=$version" "time_us=$(now_us)"
+    services=$(admin_get "$name" /services) || return 0
+    jq -c --arg daemon "$name" --argjson now "$(now_us)" \
+        '.services[] | {event: "ejections", daemon: $daemon, service: .service,
+          healthy_slots: .healthy_slots, floor_slots: .floor_slots,
+          ejected: .ejected, time_us: $now}' <<<"$services" \
+        >>"$run/observer.jsonl"
+}
+
+observe_ejected_servers() {
+    admin_get "$1" /servers 2>/dev/null |
+        jq -r '.servers[] | select(.health == "ejected") | .server' \
+            >>"$run/ejected.txt" || true
+}
+
+# observe: loop of a background process; ends with its parent's signal.
+observe() {
+    local name
+    while true; do
+        for name in "${daemons[@]}"; do
+            observe_daemon "$name" || true
+        done
+        observe_ejected_servers "${daemons[0]}"
+        sleep 0.2
+    done
+}
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Helpers for the cases and the demo: free loopback ports, processes that are
 # stopped by their own id, and waiting with a limit.
 
