Measure the slopes of the capacity page in one process

Cause: docs/CAPACITY.md needs figures that are measured, not guessed. Change: gcove_capacity runs the real decisions, tables and codec at three or more sizes and fits lines.

--- /dev/null
+++ b/src/capacity/decision_slopes.cpp
@@ -0,0 +1,192 @@
+#include "admission/decide.hpp"
+#include "health/decisions.hpp"
+#include "routing/authenticate.hpp"
+#include "routing/decisions.hpp"
+#include "slope.hpp"
+
+#include <fmt/format.h>
+
+namespace gooseberrycove::capacity
+{
+
+namespace
+{
+
+time_point const start{std::chrono::hours(1)};
+
+members::service_view view_of(int servers)
+{
+    members::service_view made;
+    made.service = "service";
+    for (int i = 0; i < servers; ++i)
+    {
+        members::candidate one;
+        one.server = fmt::format("server-{:04}", i);
+        one.slots = 4;
+        one.home = {static_cast<std::uint64_t>(i) + 100, 1};
+        one.home_address = fmt::format("10.0.0.{}:7300", i % 250);
+        one.home_data_centre = fmt::format("dc-{}", i % 3);
+        made.candidates.push_back(std::move(one));
+    }
+    return made;
+}
+
+/// One request from arrival to answer.
+void route_one(routing::state& self, routing::looked_up const& config,
+               int number)
+{
+    time_point const now = start + duration(number * 100);
+    routing::actions out;
+    routing::caller_request from;
+    from.id = {9, static_cast<std::uint64_t>(number)};
+    from.credentials = "account:secret";
+    from.method = "GET";
+    from.target = "/x";
+    from.received = now;
+    routing::on_caller_request(self, std::move(from), config, now, out);
+    if (out.sends.empty())
+        throw std::runtime_error("request not routed");
+    auto const& sent = std::get<work>(out.sends.front().what);
+    work_result result;
+    result.id = sent.id;
+    result.attempt = sent.attempt;
+    result.result = outcome::ran;
+    result.status = 200;
+    result.home = {100, 1};
+    result.service_time = std::chrono::milliseconds(20);
+    routing::on_result(self, std::move(result),
+                       now + std::chrono::milliseconds(21), out);
+}
+
+double route_us(int servers)
+{
+    routing::state self;
+    self.self = {1, 1};
+    self.data_centre = "dc-0";
+    routing::on_view(self, view_of(servers));
+    routing::looked_up config;
+    config.account =
+        config::account_view{"account", routing::hash_secret("secret"), 0, 0};
+    config.route = config::route_view{"route", "service", 0, true,
+                                      std::chrono::seconds(2)};
+    config.floor_slots = static_cast<std::uint32_t>(servers) * 3;
+    return processor_us(5, 2'000, [&](int i) { route_one(self, config, i); });
+}
+
+health::state health_of(int servers, std::span<std::string const> names)
+{
+    health::state self;
+    health::actions out;
+    for (int i = 0; i < servers; ++i)
+    {
+        health::server_known known;
+        known.server = names[static_cast<std::size_t>(i)];
+        known.service = "service";
+        known.slots = 4;
+        health::on_server_known(self, known, start, out);
+    }
+    for (int i = 0; i < 25; ++i)
+    {
+        health::sibling_report report;
+        report.status.server = fmt::format("sibling-{}", i);
+        report.status.service = "service";
+        report.status.samples = 100;
+        report.home = {static_cast<std::uint64_t>(i) + 10, 1};
+        report.received = start;
+        health::on_sibling_report(self, report, start, out);
+    }
+    return self;
+}
+
+double sample_us(int servers, std::span<std::string const> names)
+{
+    health::state self = health_of(servers, names);
+    health::actions out;
+    return processor_us(5, 2'000,
+                        [&](int i)
+                        {
+                            health::sample what;
+                            what.server =
+                                names[static_cast<std::size_t>(i % servers)];
+                            what.service = "service";
+                            what.latency =
+                                std::chrono::milliseconds(20 + i % 7);
+                            what.at = start + duration(i * 1'000);
+                            health::on_sample(self, what, what.at, out);
+                            out = {};
+                        });
+}
+
+/// One attempt at the home from arrival to result.
+void admit_one(admission::state& self, int number)
+{
+    time_point const now = start + duration(number * 5'000);
+    admission::actions out;
+    work what;
+    what.id = {8, static_cast<std::uint64_t>(number)};
+    what.method = "GET";
+    what.target = "/x";
+    what.account = "account";
+    what.service = "service";
+    what.server = "server";
+    what.deadline = now + std::chrono::seconds(2);
+    admission::on_work(self, std::move(what), now, out);
+    if (out.starts.empty())
+        throw std::runtime_error("work not started: " +
+                                 (out.answers.empty()
+                                      ? std::to_string(number)
+                                      : out.answers.front().result.detail));
+    dispatch::finished done;
+    done.ticket = out.starts.front().ticket;
+    done.what = dispatch::result_class::answered;
+    done.status = 200;
+    done.latency = std::chrono::milliseconds(2);
+    admission::on_finished(self, std::move(done),
+                           now + std::chrono::milliseconds(2), out);
+}
+
+double admit_us()
+{
+    admission::state self;
+    self.self = {1, 1};
+    admission::actions out;
+    admission::service_policy policy;
+    policy.service = "service";
+    policy.priorities[0] = {true, 0.2, std::chrono::seconds(1)};
+    admission::on_policy(self, policy, start, out);
+    members::homed_server server;
+    server.what.server = "server";
+    server.what.service = "service";
+    server.what.address = "10.0.0.1:80";
+    server.what.slots = 4;
+    admission::on_homed_server(self, server, start, out);
+    return processor_us(5, 2'000, [&](int i) { admit_one(self, i); });
+}
+
+} // namespace
+
+std::vector<slope> decision_slopes()
+{
+    std::vector<point> routes;
+    for (int const size : {8, 26, 64, 256})
+        routes.push_back({double(size), route_us(size)});
+    std::vector<std::string> names;
+    for (int i = 0; i < 64; ++i)
+        names.push_back(fmt::format("server-{:04}", i));
+    std::vector<point> samples;
+    std::vector<point> tests;
+    for (int const size : {4, 12, 64})
+    {
+        samples.push_back({double(size), sample_us(size, names)});
+        double const before = heap_bytes();
+        health::state const self = health_of(size, names);
+        tests.push_back({double(size), heap_bytes() - before});
+    }
+    return {fit("routing a request, with authentication", "us", "candidate",
+                routes),
+            fit("health sample", "us", "server homed here", samples),
+            fit("health state", "bytes", "server homed here", tests),
+            constant("admission of an attempt", "us", {admit_us()})};
+}
+
+} // namespace gooseberrycove::capacity
