--- a/src/health/baseline.cpp
+++ b/src/health/baseline.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 #include <vector>
 
 namespace gooseberrycove::health
@@ -19,9 +20,9 @@
 constexpr double recent_prior = 50;
 
 /// The same for the short time of an alarm.
-constexpr double fresh_prior = 10;
+constexpr double fresh_prior = 20;
 
-/// Samples from which a sibling's mean latency is used.
+/// Samples from which a sibling's mean latency is used in the median.
 constexpr double least_mean_samples = 3;
 
 double decay_factor(duration elapsed, duration memory)
@@ -77,24 +78,60 @@
                                   : (values[half - 1] + values[half]) / 2;
 }
 
+/// Bound of sibling::steps; the older half is merged in pairs at it.
+constexpr std::size_t max_steps = 32;
+
+void add_step(sibling& one, sibling::step const& step)
+{
+    auto& steps = one.steps;
+    std::erase_if(steps, [&](sibling::step const& old)
+                  { return step.received - old.received > baseline_memory; });
+    steps.push_back(step);
+    if (steps.size() < max_steps)
+        return;
+    for (std::size_t i = 0; i < max_steps / 4; ++i)
+    {
+        sibling::step merged = steps[2 * i];
+        merged.received = steps[2 * i + 1].received;
+        add(merged.sum, steps[2 * i + 1].sum);
+        steps[i] = merged;
+    }
+    steps.erase(steps.begin() + max_steps / 4, steps.begin() + max_steps / 2);
+}
+
+/// Time before an onset that stands for the usual work of a sibling. The long
+/// baseline would still hold an earlier fault.
+constexpr duration before_time = std::chrono::seconds(15);
+
+tally work_before(sibling const& one, time_point onset)
+{
+    tally sum;
+    for (sibling::step const& step : one.steps)
+    {
+        if (step.received <= onset && step.since >= onset - before_time)
+            add(sum, step.sum);
+    }
+    return sum.samples > 0 ? sum : one.slow.sum;
+}
+
 /// The part of a step's work that was done after \p onset.
-tally part_after(sibling::step const& step, baseline const& usual,
-                 double usual_mean, time_point onset)
+tally part_after(sibling::step const& step, tally const& before,
+                 time_point onset)
 {
     if (step.received <= onset || step.received <= step.since)
         return {};
-    if (step.since >= onset)
+    if (step.since >= onset || before.samples <= 0)
         return step.sum;
-    double const before =
+    double const share =
         static_cast<double>((onset - step.since).count()) /
         static_cast<double>((step.received - step.since).count());
-    double const samples = step.sum.samples * before;
-    double const failures = samples * usual.failure_rate;
+    double const samples = step.sum.samples * share;
+    double const scale = samples / before.samples;
     tally part;
     part.samples = step.sum.samples - samples;
-    part.failures = std::clamp(step.sum.failures - failures, 0.0, part.samples);
-    part.log_sum =
-        std::max(0.0, step.sum.log_sum - (samples - failures) * usual_mean);
+    part.failures = std::clamp(step.sum.failures - scale * before.failures, 0.0,
+                               part.samples);
+    part.log_sum = std::max(0.0, step.sum.log_sum - scale * before.log_sum);
     return part;
 }
 
@@ -131,8 +168,7 @@
     decay_to(one.slow, received, baseline_memory);
     add(one.slow.sum, step);
     time_point const since = same_run ? one.received : received;
-    one.steps[one.step_count % one.steps.size()] = {since, received, step};
-    ++one.step_count;
+    add_step(one, {since, received, step});
     one.last = status;
     one.received = received;
 }
@@ -166,8 +202,9 @@
     double const usual = raised_rate(slow);
     double const now_rate = (recent.failures + recent_prior * usual) /
                             (recent.samples + recent_prior);
-    result.failure_rate = std::clamp(std::max(usual, now_rate),
-                                     least_failure_rate, most_failure_rate);
+    result.failure_rate =
+        std::max(least_failure_rate,
+                 std::max(std::min(usual, most_failure_rate), now_rate));
     auto const middle = median(means);
     result.has_latency = middle.has_value();
     result.mean_log_latency = middle.value_or(0);
@@ -175,39 +212,39 @@
 }
 
 fresh_view fresh_of(sibling_map const& siblings, std::string_view server,
-                    baseline const& usual, time_point onset, time_point raised)
+                    time_point onset, time_point asked)
 {
     fresh_view result;
-    std::vector<double> means;
     for (auto const& [name, one] : siblings)
     {
         if (name == server)
             continue;
         ++result.siblings;
-        result.reported += one.received > raised ? 1 : 0;
+        result.reported += one.received > asked ? 1 : 0;
         if (!is_reference(name, one, server))
             continue;
-        decayed_tally const& slow = one.slow;
-        double const answered_before = slow.sum.samples - slow.sum.failures;
-        double const usual_mean = answered_before > 0
-                                      ? slow.sum.log_sum / answered_before
-                                      : usual.mean_log_latency;
-        tally own;
-        std::size_t const count = std::min(one.step_count, one.steps.size());
-        for (std::size_t i = 0; i < count; ++i)
-        {
-            add(own, part_after(one.steps[i], usual, usual_mean, onset));
-        }
-        add(result.sum, own);
-        double const answered = own.samples - own.failures;
-        if (answered >= least_mean_samples)
-            means.push_back(own.log_sum / answered);
+        tally const before = work_before(one, onset);
+        for (sibling::step const& step : one.steps)
+            add(result.sum, part_after(step, before, onset));
     }
-    if (2 * means.size() >= result.siblings)
-        result.mean_log_latency = median(means);
     return result;
 }
 
+void apply(shared_level const& level, baseline& usual, time_point now)
+{
+    if (now >= level.until)
+        return;
+    usual.failure_rate = std::max(usual.failure_rate, level.failure_rate);
+    usual.mean_log_latency =
+        std::max(usual.mean_log_latency, level.mean_log_latency);
+}
+
+double fresh_log_latency(fresh_view const& fresh, double usual)
+{
+    double const answered = fresh.sum.samples - fresh.sum.failures;
+    return answered < least_mean_samples ? usual : fresh.sum.log_sum / answered;
+}
+
 double fresh_failure_rate(fresh_view const& fresh, double usual)
 {
     return (fresh.sum.failures + fresh_prior * usual) /
--- a/src/health/baseline.hpp
+++ b/src/health/baseline.hpp
@@ -4,11 +4,11 @@
 #include "sequential.hpp"
 #include <gooseberrycove/health.hpp>
 
-#include <array>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrycove::health
 {
@@ -48,15 +48,15 @@
     time_point received;
     decayed_tally slow;
     /// Work between two reports, newest last, for comparison over the time
-    /// of an alarm.
+    /// of an alarm. Older steps are merged: at few samples per second an
+    /// alarm's onset lies a minute back.
     struct step
     {
         time_point since;
         time_point received;
         tally sum;
     };
-    std::array<step, 32> steps;
-    std::size_t step_count = 0;
+    std::vector<step> steps;
 };
 
 using sibling_map = std::map<std::string, sibling, std::less<>>;
@@ -70,6 +70,8 @@
 
 struct baseline
 {
+    /// At least least_failure_rate. Above most_failure_rate the failure tests
+    /// are not defined: most work of the siblings fails too.
     double failure_rate = most_failure_rate;
     double mean_log_latency = 0;
     bool has_latency = false;
@@ -80,20 +82,33 @@
 baseline baseline_of(sibling_map const& siblings, std::string_view server,
                      time_point now);
 
+/// Level that the siblings were found at when an alarm was cleared. Their
+/// decayed counts follow a fault that all share only slowly.
+struct shared_level
+{
+    double failure_rate = 0;
+    double mean_log_latency = 0;
+    time_point until;
+};
+
+/// Raises \p usual to a level found recently.
+void apply(shared_level const& level, baseline& usual, time_point now);
+
 /// The siblings' work since an alarm's onset. Of a report that covers time
 /// before the onset too, the usual work of that time is subtracted.
 struct fresh_view
 {
     std::size_t siblings = 0;
-    /// Siblings that reported after the alarm was raised.
+    /// Siblings that reported after they were asked.
     std::size_t reported = 0;
     tally sum;
-    /// Median of the means; nothing when too few siblings have samples.
-    std::optional<double> mean_log_latency;
 };
 
+/// Mean over all siblings; \p usual while they answered nothing.
+double fresh_log_latency(fresh_view const& fresh, double usual);
+
 fresh_view fresh_of(sibling_map const& siblings, std::string_view server,
-                    baseline const& usual, time_point onset, time_point raised);
+                    time_point onset, time_point asked);
 
 /// Failure rate of the siblings during an alarm, drawn towards \p usual while
 /// they have few samples; not bounded above.
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -32,8 +32,8 @@
     return now - test.known_since < test.what.warmup;
 }
 
-void take_latency(server_test& test, latency_model const& model, double log,
-                  time_point now)
+void take_latency(server_test& test, latency_model const& model,
+                  double sibling_mean, double log, time_point now)
 {
     spread& own = test.deviation;
     if (test.slow.nats <= 0)
@@ -42,9 +42,10 @@
     latency_run& run = test.slow_run;
     run.logs[run.count % run.logs.size()] = static_cast<float>(log);
     ++run.count;
+    double const residual = log - sibling_mean;
     own.pending_samples += 1;
-    own.pending_sum += log;
-    own.pending_squares += log * log;
+    own.pending_sum += residual;
+    own.pending_squares += residual * residual;
     if (test.slow.nats > 0)
         return;
     own.samples += std::exchange(own.pending_samples, 0);
@@ -105,13 +106,17 @@
                  latency_model const& model, bool has_failed, double log,
                  time_point now)
 {
-    failure_rates const partial = partial_failure(usual.failure_rate);
-    failure_rates const dead = outage(usual.failure_rate);
+    double const rate = usual.failure_rate;
     double const failures = has_failed ? 1 : 0;
-    add_nats(test.partial, failure_nats(partial, 1, failures), has_failed, now);
-    add_nats(test.dead, failure_nats(dead, 1, failures), has_failed, now);
+    if (rate <= most_failure_rate)
+    {
+        add_nats(test.partial, failure_nats(partial_failure(rate), 1, failures),
+                 has_failed, now);
+        add_nats(test.dead, failure_nats(outage(rate), 1, failures), has_failed,
+                 now);
+    }
     if (!has_failed && usual.has_latency && !warming_up(test, now))
-        take_latency(test, model, log, now);
+        take_latency(test, model, usual.mean_log_latency, log, now);
 }
 
 void tick_server(state& self, service_tests& service, server_test& test,
@@ -152,7 +157,7 @@
     if (!test)
         return;
     service_tests& service = self.services.find(what.service)->second;
-    baseline const usual = baseline_of(service.siblings, what.server, now);
+    baseline const usual = usual_of(service, what.server, now);
     latency_model const model = model_of(*test, usual.mean_log_latency);
     std::optional<bool> const has_failed = failed(what, model);
     if (!has_failed)
@@ -240,11 +245,16 @@
 
 time_point on_tick(state& self, time_point now, actions& out)
 {
+    duration wait = report_period / 5;
     for (auto& [name, service] : self.services)
     {
         expire_siblings(service.siblings, now);
         for (auto& [server, test] : service.servers)
+        {
             tick_server(self, service, test, now, out);
+            if (test.raised)
+                wait = std::min(wait, test.raised->ask_wait);
+        }
         std::erase_if(service.servers,
                       [now](auto const& entry)
                       {
@@ -258,7 +268,7 @@
         server_status const& status = told.what.status;
         take_report(self.services[status.service].siblings, status, now);
     }
-    return now + report_period / 5;
+    return now + wait;
 }
 
 } // namespace gooseberrycove::health
--- a/src/health/health_test.cpp
+++ b/src/health/health_test.cpp
@@ -224,6 +224,37 @@
         CHECK(model.history.front() == one.reason);
 }
 
+TEST_CASE("shared faults that come again eject nobody")
+{
+    // The second fault starts while the long baseline still holds the first;
+    // reports are older than the newest samples at its start.
+    behaviour const bad =
+        GENERATE(behaviour{0.002, 5}, behaviour{1, 1}, behaviour{0.3, 1});
+    for (unsigned seed = 1; seed <= 3; ++seed)
+    {
+        INFO("seed " << seed << " slow " << bad.slow_factor);
+        service_model model;
+        model.seed = seed;
+        model.behave = [bad](auto, auto at)
+        { return at > 30s && at % 60s > 30s ? bad : behaviour{}; };
+        prepare(model);
+        model.run(270s);
+        CHECK(model.count("ejected") == 0);
+    }
+}
+
+TEST_CASE("a server that is always 1.3 times slower is not ejected")
+{
+    service_model model;
+    model.behave = [](auto server, auto) {
+        return behaviour{0.002, server == 0 ? 1.3 : 1};
+    };
+    prepare(model);
+    model.run(900s);
+    CHECK(model.count("ejected") == 0);
+    CHECK_FALSE(model.test_of(0).raised);
+}
+
 TEST_CASE("an alarm without enough sibling reports ejects nobody")
 {
     service_model model;
--- a/src/health/state.hpp
+++ b/src/health/state.hpp
@@ -16,7 +16,8 @@
 namespace gooseberrycove::health
 {
 
-/// Deviation of a server's own log latencies. Samples count only after the
+/// Residuals of a server's log latencies against its siblings: an older VM is
+/// slower all the time, which is no fault. Samples count only after the
 /// latency test has returned to zero, so that a fault does not widen the
 /// deviation that it is measured with.
 struct spread
@@ -39,12 +40,6 @@
 
 std::string_view to_string(signal value);
 
-struct alarm
-{
-    signal what = signal::partial_failure;
-    time_point raised;
-};
-
 /// Latencies of the samples that the latency test's sum consists of.
 struct latency_run
 {
@@ -52,6 +47,25 @@
     std::size_t count = 0;
 };
 
+/// Wait before siblings are asked again; it grows by as much with each request.
+/// Longer than the way of a report and back within a region, because a new
+/// request makes earlier reports stale.
+inline constexpr duration first_ask_wait = std::chrono::milliseconds(20);
+
+struct alarm
+{
+    signal what = signal::partial_failure;
+    time_point raised;
+    /// When the siblings were last asked for reports.
+    time_point asked;
+    duration ask_wait = first_ask_wait;
+    unsigned asks = 0;
+    /// The evidence at that time. Reports say nothing about later samples: at
+    /// the start of a shared fault the siblings' later failures are missing.
+    cusum sum;
+    latency_run run;
+};
+
 struct probation
 {
     double failure_nats = 0;
@@ -91,6 +105,7 @@
 struct service_tests
 {
     sibling_map siblings;
+    shared_level shared;
     std::map<std::string, server_test, std::less<>> servers;
 };
 
--- a/src/health/verdicts.hpp
+++ b/src/health/verdicts.hpp
@@ -10,9 +10,19 @@
 void tell(server_test& test, time_point now, std::string reason, bool changed,
           bool wants_reports, actions& out);
 
+/// Start of a log line about \p test.
+event_line line_of(event what, server_test const& test);
+
+/// What \p server is compared with.
+baseline usual_of(service_tests const& service, std::string_view server,
+                  time_point now);
+
 /// Latencies that \p test is compared with.
 latency_model model_of(server_test const& test, double sibling_mean);
 
+/// Forgets the residuals since the latency test last was at zero.
+void drop_pending(spread& own);
+
 /// Raises an alarm when a test has reached the threshold.
 void check_alarm(state const& self, server_test& test, time_point now,
                  actions& out);
