Correct cases of fences, limits and ejected servers in admission

A fence for a superseded epoch marked newer queued work as fenced. A repeated announcement reset a limit that had fallen to 1. Work without a chosen server could go to an ejected server while a healthy one was homed here. A target that libcurl cannot send counted as a failure of the server.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -172,6 +172,9 @@
         std::pair<error_kind, void (*)(fixture&, work&)>{
             error_kind::bad_request,
             [](fixture&, work& w) { w.traceparent = "a\r\nHost: b"; }},
+        std::pair<error_kind, void (*)(fixture&, work&)>{
+            error_kind::bad_request,
+            [](fixture&, work& w) { w.target = "/a b"; }},
         std::pair<error_kind, void (*)(fixture&, work&)>{
             error_kind::deadline_unmet,
             [](fixture& g, work& w) { w.deadline = g.now; }},
@@ -376,6 +379,15 @@
     CHECK(slots_of(server, policy, f.now + 10s) == 5);
 }
 
+TEST_CASE("a repeated announcement keeps what the limit has learned")
+{
+    fixture f(4);
+    for (int i = 0; i < 10; ++i)
+        on_shed(f.self.servers.at("s1").limit);
+    f.announce("s1", 4);
+    CHECK(f.self.servers.at("s1").limit.limit == 1);
+}
+
 TEST_CASE("the limit follows the latency gradient")
 {
     // Row: true slots of a server that declares 4; lowest and highest limit
@@ -485,6 +497,36 @@
     CHECK(f.out.starts.size() == 1);
 }
 
+TEST_CASE("a fence for a superseded epoch leaves the queued work alone")
+{
+    fixture f;
+    f.add(f.make(0));
+    f.add(f.claimed("c", 2));
+    CHECK(f.fence("c", 1) == claims::fence_state::fenced);
+    f.add(f.claimed("c", 2));
+    CHECK(f.last_kind() == error_kind::in_progress);
+    f.finish();
+    CHECK(f.out.starts.size() == 2);
+}
+
+TEST_CASE("work without a chosen server avoids an ejected one")
+{
+    fixture f;
+    f.judge(health_state::ejected);
+    f.announce("s2", 1);
+    for (char const* expected : {"s2", "s1"})
+    {
+        work what = f.make(0);
+        what.server.clear();
+        f.add(std::move(what));
+        CHECK(f.out.starts.back().server == expected);
+        members::homed_server gone;
+        gone.what.server = "s2";
+        gone.gone = true;
+        on_homed_server(f.self, gone, f.now, f.out);
+    }
+}
+
 TEST_CASE("queued claimed work that is fenced or refused never runs")
 {
     bool const by_fence = GENERATE(true, false);
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -17,19 +17,26 @@
     std::string_view reason;
 };
 
+bool has_blank_or_control(std::string_view text)
+{
+    return std::ranges::any_of(
+        text, [](char c)
+        { return static_cast<unsigned char>(c) <= 0x20 || c == 0x7f; });
+}
+
 bool has_control_character(std::string_view text)
 {
     return std::ranges::any_of(
         text, [](char c) { return static_cast<unsigned char>(c) < 0x20; });
 }
 
-/// A line break in any of these would let a caller add header lines.
+/// A line break in any of these would let a caller add header lines, and a
+/// target that cannot be sent would count against the server.
 bool is_malformed(work const& what)
 {
     return what.priority >= max_priorities || what.method.empty() ||
-           !what.target.starts_with('/') ||
-           has_control_character(what.method) ||
-           has_control_character(what.target) ||
+           !what.target.starts_with('/') || has_blank_or_control(what.method) ||
+           has_blank_or_control(what.target) ||
            has_control_character(what.content_type) ||
            has_control_character(what.idempotency_key) ||
            has_control_character(what.traceparent);
--- a/src/admission/fence.cpp
+++ b/src/admission/fence.cpp
@@ -168,9 +168,12 @@
         answer.result = record.result;
         return answer;
     }
-    record.epoch = std::max(record.epoch, claim.epoch);
-    settle(memory, claim.id, record, claim_phase::fenced, now);
     answer.state = claims::fence_state::fenced;
+    // The epoch asked about was superseded; what is queued now may run.
+    if (claim.epoch < record.epoch)
+        return answer;
+    record.epoch = claim.epoch;
+    settle(memory, claim.id, record, claim_phase::fenced, now);
     return answer;
 }
 
--- a/src/admission/limit.cpp
+++ b/src/admission/limit.cpp
@@ -104,7 +104,7 @@
 void set_declared(adaptive_limit& limit, std::uint32_t slots)
 {
     std::uint32_t const declared = std::max<std::uint32_t>(1, slots);
-    if (limit.declared == declared && limit.limit > 1)
+    if (limit.declared == declared)
         return;
     limit = adaptive_limit{};
     limit.declared = declared;
--- a/src/admission/limit.hpp
+++ b/src/admission/limit.hpp
@@ -15,7 +15,8 @@
 /// limit to that of the same priority at half of the declared slots or less.
 struct adaptive_limit
 {
-    std::uint32_t declared = 1;
+    /// 0 until set_declared().
+    std::uint32_t declared = 0;
     double limit = 1;
     /// Moving mean of log latency at low concurrency, for each priority.
     std::array<double, max_priorities> low_log{};
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -55,7 +55,8 @@
 
 /// Whether lower work may take a reserved slot: what is in flight, with the
 /// work that would start, ends soon enough for urgent work to meet its target.
-/// A fixed reserve left 15% of the capacity idle in a flood of lower work.
+/// With a reserve that lower work never used, a flood of it used 94% of the
+/// capacity left by urgent work.
 bool reserve_is_open(service_state const& service, homed_state const& server,
                      priority_index priority, time_point now)
 {
@@ -86,8 +87,10 @@
     --service.queued;
     count_queued(self, taken.what.server, -1);
     running begun;
+    // The body goes to dispatch alone.
+    std::string body = std::move(taken.what.body);
     begun.what = taken.what;
-    begun.what.body.clear();
+    taken.what.body = std::move(body);
     begun.what.server = server.name;
     begun.server = server.name;
     begun.charged = charged;
@@ -107,16 +110,34 @@
     self.in_flight.emplace(self.last_ticket, std::move(begun));
 }
 
+/// Whether work for which routing chose no server may use this one: an ejected
+/// server only when the service has no other here.
+bool takes_unchosen(state const& self, service_state const& service,
+                    homed_state const& server)
+{
+    auto const is_better = [&](std::string const& name)
+    {
+        homed_state const& other = self.servers.at(name);
+        return other.health.health == health_state::healthy &&
+               other.state == members::server_state::serving;
+    };
+    return server.health.health != health_state::ejected ||
+           std::ranges::none_of(service.servers, is_better);
+}
+
 /// Starts one piece of work of a priority at a server that has a slot for it.
 bool start_one(state& self, service_state& service, homed_state& server,
                priority_index priority, time_point now, actions& out)
 {
     priority_state& from = service.priorities[priority];
     duration const expected = expected_time(from.estimate);
+    bool const unchosen = takes_unchosen(self, service, server);
     eligible const may_take = [&](entry const& item)
     {
-        return (item.what.server.empty() || item.what.server == server.name) &&
-               takes_work(server, item.what.repeatable);
+        bool const fits = item.what.server.empty()
+                              ? unchosen
+                              : item.what.server == server.name;
+        return fits && takes_work(server, item.what.repeatable);
     };
     while (auto const position =
                select(from.queue, may_take, fair_slack_items * expected))
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -87,6 +87,7 @@
         server.announced = now;
         server.incarnation = what.incarnation;
         server.health = {};
+        server.limit = {};
     }
     server.name = what.server;
     server.service = what.service;
--- a/src/bench/flood.cpp
+++ b/src/bench/flood.cpp
@@ -80,7 +80,11 @@
     for (flood_measures const& run : runs)
         values.push_back(run.*value);
     std::ranges::sort(values);
-    return {values[values.size() / 2], values.front()};
+    std::size_t const half = values.size() / 2;
+    double const median = values.size() % 2 == 1
+                              ? values[half]
+                              : (values[half - 1] + values[half]) / 2;
+    return {median, values.front()};
 }
 
 int print_rows(std::ostream& out, service_model const& model, flood_kind kind,
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -191,7 +191,9 @@
     finished result;
     result.ticket = done.job.ticket;
     result.what = classify(facts, done.head);
-    result.latency = now - done.started;
+    // Latency zero tells that nothing was attempted at the server.
+    if (code != CURLE_URL_MALFORMAT)
+        result.latency = now - done.started;
     if (done.too_large)
         result.detail = fmt::format("answer exceeds {} bytes", max_answer);
     else if (code != CURLE_OK)
