--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -1,5 +1,6 @@
 #include "decide.hpp"
 #include "refuse.hpp"
+#include "risk.hpp"
 #include "schedule.hpp"
 
 #include <algorithm>
@@ -16,19 +17,26 @@
     std::string_view reason;
 };
 
+bool has_blank_or_control(std::string_view text)
+{
+    return std::ranges::any_of(
+        text, [](char c)
+        { return static_cast<unsigned char>(c) <= 0x20 || c == 0x7f; });
+}
+
 bool has_control_character(std::string_view text)
 {
     return std::ranges::any_of(
         text, [](char c) { return static_cast<unsigned char>(c) < 0x20; });
 }
 
-/// A line break in any of these would let a caller add header lines.
+/// A line break in any of these would let a caller add header lines, and a
+/// target that cannot be sent would count against the server.
 bool is_malformed(work const& what)
 {
     return what.priority >= max_priorities || what.method.empty() ||
-           !what.target.starts_with('/') ||
-           has_control_character(what.method) ||
-           has_control_character(what.target) ||
+           !what.target.starts_with('/') || has_blank_or_control(what.method) ||
+           has_blank_or_control(what.target) ||
            has_control_character(what.content_type) ||
            has_control_character(what.idempotency_key) ||
            has_control_character(what.traceparent);
@@ -46,6 +54,19 @@
     return {};
 }
 
+/// Largest probability of a missed target with which urgent work is queued
+/// while another home may be tried; a further home costs about 1 ms.
+constexpr double spill_risk = 0.01;
+
+bool should_spill(service_state const& service, homed_state const& server,
+                  work const& what, time_point now)
+{
+    priority_index const urgent = urgent_priority(service.policy);
+    return what.other_homes && what.priority == urgent &&
+           service.policy.priorities[urgent].target.count() > 0 &&
+           urgent_risk(service, server, now) > spill_risk;
+}
+
 bool takes_in_time(service_state const& service, homed_state const& server,
                    work const& what, time_point now)
 {
@@ -65,6 +86,8 @@
         return refused;
     if (!takes_in_time(service, found->second, what, now))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
+    if (should_spill(service, found->second, what, now))
+        return {error_kind::overloaded, "target_at_entry"};
     return {};
 }
 
@@ -162,8 +185,6 @@
 void enqueue(state& self, service_state& service, work&& what, time_point now,
              actions& out)
 {
-    if (what.priority == urgent_priority(service.policy))
-        service.urgent_seen = now;
     ++service.queued;
     count_queued(self, what.server, 1);
     priority_queue& queue = service.priorities[what.priority].queue;
