--- a/src/members/directory.cpp
+++ b/src/members/directory.cpp
@@ -119,17 +119,6 @@
         erase_entry(s, id);
 }
 
-/// Whether the home of the record is known to be dead, leaving or replaced.
-/// Such records are refused, or daemons that already removed the entry would
-/// get it back from those that have not.
-bool home_is_past(state const& s, daemon_ref home)
-{
-    member const* const known = find_peer(s, home.id);
-    return known != nullptr &&
-           (known->record.daemon.incarnation > home.incarnation ||
-            (known->record.daemon == home && !is_live(known->record)));
-}
-
 bool same_content(server_entry const& entry, server_record const& record)
 {
     return entry.home == record.home && entry.sequence == record.sequence;
@@ -261,10 +250,11 @@
         correct_own(s, record, now);
         return false;
     }
-    if (home_is_past(s, record.home))
+    if (home_left(s, record.home))
         return false;
     server_entry const* const entry = find_entry(s, record.server);
-    if (entry != nullptr &&
+    // A home that left has no say any more, whatever its last sequence was.
+    if (entry != nullptr && !home_left(s, entry->home) &&
         !later(record.home, record.sequence, entry->home, entry->sequence))
         return false;
     if (find_homed(s, record.server) != nullptr)
--- a/src/members/gossip.cpp
+++ b/src/members/gossip.cpp
@@ -35,7 +35,8 @@
     if (pending.what == subject::server)
     {
         if (pending.key >= s.servers.entries.size() ||
-            !s.servers.entries[pending.key].used)
+            !s.servers.entries[pending.key].used ||
+            home_left(s, s.servers.entries[pending.key].home))
             return 0;
         server_record const record =
             make_record(s, static_cast<std::uint32_t>(pending.key));
--- a/src/members/peers.cpp
+++ b/src/members/peers.cpp
@@ -52,16 +52,16 @@
     s.live_changed = s.sweep_wanted = true;
 }
 
-/// A replaced machine often gets the address of the one before it.
-void drop_former_holder(state& s, peer_record const& record)
+/// A replaced machine often gets the address of the one before it, which is
+/// then known to be dead.
+void bury_former_holder(state& s, peer_record const& record, time_point now,
+                        actions& out)
 {
-    for (member const& other : s.peers)
+    for (member& other : s.peers)
     {
-        if (other.record.address != record.address ||
-            other.record.daemon.id == record.daemon.id)
-            continue;
-        erase_peer(s, other.record.daemon.id);
-        return;
+        if (other.record.address == record.address &&
+            other.record.daemon.id != record.daemon.id && is_live(other.record))
+            set_peer_state(s, other, peer_state::dead, now, out);
     }
 }
 
@@ -71,7 +71,7 @@
     if (!is_live(record))
         return;
     if (from == origin::itself)
-        drop_former_holder(s, record);
+        bury_former_holder(s, record, now, out);
     s.peer_index[record.daemon.id] = static_cast<std::uint32_t>(s.peers.size());
     member added;
     added.record = record;
@@ -187,6 +187,14 @@
     return record != nullptr && record->daemon == home && is_live(*record);
 }
 
+bool home_left(state const& s, daemon_ref home)
+{
+    peer_record const* const known = find_record(s, home.id);
+    return known != nullptr &&
+           (known->daemon.incarnation > home.incarnation ||
+            (known->daemon == home && known->state == peer_state::leaving));
+}
+
 bool home_usable(state const& s, daemon_ref home)
 {
     member const* const known = find_peer(s, home.id);
@@ -228,6 +236,8 @@
     bool const rejoined =
         known->record.daemon != fresh.daemon || !is_live(known->record);
     replace_record(s, *known, fresh, now);
+    if (before == peer_state::dead)
+        hasten_sync(s, now);
     if (from != origin::sync)
         add_update(s, subject::peer, record.daemon.id);
     if (before != fresh.state && (fresh.state != peer_state::alive || rejoined))
@@ -242,8 +252,7 @@
     known->heard = now;
     if (known->record.state == peer_state::dead)
     {
-        // Both sides of a healed partition have much to tell each other.
-        s.next_sync = std::min(s.next_sync, now + duration(500'000));
+        hasten_sync(s, now);
         log_peer(event::peer_joined, known->record, out);
     }
     if (known->record.state == peer_state::dead ||
@@ -265,6 +274,14 @@
     log_peer(event_of(value), record, out);
 }
 
+void hasten_sync(state& s, time_point now)
+{
+    duration const spacing(5'000'000 +
+                           10'000 * static_cast<int>(s.peers.size()));
+    s.next_sync = std::min(
+        s.next_sync, std::max(now + duration(500'000), s.last_sync + spacing));
+}
+
 duration suspicion_time(state const& s)
 {
     // Gossip needs time that grows with log n to reach a suspect and to bring
--- a/src/members/peers.hpp
+++ b/src/members/peers.hpp
@@ -20,6 +20,10 @@
 /// Whether that run of the daemon is this one, or a peer alive or suspect.
 bool home_live(state const& s, daemon_ref home);
 
+/// Whether the home is known to have left or to run again under a higher
+/// incarnation. A dead home is no such case: it may come back.
+bool home_left(state const& s, daemon_ref home);
+
 /// False for a home that is leaving or that does not answer this daemon.
 bool home_usable(state const& s, daemon_ref home);
 
@@ -49,6 +53,10 @@
 void set_peer_state(state& s, member& who, peer_state value, time_point now,
                     actions& out);
 
+/// Synchronises soon, because a peer came back. Limited, because thousands of
+/// peers may come back together.
+void hasten_sync(state& s, time_point now);
+
 /// Ends suspicions that ran out and forgets peers that are dead for long.
 void expire_peers(state& s, time_point now, actions& out);
 
--- a/src/members/probe.cpp
+++ b/src/members/probe.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int indirect_probes = 3;
+constexpr int news_receivers = 2;
 
 void start_probe(state& s, member const& who, time_point now, actions& out)
 {
@@ -132,6 +133,27 @@
         factor * static_cast<double>(s.limits.ping_period.count())));
 }
 
+/// News that was never sent yet does not wait for the next probe: a change of
+/// home would otherwise reach some daemons only after several seconds. Uses at
+/// most half of the gossip budget.
+void spread_news(state& s, time_point now, actions& out)
+{
+    if (now < s.next_news || s.gossip_bytes / 10 > s.limits.gossip_budget / 2)
+        return;
+    if (std::ranges::none_of(s.updates, [](update const& pending)
+                             { return pending.sent == 0; }))
+        return;
+    s.next_news = now + s.limits.news_period;
+    for (int count = 0; count < news_receivers; ++count)
+    {
+        member const* const who = random_live(s);
+        if (who == nullptr)
+            return;
+        send_packet(s, make_packet(s, packet_kind::ping, s.next_number++),
+                    who->record.address, who->record.daemon.id, out);
+    }
+}
+
 /// Whether the ack carries the record of the probed run of the daemon. At the
 /// address of a replaced machine another daemon may answer.
 bool proves(packet const& what, probe const& pending)
@@ -191,6 +213,7 @@
         if (member const* const who = next_target(s))
             start_probe(s, *who, now, out);
     }
+    spread_news(s, now, out);
     if (now >= s.next_dead_probe)
         probe_dead(s, now, out);
     if (now >= s.next_recheck)
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -37,6 +37,8 @@
     duration dead_expiry{7'200'000'000};
     duration dead_probe_period{2'000'000};
     duration recheck_period{500'000};
+    /// Least time between packets that only spread news.
+    duration news_period{200'000};
     duration default_lease{6'000'000};
     duration minimum_lease{1'000'000};
     duration maximum_lease{30'000'000};
@@ -179,8 +181,10 @@
     time_point next_ping;
     time_point next_dead_probe;
     time_point next_recheck;
+    time_point next_news;
     time_point next_status;
     time_point next_sync;
+    time_point last_sync;
     time_point next_join;
     time_point next_rendezvous;
     time_point last_sweep;
--- a/src/members/sync.cpp
+++ b/src/members/sync.cpp
@@ -160,6 +160,7 @@
         join(s, now, out);
     if (now < s.next_sync)
         return;
+    s.last_sync = now;
     s.next_sync = now + s.limits.sync_period;
     if (partner != nullptr)
         start_sync(s, partner->record.address, out);
--- a/src/members/tick.cpp
+++ b/src/members/tick.cpp
@@ -32,7 +32,7 @@
     }
     for (homed& here : s.homes)
         here.lease_until += gap;
-    s.next_sync = std::min(s.next_sync, now + duration(500'000));
+    hasten_sync(s, now);
 }
 
 /// A sweep passes over all entries, so the sweeps that liveness changes ask
