--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -12,7 +12,7 @@
 {
 
 /// Largest body of a caller's request in bytes.
-inline constexpr std::size_t max_body = 1024 * 1024;
+inline constexpr std::size_t max_body = std::size_t{1024} * 1024;
 
 /// What the caller of request \p id gets.
 struct answer
@@ -25,8 +25,14 @@
     int retry_after_s = 0;
 };
 
+/// Stops accepting connections; new requests on open ones are refused as not
+/// run, requests in flight are finished.
+struct drain
+{
+};
+
 /// Messages that the front duty takes.
-using message = std::variant<std::monostate, answer>;
+using message = std::variant<std::monostate, answer, drain>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::front
