--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -114,6 +114,30 @@
     return self.services[std::string(name)];
 }
 
+/// Whether another home than the one of the last attempt is left to try.
+bool has_other_home(state const& self, service_state const& service,
+                    request const& what, time_point now)
+{
+    if (what.attempts.size() >= max_homes)
+        return false;
+    std::vector<daemon_ref> const tried = tried_homes(what);
+    auto const untried = [&](daemon_ref const& home)
+    { return std::find(tried.begin(), tried.end(), home) == tried.end(); };
+    if (!what.repeatable)
+        return std::any_of(what.claim.homes.begin(), what.claim.homes.end(),
+                           [&](claims::claim_home const& home)
+                           { return untried(home.daemon); });
+    assessment const found =
+        assess(service.candidates, service.floor_slots, self.evidence, now);
+    for (std::size_t i = 0; i < found.standings.size(); ++i)
+    {
+        if (found.standings[i] == standing::healthy &&
+            untried(service.candidates[i].home))
+            return true;
+    }
+    return false;
+}
+
 bool start_attempt(state& self, request& what, event why,
                    std::string_view reason, time_point now, actions& out)
 {
@@ -129,8 +153,9 @@
          who.home, to.address, now, true});
     ++service.outstanding[who.server];
     out.log.push_back(routed_line(what, why, reason, to));
-    out.sends.push_back({to.address, who.home == self.self,
-                         make_work(self, what, what.attempts.back())});
+    work made = make_work(self, what, what.attempts.back());
+    made.other_homes = has_other_home(self, service, what, now);
+    out.sends.push_back({to.address, who.home == self.self, std::move(made)});
     return true;
 }
 
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -310,6 +310,26 @@
     CHECK((out.replies.empty() && out.sends.size() == 1));
 }
 
+TEST_CASE("the last home that may be tried is told so")
+{
+    // A home that believes in another home refuses urgent work that waits; at
+    // the last one that would lose the request.
+    bool const repeatable = GENERATE(true, false);
+    state self = make_state();
+    actions out;
+    begin(self, repeatable, out);
+    for (std::size_t tried = 1; tried < max_homes; ++tried)
+    {
+        CHECK(last_work(out).other_homes);
+        work const sent = last_work(out);
+        on_result(self,
+                  result_of(sent, {tried, 1}, error_kind::deadline_unmet,
+                            outcome::not_run),
+                  start, out);
+    }
+    CHECK_FALSE(last_work(out).other_homes);
+}
+
 TEST_CASE("an id that is still settled after its answer is told so")
 {
     // Without a reply the second caller would wait forever.
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -92,6 +92,7 @@
     out.server = value.server;
     out.origin = put(value.origin);
     out.origin_address = value.origin_address;
+    out.other_homes = value.other_homes;
     return out;
 }
 
@@ -119,6 +120,7 @@
     out.server = in.server;
     out.origin = get(in.origin);
     out.origin_address = in.origin_address;
+    out.other_homes = in.other_homes;
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -317,6 +317,10 @@
 void Work::__set_origin_address(const std::string& val) {
   this->origin_address = val;
 }
+
+void Work::__set_other_homes(const bool val) {
+  this->other_homes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -497,6 +501,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->other_homes);
+          this->__isset.other_homes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -590,6 +602,10 @@
   xfer += oprot->writeString(this->origin_address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("other_homes", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->other_homes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -616,6 +632,7 @@
   swap(a.server, b.server);
   swap(a.origin, b.origin);
   swap(a.origin_address, b.origin_address);
+  swap(a.other_homes, b.other_homes);
   swap(a.__isset, b.__isset);
 }
 
@@ -639,6 +656,7 @@
   server = other4.server;
   origin = other4.origin;
   origin_address = other4.origin_address;
+  other_homes = other4.other_homes;
   __isset = other4.__isset;
 }
 Work& Work::operator=(const Work& other5) {
@@ -661,6 +679,7 @@
   server = other5.server;
   origin = other5.origin;
   origin_address = other5.origin_address;
+  other_homes = other5.other_homes;
   __isset = other5.__isset;
   return *this;
 }
@@ -686,6 +705,7 @@
   out << ", " << "server=" << to_string(server);
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "origin_address=" << to_string(origin_address);
+  out << ", " << "other_homes=" << to_string(other_homes);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -156,7 +156,7 @@
 std::ostream& operator<<(std::ostream& out, const Claim& obj);
 
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -176,6 +176,7 @@
   bool server :1;
   bool origin :1;
   bool origin_address :1;
+  bool other_homes :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -200,7 +201,8 @@
          traceparent(),
          remaining_us(0),
          server(),
-         origin_address() {
+         origin_address(),
+         other_homes(0) {
   }
 
   virtual ~Work() noexcept;
@@ -223,6 +225,7 @@
   std::string server;
   Daemon origin;
   std::string origin_address;
+  bool other_homes;
 
   _Work__isset __isset;
 
@@ -264,6 +267,8 @@
 
   void __set_origin_address(const std::string& val);
 
+  void __set_other_homes(const bool val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -304,6 +309,8 @@
       return false;
     if (!(origin_address == rhs.origin_address))
       return false;
+    if (!(other_homes == rhs.other_homes))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -33,6 +33,7 @@
   17: string server
   18: Daemon origin
   19: string origin_address
+  20: bool other_homes
 }
 
 struct ServerStatus {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -35,6 +35,7 @@
     what.deadline = now + duration(500);
     what.claim = {"claim", 9};
     what.origin = {7, 8};
+    what.other_homes = true;
     return what;
 }
 
@@ -52,6 +53,7 @@
     CHECK(what.deadline == later + duration(500));
     CHECK(what.claim.epoch == 9);
     CHECK(what.origin == daemon_ref{7, 8});
+    CHECK(what.other_homes);
 }
 
 TEST_CASE("every kind of payload comes back as the same kind")
