--- a/src/claims/job.cpp
+++ b/src/claims/job.cpp
@@ -65,8 +65,11 @@
     if (who.id == 0)
         return false;
     // Before members has told, nobody is taken for gone.
-    return who == s.self || !s.live_known ||
-           std::ranges::binary_search(s.live, who);
+    if (who == s.self || !s.live_known)
+        return true;
+    auto const found =
+        std::ranges::lower_bound(s.live, who.id, {}, &daemon_ref::id);
+    return found != s.live.end() && *found == who;
 }
 
 void answer(job const& j, error_kind kind, std::string_view detail,
--- a/src/claims/state.cpp
+++ b/src/claims/state.cpp
@@ -118,7 +118,7 @@
                      actions&)
 {
     s.live = what.daemons;
-    std::ranges::sort(s.live);
+    std::ranges::sort(s.live, {}, &daemon_ref::id);
     s.live_known = true;
 }
 
--- a/src/members/directory.cpp
+++ b/src/members/directory.cpp
@@ -5,6 +5,7 @@
 #include "members/peers.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace gooseberrycove::members
 {
@@ -203,8 +204,8 @@
     if (left_home.id == right_home.id)
         return std::pair(left_home.incarnation, left_sequence) >
                std::pair(right_home.incarnation, right_sequence);
-    return std::pair(left_sequence, left_home) >
-           std::pair(right_sequence, right_home);
+    return std::tuple(left_sequence, left_home.id) >
+           std::tuple(right_sequence, right_home.id);
 }
 
 std::uint32_t write_entry(state& s, server_record const& record, time_point now)
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -36,7 +36,7 @@
     std::string stale;
     for (std::uint64_t step = 0; step < slots; ++step)
     {
-        std::string const key = slot_key((start + step) % slots);
+        std::string key = slot_key((start + step) % slots);
         auto const row = std::ranges::find(rows, key, &store::row::key);
         if (row == rows.end())
             return key;
--- a/src/members/status.cpp
+++ b/src/members/status.cpp
@@ -39,8 +39,8 @@
             entry.home != s.self.daemon)
             homes.push_back(entry.home);
     }
-    std::ranges::sort(homes);
-    homes.erase(std::ranges::unique(homes).begin(), homes.end());
+    std::ranges::sort(homes, {}, &daemon_ref::id);
+    homes.erase(std::unique(homes.begin(), homes.end()), homes.end());
     return homes;
 }
 
@@ -152,7 +152,8 @@
         std::vector<delivery> const more = deliveries_of(s, server);
         list.insert(list.end(), more.begin(), more.end());
     }
-    std::ranges::stable_sort(list, {}, &delivery::home);
+    std::ranges::stable_sort(list, {},
+                             [](delivery const& item) { return item.home.id; });
     double const bytes = static_cast<double>(send_deliveries(s, list, 0, out));
     duration const needed(
         static_cast<duration::rep>(bytes / s.limits.status_budget * 1'000'000));
