--- a/src/bench/flood.hpp
+++ b/src/bench/flood.hpp
@@ -29,7 +29,7 @@
     double useful = 0;
 };
 
-flood_measures measure(tally const& sum, service_model const& flood,
+flood_measures measure(tally const& sum, flood_service const& flood,
                        run_length const& length);
 
 struct flood_options
--- a/src/bench/flood_baseline.cpp
+++ b/src/bench/flood_baseline.cpp
@@ -32,7 +32,7 @@
 
 struct baseline
 {
-    service_model const& model;
+    flood_service const& model;
     run_length const& length;
     std::span<arrival const> arrivals;
     std::vector<fifo_server> servers;
@@ -102,7 +102,7 @@
 
 } // namespace
 
-tally run_baseline(service_model const& model, run_length const& length,
+tally run_baseline(flood_service const& model, run_length const& length,
                    std::span<arrival const> arrivals)
 {
     baseline run{model,    length,
--- a/src/bench/flood_baseline.hpp
+++ b/src/bench/flood_baseline.hpp
@@ -9,7 +9,7 @@
 /// One FIFO queue at each server and least-requests routing with exact
 /// knowledge. Work past its deadline is dropped before it starts and stopped
 /// while it runs, which favours the baseline.
-tally run_baseline(service_model const& model, run_length const& length,
+tally run_baseline(flood_service const& model, run_length const& length,
                    std::span<arrival const> arrivals);
 
 } // namespace gooseberrycove::bench
--- a/src/bench/flood_model.cpp
+++ b/src/bench/flood_model.cpp
@@ -41,7 +41,7 @@
     return flood_start(length) + length.flood;
 }
 
-void add_arrivals(std::vector<arrival>& all, service_model const& model,
+void add_arrivals(std::vector<arrival>& all, flood_service const& model,
                   std::uint8_t kind, time_point from, time_point to,
                   std::mt19937_64& random)
 {
@@ -65,7 +65,7 @@
 
 } // namespace
 
-std::vector<service_model> all_services()
+std::vector<flood_service> all_services()
 {
     // Services of equal size have equal runs and are listed once.
     return {
@@ -74,7 +74,7 @@
         {"Delta", "quotes, contracts, billing, archive", 8, 3, delta_classes}};
 }
 
-service_model flooded(service_model model, flood_kind kind)
+flood_service flooded(flood_service model, flood_kind kind)
 {
     std::size_t const which =
         kind == flood_kind::most_urgent ? 0 : class_count - 1;
@@ -82,8 +82,8 @@
     return model;
 }
 
-std::vector<arrival> make_arrivals(service_model const& normal,
-                                   service_model const& flood,
+std::vector<arrival> make_arrivals(flood_service const& normal,
+                                   flood_service const& flood,
                                    run_length const& length, std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
--- a/src/bench/flood_model.hpp
+++ b/src/bench/flood_model.hpp
@@ -30,7 +30,7 @@
 inline constexpr std::size_t class_count = 3;
 
 /// One service of a deployment of section 1.4 of the design.
-struct service_model
+struct flood_service
 {
     std::string deployment;
     std::string service;
@@ -39,7 +39,7 @@
     std::array<work_class, class_count> classes{};
 };
 
-std::vector<service_model> all_services();
+std::vector<flood_service> all_services();
 
 enum class flood_kind : std::uint8_t
 {
@@ -48,7 +48,7 @@
 };
 
 /// The model with the load of one class raised to three times the capacity.
-service_model flooded(service_model model, flood_kind kind);
+flood_service flooded(flood_service model, flood_kind kind);
 
 /// One request of a run. Both policies see the same ones.
 struct arrival
@@ -70,8 +70,8 @@
 
 inline constexpr time_point run_start{duration{3'600'000'000}};
 
-std::vector<arrival> make_arrivals(service_model const& normal,
-                                   service_model const& flood,
+std::vector<arrival> make_arrivals(flood_service const& normal,
+                                   flood_service const& flood,
                                    run_length const& length,
                                    std::uint64_t seed);
 
--- a/src/bench/flood_policy.cpp
+++ b/src/bench/flood_policy.cpp
@@ -74,7 +74,7 @@
 
 struct simulation
 {
-    service_model const& model;
+    flood_service const& model;
     run_length const& length;
     std::span<arrival const> arrivals;
     std::mt19937_64 random;
@@ -336,7 +336,7 @@
     }
 }
 
-admission::state make_home(service_model const& model, std::size_t index)
+admission::state make_home(flood_service const& model, std::size_t index)
 {
     admission::state home;
     home.self = {index + 1, 1};
@@ -357,7 +357,7 @@
 
 } // namespace
 
-tally run_policy(service_model const& model, run_length const& length,
+tally run_policy(flood_service const& model, run_length const& length,
                  std::span<arrival const> arrivals, std::uint64_t seed)
 {
     simulation run{model, length, arrivals, std::mt19937_64(seed)};
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -41,25 +41,19 @@
                           .field("reason", reason));
 }
 
-/// Tells admission and health about a server homed here.
-void tell_duties(state const& s, homed const& here, bool gone, actions& out)
+/// Tells admission, which tells health: only admission knows the warm-up time
+/// of the service.
+void tell_admission(state const& s, homed const& here, bool gone, actions& out)
 {
     homed_server message{here.what, gone};
     message.what.state = effective_state(s, here.what);
     out.homed.push_back(std::move(message));
-    health::server_known known;
-    known.server = here.what.server;
-    known.service = here.what.service;
-    known.address = here.what.address;
-    known.slots = here.what.slots;
-    known.gone = gone;
-    out.known.push_back(std::move(known));
 }
 
 void announce_change(state& s, homed const& here, time_point now, actions& out)
 {
     publish(s, here, now);
-    tell_duties(s, here, false, out);
+    tell_admission(s, here, false, out);
     bool const draining =
         effective_state(s, here.what) == server_state::draining;
     log_server(draining ? event::server_draining : event::server_announced,
@@ -155,7 +149,7 @@
     {
         if (here.what.server != server)
             continue;
-        tell_duties(s, here, true, out);
+        tell_admission(s, here, true, out);
         log_server(event::server_gone, here.what, reason, out);
     }
     std::string const name(server);
--- a/src/members/members_thread.cpp
+++ b/src/members/members_thread.cpp
@@ -61,7 +61,6 @@
 {
     std::vector<service_view_ptr> views;
     std::vector<homed_server> homed;
-    std::vector<health::server_known> known;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
     std::uint64_t dropped = 0;
@@ -133,14 +132,12 @@
     }
     append_views(kept, out.views);
     append(kept.homed, out.homed);
-    append(kept.known, out.known);
     if (out.live_peers)
         kept.live_peers = std::move(out.live_peers);
     if (out.daemons)
         kept.daemons = std::move(out.daemons);
     push_all(*to.routing, kept.views);
     push_all(*to.admission, kept.homed);
-    push_all(*to.health, kept.known);
     push_latest(*to.config, kept.live_peers);
     push_latest(*to.claims, kept.daemons);
 }
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -206,7 +206,6 @@
     std::vector<peer::outgoing> to_peers;
     std::vector<service_view_ptr> views;
     std::vector<homed_server> homed;
-    std::vector<health::server_known> known;
     std::vector<health::sibling_report> siblings;
     std::vector<config::peer_version> versions;
     std::optional<config::live_peers> live_peers;
