Add gcove_ctl

The operator's command against the administration API. A patch without answer can be sent again with its id, which the daemon applies once.

The platform stand-in now keeps a cut client waiting, as a cut network does, and exits with 2 for an unknown flag.

--- /dev/null
+++ b/src/ctl/ctl_test.cpp
@@ -0,0 +1,118 @@
+#include "ctl/command.hpp"
+#include "ctl/render.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove::ctl;
+using nlohmann::json;
+
+namespace
+{
+
+command parse(std::vector<std::string> const& words)
+{
+    return parse_command(words);
+}
+
+printed answer(verb what, int status, std::string body, bool as_json = false)
+{
+    options flags;
+    flags.base = 3;
+    flags.patch_id = "id";
+    return render_answer({what, {"x"}}, flags, {status, "7", std::move(body)},
+                         R"({"a":1})", as_json);
+}
+
+} // namespace
+
+TEST_CASE("wrong commands are refused with what is allowed")
+{
+    for (auto const& words :
+         std::vector<std::vector<std::string>>{{},
+                                               {"config"},
+                                               {"config", "set"},
+                                               {"drain"},
+                                               {"services", "x"},
+                                               {"explain", "GET"}})
+        CHECK_THROWS_AS(parse(words), usage_error);
+    CHECK(parse({"explain", "GET", "/", "kim"}).arguments.size() == 3);
+    // A patch without a base would be merged into whatever is in force.
+    CHECK_THROWS_AS(build_request(parse({"config", "patch", "f"}), {}, "{}"),
+                    usage_error);
+}
+
+TEST_CASE("names and paths are encoded in requests")
+{
+    CHECK(build_request(parse({"drain", "a/b c"}), {}, "").target ==
+          "/servers/a%2Fb%20c/drain");
+    CHECK(build_request(parse({"explain", "GET", "/x?y=1&z"}), {}, "").target ==
+          "/explain?method=GET&path=%2Fx%3Fy%3D1%26z");
+    options flags;
+    flags.base = 12;
+    auto const request =
+        build_request(parse({"config", "patch", "f"}), flags, "{}");
+    CHECK(request.headers.at("If-Match") == "\"12\"");
+}
+
+TEST_CASE("a stale patch shows the version in force and what changed")
+{
+    printed const text = answer(
+        verb::config_patch, 412,
+        R"({"version":5,"since":[{"version":4,"patch_id":"p4","author":"kim",
+            "patch":{"services":null}}]})");
+    CHECK(text.code == exit_stale);
+    CHECK(text.errors ==
+          "stale: version 5 is in force, the patch is based on version 3\n"
+          "patches since:\n"
+          "version  patch_id  author  patch\n"
+          "4        p4        kim     {\"services\":null}\n");
+}
+
+TEST_CASE("refusals exit with 1 and say why")
+{
+    printed text = answer(verb::config_patch, 422,
+                          R"({"faults":[{"path":"/a","what":"bad"}]})");
+    CHECK(text.code == exit_refused);
+    CHECK(text.errors == "the patch was refused:\n  /a: bad\n");
+    text = answer(verb::config_patch, 500,
+                  R"({"kind":"internal","outcome":"unknown","detail":"d"})");
+    CHECK(text.code == exit_refused);
+    CHECK(text.errors.find("--patch_id=id") != std::string::npos);
+    CHECK(answer(verb::services, 401, "no JSON").code == exit_refused);
+    CHECK(answer(verb::services, 200, "no JSON").code == exit_refused);
+    CHECK(answer(verb::services, 200, "{}").code == exit_refused);
+    CHECK(answer(verb::drain, 404, "", true).code == exit_refused);
+    CHECK(answer(verb::drain, 200, "").code == exit_ok);
+}
+
+TEST_CASE("watch goes on from the newest version it printed")
+{
+    // A wrong version would print patches again, or none.
+    std::string const body = R"({"patches":[{"version":8},{"version":9}]})";
+    CHECK(newest_version({200, "", body}, 7) == 9);
+    CHECK(newest_version({200, "", R"({"patches":[]})"}, 7) == 7);
+    CHECK(newest_version({200, "", "no JSON"}, 7) == 7);
+}
+
+TEST_CASE("tables have one row per entry")
+{
+    printed const text =
+        answer(verb::services, 200,
+               R"({"services":[{"service":"orders","floor_slots":3,
+                   "healthy_slots":36,"servers":9}]})");
+    CHECK(text.output ==
+          "service  floor_slots  healthy_slots  servers  ejected\n"
+          "orders   3            36             9        -\n");
+}
+
+TEST_CASE("the patch of a diff leads to the wanted document")
+{
+    json const from = json::parse(R"({"a":{"b":1,"c":2},"d":3,"e":{}})");
+    json const to = json::parse(R"({"a":{"b":1,"c":5},"e":{"f":1},"g":[]})");
+    json const patch = merge_diff(from, to);
+    CHECK(patch == json::parse(R"({"a":{"c":5},"d":null,"e":{"f":1},"g":[]})"));
+    json result = from;
+    result.merge_patch(patch);
+    CHECK(result == to);
+    CHECK(answer(verb::config_diff, 200, R"({"a":2})").errors == "version 7\n");
+}
--- a/src/fake_platform/http.cpp
+++ b/src/fake_platform/http.cpp
@@ -18,10 +18,14 @@
 
 using traits = restinio::default_single_thread_traits_t;
 
-/// A call without a reply holds its connection this long. More than the
-/// slowest call, and more than the timeouts of the clients.
+/// More than the slowest call.
 constexpr std::chrono::seconds handle_request_timeout{15};
 
+/// A call that does not arrive keeps its client waiting this long, as in a cut
+/// network; longer than the usual timeout of 2 s. A lost reply closes the
+/// connection at once.
+constexpr std::chrono::seconds cut_hold{3};
+
 /// Limit of a body; a snapshot of the configuration at the target has ~60 MB.
 constexpr std::size_t max_body_bytes = 256 << 20;
 
@@ -126,7 +130,7 @@
         switch (admitted.what)
         {
         case admission::answer::none:
-            return;
+            return after(m_loop, cut_hold, [request] {});
         case admission::answer::over_rate:
             return answer(request, render_problem(429, "over rate"));
         case admission::answer::down:
--- a/src/fake_platform/main.cpp
+++ b/src/fake_platform/main.cpp
@@ -3,6 +3,7 @@
 
 #include <gflags/gflags.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 
@@ -10,6 +11,12 @@
 DEFINE_string(set, "", "overrides: section.key=value,section.key=value");
 DEFINE_bool(check_settings, false, "check the settings, then exit");
 
+namespace GFLAGS_NAMESPACE
+{
+// Called by the library for a wrong flag, with code 1. Not in its header.
+extern void (*gflags_exitfunc)(int);
+} // namespace GFLAGS_NAMESPACE
+
 namespace
 {
 
@@ -44,7 +51,10 @@
     gflags::SetUsageMessage(
         "stand-in for the platform's table service and object store\n"
         "  gcove_platform --set=platform.listen=127.0.0.1:7000");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    GFLAGS_NAMESPACE::gflags_exitfunc = [](int) { std::exit(2); };
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    GFLAGS_NAMESPACE::gflags_exitfunc = &std::exit;
+    gflags::HandleCommandLineHelpFlags();
     try
     {
         settings const values = read_settings();
