--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace gooseberrycove::config
@@ -90,7 +91,11 @@
     std::uint64_t pattern = 0;
     std::uint64_t route = 0;
 
-    auto operator<=>(pattern_entry const&) const = default;
+    bool operator==(pattern_entry const&) const = default;
+    bool operator<(pattern_entry const& other) const
+    {
+        return std::tie(pattern, route) < std::tie(other.pattern, other.route);
+    }
 };
 using pattern_block = std::vector<pattern_entry>;
 
--- a/src/ctl/http_client.cpp
+++ b/src/ctl/http_client.cpp
@@ -1,6 +1,7 @@
 #include "ctl/http_client.hpp"
 
 #include <curl/curl.h>
+#include <fmt/format.h>
 
 #include <memory>
 
@@ -43,7 +44,7 @@
     if (!key.empty())
         add_header(list, "Authorization: Bearer " + std::string(key));
     for (auto const& [name, value] : request.headers)
-        add_header(list, name + ": " + value);
+        add_header(list, fmt::format("{}: {}", name, value));
     return list;
 }
 
--- a/src/fake_platform/http.cpp
+++ b/src/fake_platform/http.cpp
@@ -80,7 +80,7 @@
     }
 
     restinio::request_handling_status_t
-    operator()(restinio::request_handle_t request)
+    operator()(restinio::request_handle_t const& request)
     {
         try
         {
@@ -99,7 +99,8 @@
     }
 
 private:
-    void handle(restinio::request_handle_t const& request, http_call call)
+    void handle(restinio::request_handle_t const& request,
+                http_call const& call)
     {
         if (call.path == "/faults" || call.path == "/stats")
             return answer(request, control(call));
@@ -111,8 +112,9 @@
         store::operation what = parse_operation(call, object_name);
         std::string const client =
             request->header().get_field_or("X-Client", "");
-        run(request, std::move(what),
-            on_call(m_platform, client, is_write(what), clock_now()));
+        admission const admitted =
+            on_call(m_platform, client, is_write(what), clock_now());
+        run(request, std::move(what), admitted);
     }
 
     http_answer control(http_call const& call)
@@ -124,7 +126,7 @@
         return {200, render_faults(m_platform.faults)};
     }
 
-    void run(restinio::request_handle_t request, store::operation what,
+    void run(restinio::request_handle_t const& request, store::operation what,
              admission admitted)
     {
         switch (admitted.what)
