--- a/src/fake_platform/http.cpp
+++ b/src/fake_platform/http.cpp
@@ -18,10 +18,14 @@
 
 using traits = restinio::default_single_thread_traits_t;
 
-/// A call without a reply holds its connection this long. More than the
-/// slowest call, and more than the timeouts of the clients.
+/// More than the slowest call.
 constexpr std::chrono::seconds handle_request_timeout{15};
 
+/// A call that does not arrive keeps its client waiting this long, as in a cut
+/// network; longer than the usual timeout of 2 s. A lost reply closes the
+/// connection at once.
+constexpr std::chrono::seconds cut_hold{3};
+
 /// Limit of a body; a snapshot of the configuration at the target has ~60 MB.
 constexpr std::size_t max_body_bytes = 256 << 20;
 
@@ -76,7 +80,7 @@
     }
 
     restinio::request_handling_status_t
-    operator()(restinio::request_handle_t request)
+    operator()(restinio::request_handle_t const& request)
     {
         try
         {
@@ -95,7 +99,8 @@
     }
 
 private:
-    void handle(restinio::request_handle_t const& request, http_call call)
+    void handle(restinio::request_handle_t const& request,
+                http_call const& call)
     {
         if (call.path == "/faults" || call.path == "/stats")
             return answer(request, control(call));
@@ -107,8 +112,9 @@
         store::operation what = parse_operation(call, object_name);
         std::string const client =
             request->header().get_field_or("X-Client", "");
-        run(request, std::move(what),
-            on_call(m_platform, client, is_write(what), clock_now()));
+        admission const admitted =
+            on_call(m_platform, client, is_write(what), clock_now());
+        run(request, std::move(what), admitted);
     }
 
     http_answer control(http_call const& call)
@@ -120,13 +126,13 @@
         return {200, render_faults(m_platform.faults)};
     }
 
-    void run(restinio::request_handle_t request, store::operation what,
+    void run(restinio::request_handle_t const& request, store::operation what,
              admission admitted)
     {
         switch (admitted.what)
         {
         case admission::answer::none:
-            return;
+            return after(m_loop, cut_hold, [request] {});
         case admission::answer::over_rate:
             return answer(request, render_problem(429, "over rate"));
         case admission::answer::down:
