--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <random>
 
 using namespace gooseberrycove;
 using namespace gooseberrycove::admission;
@@ -281,51 +280,6 @@
         CHECK(f.out.answers[0].result.result == outcome::not_run);
 }
 
-TEST_CASE("noise does not take slots from a server that reports correctly")
-{
-    // A fixed threshold on 64 samples took a slot for 7% of the time.
-    int windows_below = 0;
-    for (unsigned seed = 1; seed <= 20; ++seed)
-    {
-        std::mt19937 random(seed);
-        std::lognormal_distribution<double> size(10, 0.7);
-        adaptive_limit limit;
-        set_declared(limit, 4);
-        for (int i = 0; i < 6400; ++i)
-        {
-            std::uint32_t const in_flight = i < 20 ? 1 : 4;
-            on_latency(limit, 0,
-                       duration(static_cast<duration::rep>(size(random))),
-                       in_flight, true, time_point{3600s});
-            windows_below += i % 64 == 0 && limit.limit < 4 ? 1 : 0;
-        }
-    }
-    CHECK(windows_below <= 20);
-}
-
-TEST_CASE("a baseline that is low by chance does not hold the limit down")
-{
-    // Seen with seeds 109 and 116 of the flood bench: one server stayed at 3
-    // of 4 slots for the whole flood.
-    int recovered = 0;
-    for (unsigned seed = 1; seed <= 50; ++seed)
-    {
-        std::mt19937 random(seed);
-        std::lognormal_distribution<double> size(10, 0.7);
-        adaptive_limit limit;
-        set_declared(limit, 4);
-        limit.low_log[0] = 9.7;
-        limit.low_samples[0] = 64;
-        limit.limit = 3.2;
-        for (int i = 0; i < 640 && limit.limit < 4; ++i)
-            on_latency(limit, 0,
-                       duration(static_cast<duration::rep>(size(random))), 3,
-                       true, time_point{3600s});
-        recovered += limit.limit >= 4 ? 1 : 0;
-    }
-    CHECK(recovered >= 30);
-}
-
 TEST_CASE("a draining server gets nothing new and its queue is given back")
 {
     fixture f;
@@ -388,35 +342,6 @@
     CHECK(f.self.servers.at("s1").limit.limit == 1);
 }
 
-TEST_CASE("the limit follows the latency gradient")
-{
-    // Row: true slots of a server that declares 4; lowest and highest limit
-    // that a run may end with.
-    struct row
-    {
-        double true_slots;
-        double lowest;
-        double highest;
-    };
-    auto const server = GENERATE(row{4, 4, 5}, row{2, 1, 3}, row{16, 8, 8});
-    adaptive_limit limit;
-    set_declared(limit, 4);
-    time_point now{3600s};
-    for (int i = 0; i < 4000; ++i)
-    {
-        // Every fourth request finds an idle server.
-        std::uint32_t const in_flight =
-            i % 4 == 0 ? 1 : usable_slots(limit, now, 0s, now);
-        double const factor = std::max(1.0, in_flight / server.true_slots);
-        on_latency(limit, 0,
-                   duration(static_cast<duration::rep>(20000 * factor)),
-                   in_flight, true, now);
-        now += 10ms;
-    }
-    CHECK(limit.limit >= server.lowest);
-    CHECK(limit.limit <= server.highest);
-}
-
 TEST_CASE("cancel removes queued work and closes running repeatable work")
 {
     fixture f;
@@ -547,26 +472,3 @@
     CHECK(f.out.starts.size() == 1);
     CHECK(f.fence("c", 1) == claims::fence_state::fenced);
 }
-
-TEST_CASE("a full claim memory refuses new claims and keeps recent ones")
-{
-    claim_memory memory;
-    memory.max_records = 4;
-    time_point const now{3600s};
-    work_result ran;
-    ran.result = outcome::ran;
-    for (char const* id : {"a", "b", "c", "d"})
-    {
-        REQUIRE(enter_claim(memory, {id, 1}, now) == claim_entry::accepted);
-        claim_started(memory, {id, 1});
-        claim_ended(memory, {id, 1}, ran, now);
-    }
-    CHECK(enter_claim(memory, {"e", 1}, now + 9min) == claim_entry::no_room);
-    CHECK(enter_claim(memory, {"a", 1}, now + 9min) == claim_entry::finished);
-    // Fences have a reserve of a quarter; beyond it nothing is promised.
-    CHECK(fence_claim(memory, {"f", 1}, now).state ==
-          claims::fence_state::fenced);
-    CHECK(fence_claim(memory, {"g", 1}, now).state ==
-          claims::fence_state::running);
-    CHECK(enter_claim(memory, {"e", 1}, now + 11min) == claim_entry::accepted);
-}
--- /dev/null
+++ b/src/admission/fence_test.cpp
@@ -0,0 +1,30 @@
+#include "fence.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::admission;
+using namespace std::chrono_literals;
+
+TEST_CASE("a full claim memory refuses new claims and keeps recent ones")
+{
+    claim_memory memory;
+    memory.max_records = 4;
+    time_point const now{3600s};
+    work_result ran;
+    ran.result = outcome::ran;
+    for (char const* id : {"a", "b", "c", "d"})
+    {
+        REQUIRE(enter_claim(memory, {id, 1}, now) == claim_entry::accepted);
+        claim_started(memory, {id, 1});
+        claim_ended(memory, {id, 1}, ran, now);
+    }
+    CHECK(enter_claim(memory, {"e", 1}, now + 9min) == claim_entry::no_room);
+    CHECK(enter_claim(memory, {"a", 1}, now + 9min) == claim_entry::finished);
+    // Fences have a reserve of a quarter; beyond it nothing is promised.
+    CHECK(fence_claim(memory, {"f", 1}, now).state ==
+          claims::fence_state::fenced);
+    CHECK(fence_claim(memory, {"g", 1}, now).state ==
+          claims::fence_state::running);
+    CHECK(enter_claim(memory, {"e", 1}, now + 11min) == claim_entry::accepted);
+}
--- /dev/null
+++ b/src/admission/limit_test.cpp
@@ -0,0 +1,83 @@
+#include "limit.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::admission;
+using namespace std::chrono_literals;
+
+TEST_CASE("noise does not take slots from a server that reports correctly")
+{
+    // A fixed threshold on 64 samples took a slot for 7% of the time.
+    int windows_below = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        std::mt19937 random(seed);
+        std::lognormal_distribution<double> size(10, 0.7);
+        adaptive_limit limit;
+        set_declared(limit, 4);
+        for (int i = 0; i < 6400; ++i)
+        {
+            std::uint32_t const in_flight = i < 20 ? 1 : 4;
+            on_latency(limit, 0,
+                       duration(static_cast<duration::rep>(size(random))),
+                       in_flight, true, time_point{3600s});
+            windows_below += i % 64 == 0 && limit.limit < 4 ? 1 : 0;
+        }
+    }
+    CHECK(windows_below <= 20);
+}
+
+TEST_CASE("a baseline that is low by chance does not hold the limit down")
+{
+    // Seen with seeds 109 and 116 of the flood bench: one server stayed at 3
+    // of 4 slots for the whole flood.
+    int recovered = 0;
+    for (unsigned seed = 1; seed <= 50; ++seed)
+    {
+        std::mt19937 random(seed);
+        std::lognormal_distribution<double> size(10, 0.7);
+        adaptive_limit limit;
+        set_declared(limit, 4);
+        limit.low_log[0] = 9.7;
+        limit.low_samples[0] = 64;
+        limit.limit = 3.2;
+        for (int i = 0; i < 640 && limit.limit < 4; ++i)
+            on_latency(limit, 0,
+                       duration(static_cast<duration::rep>(size(random))), 3,
+                       true, time_point{3600s});
+        recovered += limit.limit >= 4 ? 1 : 0;
+    }
+    CHECK(recovered >= 30);
+}
+
+TEST_CASE("the limit follows the latency gradient")
+{
+    // Row: true slots of a server that declares 4; lowest and highest limit
+    // that a run may end with.
+    struct row
+    {
+        double true_slots;
+        double lowest;
+        double highest;
+    };
+    auto const server = GENERATE(row{4, 4, 5}, row{2, 1, 3}, row{16, 8, 8});
+    adaptive_limit limit;
+    set_declared(limit, 4);
+    time_point now{3600s};
+    for (int i = 0; i < 4000; ++i)
+    {
+        // Every fourth request finds an idle server.
+        std::uint32_t const in_flight =
+            i % 4 == 0 ? 1 : usable_slots(limit, now, 0s, now);
+        double const factor = std::max(1.0, in_flight / server.true_slots);
+        on_latency(limit, 0,
+                   duration(static_cast<duration::rep>(20000 * factor)),
+                   in_flight, true, now);
+        now += 10ms;
+    }
+    CHECK(limit.limit >= server.lowest);
+    CHECK(limit.limit <= server.highest);
+}
