--- a/src/claims/claim.cpp
+++ b/src/claims/claim.cpp
@@ -168,7 +168,7 @@
 void insert_row(state& s, job& j, time_point now, actions& out)
 {
     j.step = phase::inserting;
-    write_row(s, j, j.mine, 0, now, out);
+    write_row(s, j, 0, now, out);
 }
 
 void write_raise(state& s, job& j, time_point now, actions& out)
@@ -180,7 +180,7 @@
         j.mine.epoch = j.found.epoch + 1;
     }
     j.step = phase::raising;
-    write_row(s, j, j.mine, j.version, now, out);
+    write_row(s, j, j.version, now, out);
 }
 
 void on_claim_reply(state& s, job& j, store::reply const& what, time_point now,
--- a/src/claims/claims_thread.cpp
+++ b/src/claims/claims_thread.cpp
@@ -121,6 +121,11 @@
 void run(inbox& requests, wiring const& to)
 {
     state s = make_state(to.self, to.address, to.mint_key);
+    s.started = clock_now();
+    s.unix_start = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
     actions out;
     backlog kept;
     run_duty(
--- a/src/claims/job.cpp
+++ b/src/claims/job.cpp
@@ -12,6 +12,13 @@
 
 } // namespace
 
+std::uint64_t unix_time(state const& s, time_point now)
+{
+    auto const passed =
+        std::chrono::duration_cast<std::chrono::seconds>(now - s.started);
+    return s.unix_start + static_cast<std::uint64_t>(passed.count());
+}
+
 std::uint64_t call_number(state& s, std::uint64_t ticket)
 {
     std::uint64_t const call = s.next_call++ & ((1U << call_bits) - 1);
@@ -41,12 +48,13 @@
     call_store(s, j, store::get_row{j.key}, now, out);
 }
 
-void write_row(state& s, job& j, claim_row const& row, std::uint64_t version,
-               time_point now, actions& out)
+void write_row(state& s, job& j, std::uint64_t version, time_point now,
+               actions& out)
 {
+    j.mine.written = unix_time(s, now);
     store::transaction write;
     write.conditions.push_back({j.key, version});
-    write.puts.push_back({j.key, encode_row(row)});
+    write.puts.push_back({j.key, encode_row(j.mine)});
     call_store(s, j, std::move(write), now, out);
 }
 
--- a/src/claims/job.hpp
+++ b/src/claims/job.hpp
@@ -3,6 +3,7 @@
 
 #include "claims/state.hpp"
 
+#include <span>
 #include <string_view>
 
 namespace gooseberrycove::claims
@@ -11,6 +12,9 @@
 // Steps that the parts of the protocol share. A function that takes a job by
 // reference may erase it; callers return right after.
 
+/// Unix time in seconds.
+std::uint64_t unix_time(state const& s, time_point now);
+
 /// Number that a store call of a job carries; the ticket can be read from it.
 std::uint64_t call_number(state& s, std::uint64_t ticket);
 std::uint64_t ticket_of(std::uint64_t number);
@@ -19,9 +23,9 @@
                 actions& out);
 void read_row(state& s, job& j, time_point now, actions& out);
 
-/// Writes \p row when the row's version is \p version.
-void write_row(state& s, job& j, claim_row const& row, std::uint64_t version,
-               time_point now, actions& out);
+/// Writes the job's row when the row's version is \p version.
+void write_row(state& s, job& j, std::uint64_t version, time_point now,
+               actions& out);
 
 void schedule_retry(state const& s, job& j, time_point now);
 
@@ -56,6 +60,12 @@
 void on_settle_reply(state& s, job& j, store::reply const& what, time_point now,
                      actions& out);
 
+// retention.cpp
+/// Reads the next page of rows when it is due.
+void run_retention(state& s, time_point now, actions& out);
+/// Deletes the rows of a page that are past their time.
+void on_page(state& s, store::reply const& what, time_point now, actions& out);
+
 // mint.cpp
 /// Whether the text has the form of a minted key.
 bool is_minted(std::string_view key);
--- a/src/claims/row.cpp
+++ b/src/claims/row.cpp
@@ -76,6 +76,7 @@
     for (json const& home : value.at("homes"))
         row.homes.push_back({to_daemon(home.at("daemon")), home.at("address")});
     row.claimant = to_daemon(value.at("claimant"));
+    row.written = value.at("written").get<std::uint64_t>();
     row.done = value.at("state").get<std::string>() == "done";
     if (row.done)
         row.answer = to_answer(value.at("answer"));
@@ -103,6 +104,7 @@
                   {"body_hash", row.body_hash},
                   {"homes", std::move(homes)},
                   {"claimant", to_json(row.claimant)},
+                  {"written", row.written},
                   {"state", row.done ? "done" : "claimed"}};
     if (row.done)
         value["answer"] = to_json(row.answer);
--- a/src/claims/row.hpp
+++ b/src/claims/row.hpp
@@ -23,6 +23,8 @@
     /// Zero when the claimant ended without knowing the outcome.
     daemon_ref claimant;
     bool done = false;
+    /// Unix time of the write in seconds, for the removal of old rows only.
+    std::uint64_t written = 0;
     work_result answer;
 };
 
--- a/src/claims/settle.cpp
+++ b/src/claims/settle.cpp
@@ -69,7 +69,7 @@
 void on_absent(state& s, job& j, time_point now, actions& out)
 {
     if (j.step == phase::recording)
-        return write_row(s, j, j.mine, 0, now, out);
+        return write_row(s, j, 0, now, out);
     if (j.step == phase::cleaning)
         return look_later(s, j, now);
     settled(s, j, out);
@@ -95,7 +95,7 @@
         return read_row(s, j, now, out);
     if (j.step == phase::releasing)
         return delete_row(s, j, now, out);
-    write_row(s, j, j.mine, j.version, now, out);
+    write_row(s, j, j.version, now, out);
 }
 
 void on_settle_reply(state& s, job& j, store::reply const& what, time_point now,
--- a/src/claims/state.cpp
+++ b/src/claims/state.cpp
@@ -142,6 +142,8 @@
 void on_store_reply(state& s, store::reply const& what, time_point now,
                     actions& out)
 {
+    if (ticket_of(what.number) == 0)
+        return on_page(s, what, now, out);
     auto const found = s.jobs.find(ticket_of(what.number));
     if (found == s.jobs.end())
         return on_query_reply(s, what, out);
@@ -162,6 +164,7 @@
             tick_job(s, found->second, now, out);
     }
     expire_queries(s, now, out);
+    run_retention(s, now, out);
     bool const busy = !active.empty() || !s.queries.empty();
     return now + (busy ? busy_tick : idle_tick);
 }
--- a/src/claims/state.hpp
+++ b/src/claims/state.hpp
@@ -33,7 +33,14 @@
     std::size_t longest_key = 512;
     /// Minted keys whose state is kept; older ones are forgotten.
     std::size_t minted_keys = 10'000;
-    std::size_t minted_bytes = 8 << 20;
+    std::size_t minted_bytes = std::size_t{8} << 20;
+    /// Rows stay for this time after their last write.
+    std::uint64_t row_seconds = 86'400;
+    /// The fleet reads about one page of rows in this time, whatever its size.
+    duration page_period{1'000'000};
+    duration least_page_period{10'000'000};
+    /// A row may hold a response of 1 MiB.
+    std::size_t page_rows = 20;
 };
 
 enum class phase : std::uint8_t
@@ -136,6 +143,14 @@
     std::uint64_t next_serial = 1;
     /// Sum of the kept answers.
     std::size_t minted_bytes = 0;
+
+    /// Unix time in seconds at `started`; 0 leaves old rows alone.
+    std::uint64_t unix_start = 0;
+    time_point started;
+    time_point next_page;
+    /// Number of the call that reads a page, and the key before the next page.
+    std::uint64_t page_call = 0;
+    std::string page_after;
 };
 
 struct outgoing_fence
--- a/src/members/fleet_test.cpp
+++ b/src/members/fleet_test.cpp
@@ -133,6 +133,10 @@
             all.run(fault.settle_s);
             CHECK(all.difference() == "");
             CHECK(all.least_listed >= fault.least_listed);
+            // What gossip missed is repaired by the next synchronisation.
+            all.run(70);
+            CHECK(all.digests_agree());
+            CHECK(all.difference() == "");
         }
     }
 }
--- a/src/members/gossip.cpp
+++ b/src/members/gossip.cpp
@@ -18,15 +18,6 @@
 constexpr std::size_t server_fixed = 60;
 constexpr std::size_t status_fixed = 84;
 
-std::size_t packet_size(packet const& what)
-{
-    std::size_t size = packet_overhead + what.sender_address.size() +
-                       what.probe_address.size();
-    for (peer_record const& record : what.peers)
-        size += estimate_size(record);
-    return size;
-}
-
 /// Appends the subject of an update when it fits. Returns its size; 0 when the
 /// subject no longer exists, and more than \p room when it does not fit.
 std::size_t append(state const& s, update const& pending, std::size_t room,
@@ -57,7 +48,7 @@
 
 void piggyback(state& s, packet& what)
 {
-    std::size_t size = packet_size(what);
+    std::size_t size = estimate_size(what);
     std::uint32_t const limit = send_count(s);
     std::ranges::stable_sort(s.updates, {}, &update::sent);
     for (update& pending : s.updates)
@@ -96,6 +87,19 @@
     return status_fixed + status.server.size() + status.service.size();
 }
 
+std::size_t estimate_size(packet const& what)
+{
+    std::size_t size = packet_overhead + what.sender_address.size() +
+                       what.probe_address.size();
+    for (peer_record const& record : what.peers)
+        size += estimate_size(record);
+    for (server_record const& record : what.servers)
+        size += estimate_size(record);
+    for (server_status const& status : what.statuses)
+        size += estimate_size(status);
+    return size;
+}
+
 void add_update(state& s, subject what, std::uint64_t key)
 {
     for (update& pending : s.updates)
--- a/src/members/gossip.hpp
+++ b/src/members/gossip.hpp
@@ -11,6 +11,7 @@
 std::size_t estimate_size(peer_record const& record);
 std::size_t estimate_size(server_record const& record);
 std::size_t estimate_size(server_status const& status);
+std::size_t estimate_size(packet const& what);
 
 /// Frame, header and authentication code of a datagram.
 inline constexpr std::size_t packet_overhead = 160;
