Let the load tool reconnect and run the demo on the daemon

Cause: callers turn to another daemon when one is gone, but the load tool counted its share of the work as not run: 465 of 4536 in the first run of the demo. Its daemons and servers were also stopped all at once. Change: work that could not be sent goes to the next target (setting reconnect, counted as moved); the demo stops servers before daemons and checks their exit codes; the case daemon_lost kills the home of two servers and requires that all later work runs.

--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -31,6 +31,8 @@
             false},
     setting{"load", "retries", number, "0", false, 0, 100,
             "repeats of keyed work with an unknown outcome", false},
+    setting{"load", "reconnect", boolean, "true", false, 0, 0,
+            "send work to the next target when one is unreachable", false},
     setting{"load", "account", text, "", false, 0, 0, "account name", false},
     setting{"load", "secret", text, "", false, 0, 0, "account secret", false},
     setting{"load", "history", text, "", false, 0, 0,
@@ -43,7 +45,8 @@
             .length = duration(static_cast<std::int64_t>(
                 1e6 * values.real("load", "seconds"))),
             .seed = values.number("load", "seed"),
-            .retries = values.number("load", "retries")};
+            .retries = values.number("load", "retries"),
+            .reconnect = values.boolean("load", "reconnect")};
 }
 
 /// Hands over what the plan decided. A transfer that finds no room ends as not
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -111,6 +111,30 @@
         ++to.in_time;
 }
 
+/// When the work is to be sent again, if at all; counts the repeat.
+std::optional<time_point> repeat_time(plan_state& state, job& what,
+                                      transfer_result const& result,
+                                      verdict const& seen, time_point now)
+{
+    plan_options const& options = state.options;
+    totals& sums = state.totals[what.stream];
+    if (result.end == transfer_end::not_sent)
+    {
+        ++what.unreached;
+        if (!options.reconnect || what.unreached >= options.targets.size())
+            return std::nullopt;
+        ++sums.moved;
+        return now;
+    }
+    what.unreached = 0;
+    ++what.sent;
+    if (seen.result != outcome::unknown || what.key.empty() ||
+        what.sent > options.retries)
+        return std::nullopt;
+    ++sums.retried;
+    return now + retry_pause;
+}
+
 } // namespace
 
 plan_state make_plan(plan_options const& options, time_point now)
@@ -161,12 +185,10 @@
     out.records.push_back(std::move(response));
     if (is_wrong(seen))
         ++sums.wrong;
-    bool const repeat = seen.result == outcome::unknown && !what.key.empty() &&
-                        what.requests.size() <= state.options.retries;
-    if (!repeat)
-        return count_end(sums, kind, seen, result.status, now - what.planned);
-    ++sums.retried;
-    state.repeats.emplace(now + retry_pause, std::move(what));
+    if (auto const at = repeat_time(state, what, result, seen, now))
+        state.repeats.emplace(*at, std::move(what));
+    else
+        count_end(sums, kind, seen, result.status, now - what.planned);
 }
 
 time_point next_send(plan_state const& state)
--- a/src/load/plan.hpp
+++ b/src/load/plan.hpp
@@ -24,6 +24,9 @@
     std::uint64_t seed = 1;
     /// Further attempts with the same key when the outcome is unknown.
     std::size_t retries = 0;
+    /// Whether work that could not be sent goes to the next target at once, as
+    /// callers do when a daemon is gone.
+    bool reconnect = true;
 };
 
 /// Pause before an attempt is repeated.
@@ -46,6 +49,7 @@
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
     std::uint64_t retried = 0;
+    std::uint64_t moved = 0; ///< attempts repeated at another target
     std::uint64_t wrong = 0;
     /// From the planned arrival, so that a slow fleet cannot hide its queue.
     histogram latency;
@@ -57,6 +61,10 @@
     std::size_t stream = 0;
     std::string key;
     std::vector<std::string> requests;
+    /// Attempts that a daemon may have got.
+    std::size_t sent = 0;
+    /// Targets in a row that could not be reached.
+    std::size_t unreached = 0;
     time_point planned;
 };
 
--- a/src/load/summary.cpp
+++ b/src/load/summary.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<char const*, std::uint64_t totals::*>, 8> counts{
+constexpr std::array<std::pair<char const*, std::uint64_t totals::*>, 9> counts{
     {{"sent", &totals::sent},
      {"ran", &totals::ran},
      {"failed", &totals::failed},
@@ -20,6 +20,7 @@
      {"not_run", &totals::not_run},
      {"unknown", &totals::unknown},
      {"retried", &totals::retried},
+     {"moved", &totals::moved},
      {"wrong", &totals::wrong}}};
 
 double to_ms(duration value)
--- /dev/null
+++ b/testsuite/daemon_lost/run.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Guards against backend servers that stay unreachable when their home daemon
+# is killed: they must announce to the next daemon, which then serves them.
+set -euo pipefail
+bin=$1
+source "$(dirname "$0")/../lib.sh"
+source "$(dirname "$0")/../fleet.sh"
+run=$(mktemp -d)
+output=$run/output
+trap 'stop_all; rm -rf "$run"' EXIT
+
+write_keys
+start_platform
+name_daemon d1
+name_daemon d2
+for name in d1 d2; do
+    start_daemon "$name" dc-a
+done
+for name in d1 d2; do
+    wait_until 20 http_ok "http://${admin[$name]}/readyz" ||
+        fail "$name is not ready: $(cat "$run/$name.log")"
+done
+start_server s1 catalogue 1 "${admin[d1]}" "${admin[d2]}"
+start_server s2 catalogue 2 "${admin[d1]}" "${admin[d2]}"
+
+hash=$(printf '%s' "$secret" | sha256sum | cut -c1-32)
+cat >"$run/config.json" <<JSON
+{"priorities": {"urgent": {"rank": 0, "target_ms": 500}},
+ "services": {"catalogue": {"floor_slots": 4, "priorities": {"urgent": {}}}},
+ "routes": {"all": {"service": "catalogue", "method": "*", "path": "/*",
+   "priority": "urgent", "repeatable": true, "timeout_ms": 10000}},
+ "accounts": {"demo": {"key_hash": "$hash"}}}
+JSON
+accept_patch d1 0 "$run/config.json" || fail "patch: $(cat "$run/patch.out")"
+wait_until 10 all_have 1 || fail "the configuration is not in force"
+
+# homes NAME: whether d2 knows both servers, homed at NAME.
+homes() {
+    admin_get d2 /servers | jq -e --arg home "$1" \
+        '[.servers[] | select(.home_name == $home and .state == "serving")]
+         | length == 2'
+}
+wait_until 20 homes d1 || fail "the servers are not homed at d1"
+
+cat >"$run/load.ini" <<INI
+[load]
+targets = ${listen[d2]}
+streams = browse:20:GET:/page?size=100:true:0
+seconds = 2
+account = demo
+secret = $secret
+history = $run/load.jsonl
+INI
+load=("$bin/gcove_load" --settings "$run/load.ini" --output json)
+all_ran() { jq -e '.streams.browse | .sent > 0 and .ran == .sent' "$output"; }
+
+expect_exit 0 "${load[@]}"
+all_ran >/dev/null || fail "before the loss: $(cat "$output")"
+kill -KILL "${pid_of[d1]}"
+wait_until 30 homes d2 || fail "the servers have not moved to d2"
+expect_exit 0 "${load[@]}" --set load.seed=2
+all_ran >/dev/null || fail "after the loss: $(cat "$output")"
+expect_exit 0 "$bin/gcove_check" --require=I2 "$run/load.jsonl" \
+    "$run/s1.jsonl" "$run/s2.jsonl"
+echo "ok"
--- a/testsuite/demo.sh
+++ b/testsuite/demo.sh
@@ -145,9 +145,13 @@
 }
 
 drain_by_signal() {
-    local code=0
+    local code=0 left=() name
     kill -TERM "${pid_of[orders-4]}"
     wait "${pid_of[orders-4]}" || code=$?
+    for name in "${servers[@]}"; do
+        [ "$name" = orders-4 ] || left+=("$name")
+    done
+    servers=("${left[@]}")
     promise "$code" "orders-4 drains on SIGTERM and exits with code $code"
 }
 
@@ -168,7 +172,8 @@
     sleep 1
     kill "$observer" 2>/dev/null
     wait "$observer" 2>/dev/null
-    stop_all
+    stop_in_order
+    promise $? "all servers and daemons stop gracefully with code 0"
     page ""
     page "$(cat "$run/load.out")"
     page ""
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -178,6 +178,26 @@
     daemons=("${left[@]}")
 }
 
+# stop_in_order: servers first, so that their homes learn of it, then daemons,
+# then the platform. True when all servers and daemons exit with code 0.
+stop_in_order() {
+    local name failed=0
+    for name in "${servers[@]}"; do
+        kill -TERM "${pid_of[$name]}" 2>/dev/null
+    done
+    for name in "${servers[@]}"; do
+        wait "${pid_of[$name]}" || failed=1
+    done
+    for name in "${daemons[@]}"; do
+        kill -TERM "${pid_of[$name]}" 2>/dev/null
+    done
+    for name in "${daemons[@]}"; do
+        wait "${pid_of[$name]}" || failed=1
+    done
+    stop_all
+    return "$failed"
+}
+
 # observe_daemon NAME: records the version in force, the ejections honoured
 # and the servers that the daemon's own homes have ejected.
 observe_daemon() {
