Read long INI lines whole and let the fleet scripts use gcove_ctl

Cause: the INI library cuts lines at 199 characters, so a daemon with many seeds got a misleading fault; the scripts named a flag that gcove_ctl does not have, and testsuite/daemon_lost failed. Change: the reader hands the rest of a long line over as a continuation.

--- a/src/core/core_test.cpp
+++ b/src/core/core_test.cpp
@@ -106,6 +106,24 @@
           "a.ini:3: daemon.speed: unknown key, allowed: listen size seeds\n");
 }
 
+TEST_CASE("a value of many addresses is read whole")
+{
+    // The library cuts lines at 199 characters and takes the rest for a new
+    // line.
+    std::string seeds;
+    for (int i = 0; i < 40; ++i)
+        seeds += (i ? " 127.0.0.1:" : "127.0.0.1:") + std::to_string(7000 + i);
+    std::string const text =
+        "[daemon]\nlisten = 127.0.0.1:80\nseeds = " + seeds + "\nsize = 11\n";
+    CHECK(fault_of(text).find("a.ini:4: daemon.size") == 0);
+    settings const values =
+        settings_builder(schema)
+            .file("a.ini", text.substr(0, text.rfind("size")))
+            .build();
+    CHECK(values.addresses("daemon", "seeds").size() == 40);
+    CHECK(values.addresses("daemon", "seeds").back() == "127.0.0.1:7039");
+}
+
 TEST_CASE("a flag overrides the settings file")
 {
     settings const values = settings_builder(schema)
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -93,22 +93,40 @@
     std::string_view name;
     std::string_view rest;
     int line = 0;
+    /// The text handed to the library now goes on with the value before it.
+    bool continues = false;
     std::vector<assignment> assignments;
 };
 
+/// Length of the part of \p line that is handed over at once: all of it, or
+/// up to the last blank that fits.
+std::size_t part_length(std::string_view line, std::size_t limit)
+{
+    if (line.size() <= limit)
+        return line.size();
+    auto const blank = line.substr(0, limit).find_last_of(" \t");
+    return blank == line.npos || blank == 0 ? limit : blank;
+}
+
 /// Line reader for ini_parse_stream(). Counts lines, because the packaged
-/// library calls its handler without the line number.
+/// library calls its handler without the line number. The library takes 199
+/// characters of a line; the rest of a longer line starts with a blank, which
+/// it reads as the continuation of the value.
 char* read_line(char* buffer, int size, void* stream)
 {
     auto& context = *static_cast<parse_context*>(stream);
     if (context.rest.empty())
         return nullptr;
-    auto length = std::min(context.rest.find('\n'), context.rest.size() - 1);
-    length = std::min(length + 1, static_cast<std::size_t>(size - 1));
+    auto const end =
+        std::min(context.rest.find('\n'), context.rest.size() - 1) + 1;
+    std::size_t const length = part_length(context.rest.substr(0, end),
+                                           static_cast<std::size_t>(size - 1));
     context.rest.copy(buffer, length);
     buffer[length] = '\0';
+    bool const at_start = context.line == 0 || context.rest.data()[-1] == '\n';
+    context.line += at_start ? 1 : 0;
+    context.continues = buffer[0] == ' ' || buffer[0] == '\t';
     context.rest.remove_prefix(length);
-    ++context.line;
     return buffer;
 }
 
@@ -116,8 +134,16 @@
             char const* value)
 {
     auto& context = *static_cast<parse_context*>(user);
+    std::string const text = value ? value : "";
+    if (context.continues && !context.assignments.empty() &&
+        context.assignments.back().section == section &&
+        context.assignments.back().key == name)
+    {
+        context.assignments.back().value += ' ' + text;
+        return 1;
+    }
     context.assignments.push_back(
-        {section, name, value ? value : "",
+        {section, name, text,
          fmt::format("{}:{}", context.name, context.line)});
     return 1;
 }
@@ -186,7 +212,7 @@
         [&](std::string_view place, std::string_view key, std::string_view what)
     { faults += fmt::format("{}: {}: {}\n", place, key, what); };
 
-    parse_context context{m_name, m_content, 0, {}};
+    parse_context context{m_name, m_content, 0, false, {}};
     int const bad_line =
         ini_parse_stream(read_line, &context, collect, &context);
     if (bad_line > 0)
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -113,7 +113,7 @@
 # patch DAEMON BASE FILE: true when the patch was accepted.
 patch() {
     if [ -x "$bin/gcove_ctl" ]; then
-        "$bin/gcove_ctl" "--daemon=${admin[$1]}" \
+        "$bin/gcove_ctl" "--admin=${admin[$1]}" \
             "--admin_key_file=$run/admin.key" config patch "$3" "--base=$2" \
             >"$run/patch.out" 2>&1
         return
@@ -156,7 +156,7 @@
     local home
     home=$(server_json "$1" | jq -r .home_admin)
     if [ -x "$bin/gcove_ctl" ]; then
-        "$bin/gcove_ctl" "--daemon=$home" "--admin_key_file=$run/admin.key" \
+        "$bin/gcove_ctl" "--admin=$home" "--admin_key_file=$run/admin.key" \
             drain "$1" >"$run/drain.out" 2>&1
         return
     fi
