--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -3,9 +3,12 @@
 
 #include <gooseberrycove/types.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <cstddef>
+#include <deque>
 #include <functional>
+#include <iterator>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -17,45 +20,59 @@
 ///
 /// Based on a mutex and a condition variable: a waiting thread sleeps in the
 /// kernel and never spins. A loop that waits on sockets installs a waker
-/// instead of calling pop_until().
+/// instead of calling pop_until(). Memory grows with the queued messages, not
+/// with the capacity.
 template <class Message>
 class ring
 {
 public:
-    explicit ring(std::size_t capacity) : m_slots(capacity) {}
+    using message_type = Message;
+
+    explicit ring(std::size_t capacity) : m_capacity(capacity) {}
 
     ring(ring const&) = delete;
     ring& operator=(ring const&) = delete;
 
-    /// Called after a push into an empty ring, outside the lock. Install it
-    /// before other threads push.
-    void set_waker(std::function<void()> waker) { m_waker = std::move(waker); }
+    /// Called after a push into an empty ring, outside the lock. Set it once;
+    /// other threads may already push, and what they pushed is announced here.
+    void set_waker(std::function<void()> waker)
+    {
+        std::unique_lock lock(m_mutex);
+        m_waker = std::move(waker);
+        bool const queued = !m_queue.empty() || m_closed;
+        lock.unlock();
+        if (queued)
+            m_waker();
+    }
 
     /// Returns false, and leaves \p message as it was, when fewer than
     /// \p reserve + 1 slots are free or the ring is closed. New work passes a
     /// reserve so that answers always find room.
     bool try_push(Message&& message, std::size_t reserve = 0)
     {
+        bool has_waker = false;
         {
             std::lock_guard lock(m_mutex);
-            if (m_closed || m_size + reserve >= m_slots.size())
+            if (m_closed || m_queue.size() + reserve >= m_capacity)
                 return false;
-            m_slots[(m_first + m_size) % m_slots.size()] = std::move(message);
-            ++m_size;
-            if (m_size > 1)
+            m_queue.push_back(std::move(message));
+            if (m_queue.size() > 1)
                 return true;
+            has_waker = static_cast<bool>(m_waker);
         }
         m_ready.notify_one();
-        if (m_waker)
+        if (has_waker)
             m_waker();
         return true;
     }
 
     /// Moves all queued messages to the end of \p out without waiting.
-    void pop_all(std::vector<Message>& out)
+    /// Returns false when the ring is closed; no message comes after these.
+    bool pop_all(std::vector<Message>& out)
     {
         std::lock_guard lock(m_mutex);
         take(out);
+        return !m_closed;
     }
 
     /// Waits until a message is queued, the ring is closed or \p until has
@@ -65,8 +82,8 @@
     {
         std::unique_lock lock(m_mutex);
         m_ready.wait_until(lock, until,
-                           [this] { return m_size > 0 || m_closed; });
-        bool const open = m_size > 0 || !m_closed;
+                           [this] { return !m_queue.empty() || m_closed; });
+        bool const open = !m_queue.empty() || !m_closed;
         take(out);
         return open;
     }
@@ -74,33 +91,30 @@
     /// Refuses further pushes and wakes the reader.
     void close()
     {
+        bool has_waker = false;
         {
             std::lock_guard lock(m_mutex);
             m_closed = true;
+            has_waker = static_cast<bool>(m_waker);
         }
         m_ready.notify_all();
-        if (m_waker)
+        if (has_waker)
             m_waker();
     }
 
-    std::size_t capacity() const { return m_slots.size(); }
+    std::size_t capacity() const { return m_capacity; }
 
 private:
     void take(std::vector<Message>& out)
     {
-        for (; m_size > 0; --m_size)
-        {
-            out.push_back(std::move(m_slots[m_first]));
-            m_slots[m_first] = Message{};
-            m_first = (m_first + 1) % m_slots.size();
-        }
+        std::move(m_queue.begin(), m_queue.end(), std::back_inserter(out));
+        m_queue.clear();
     }
 
     std::mutex m_mutex;
     std::condition_variable m_ready;
-    std::vector<Message> m_slots;
-    std::size_t m_first = 0;
-    std::size_t m_size = 0;
+    std::size_t m_capacity;
+    std::deque<Message> m_queue;
     bool m_closed = false;
     std::function<void()> m_waker;
 };
--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -6,6 +6,17 @@
 namespace gooseberrycove::routing
 {
 
+/// Why a request is refused; kind none accepts it.
+struct refusal
+{
+    error_kind kind = error_kind::none;
+    std::string_view detail;
+};
+
+/// Authenticates the account and takes a token from its bucket.
+refusal check_account(state& self, caller_request const& from,
+                      looked_up const& config, time_point now);
+
 void on_caller_request(state& self, caller_request&& from,
                        looked_up const& config, time_point now, actions& out);
 
@@ -31,6 +42,9 @@
 /// Shows the decision for a request without making it.
 explanation explain(state const& self, looked_up const& config, time_point now);
 
+/// Capacity of each service with candidates, by the floor rule in force here.
+std::vector<service_summary> summarize(state const& self, time_point now);
+
 } // namespace gooseberrycove::routing
 
 #endif
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -13,22 +13,15 @@
 namespace
 {
 
-struct refusal
-{
-    error_kind kind = error_kind::none;
-    std::string_view detail;
-};
-
 refusal check(state& self, caller_request const& from, looked_up const& config,
               time_point now)
 {
     using enum error_kind;
     if (self.requests.size() >= self.most_in_flight)
         return {overloaded, "too many requests in flight at this daemon"};
-    if (!authenticated(from.credentials, config.account))
-        return {unauthenticated, "unknown account or wrong secret"};
-    if (!take_token(self.rates, *config.account, now))
-        return {rate_limited, "the account's token bucket is empty"};
+    refusal const account = check_account(self, from, config, now);
+    if (account.kind != none)
+        return account;
     if (!config.route)
         return {no_route, "no route matches"};
     if (!config.route->repeatable && from.idempotency_key.empty())
@@ -123,16 +116,34 @@
 
 } // namespace
 
+refusal check_account(state& self, caller_request const& from,
+                      looked_up const& config, time_point now)
+{
+    if (!authenticated(from.credentials, config.account))
+        return {error_kind::unauthenticated, "unknown account or wrong secret"};
+    if (!take_token(self.rates, *config.account, now))
+        return {error_kind::rate_limited,
+                "the account's token bucket is empty"};
+    return {};
+}
+
 void on_caller_request(state& self, caller_request&& from,
                        looked_up const& config, time_point now, actions& out)
 {
     request_id const id = from.id;
-    if (self.requests.contains(id))
+    auto const earlier = self.requests.find(id);
+    if (earlier != self.requests.end())
     {
-        // An answer for this id would reach the caller of the first request.
         event_line line(event::request_refused);
         line.field("request", to_string(id)).field("reason", "id_in_use");
         out.log.push_back(std::move(line));
+        // While the first caller waits, an answer for this id would reach it.
+        if (earlier->second.answered)
+            out.replies.push_back(
+                {id,
+                 error_kind::in_progress,
+                 "an earlier request with this id is not settled",
+                 {}});
         return;
     }
     refusal const reason = check(self, from, config, now);
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -1,6 +1,7 @@
 #include "routing_thread.hpp"
 
 #include "authenticate.hpp"
+#include "claim_queries.hpp"
 #include "decisions.hpp"
 #include <gooseberrycove/duty.hpp>
 
@@ -83,6 +84,20 @@
     return refused;
 }
 
+void count(reply const& item, wiring const& to, time_point now)
+{
+    if (!to.counts)
+        return;
+    bool const answered = item.kind == error_kind::none;
+    to.counts->count_request(
+        item.priority,
+        answered ? item.result.result : answer_of(item.kind).result,
+        answered ? item.result.status : answer_of(item.kind).status);
+    if (item.result.service_time.count() > 0)
+        to.counts->observe_added_latency(now - item.received -
+                                         item.result.service_time);
+}
+
 void perform(state& self, actions& todo, outbox& waiting, wiring const& to,
              time_point now)
 {
@@ -97,6 +112,8 @@
                 on_result(self, std::move(*refused), now, todo);
         }
     }
+    for (reply const& item : todo.replies)
+        count(item, to, now);
     for (reply& item : todo.replies)
         waiting.answers.emplace_back(encode(std::move(item)));
     for (claims::message& item : todo.claim_messages)
@@ -141,6 +158,7 @@
 {
     state& self;
     config::tables_ptr& tables;
+    wiring const& to;
     time_point now;
     actions& out;
 
@@ -149,6 +167,13 @@
     {
         looked_up const found = look_up(tables, account_name(from.credentials),
                                         from.method, path_of(from.target));
+        if (is_claim_query(from.method, path_of(from.target)))
+        {
+            auto const deliver = [front = to.front](reply&& item)
+            { front->try_push(encode(std::move(item))); };
+            on_claim_query(self, from, found, deliver, now, out);
+            return;
+        }
         on_caller_request(self, std::move(from), found, now, out);
     }
     void operator()(caller_gone const& gone) const
@@ -170,6 +195,8 @@
     void operator()(members::service_view_ptr const& view) const
     {
         on_view(self, *view);
+        if (tables)
+            take_floors(self, *tables);
     }
     void operator()(config::in_force const& next) const
     {
@@ -183,6 +210,10 @@
                                        path_of(wanted.path)),
                                now));
     }
+    void operator()(services_request const& wanted) const
+    {
+        wanted.deliver(summarize(self, now));
+    }
 };
 
 } // namespace
@@ -201,7 +232,7 @@
         messages,
         [&](message& what, time_point now)
         {
-            std::visit(handler{self, tables, now, todo}, what);
+            std::visit(handler{self, tables, to, now, todo}, what);
             perform(self, todo, waiting, to, now);
         },
         [&](time_point now)
