Give the bench's two models different names

flood_model.hpp and fleet_model.hpp both defined bench::service_model, and flood.cpp a second bench::summary. The linker kept one destructor of each, and gcove_bench_test crashed in run_trial(). Both names are unique now; the bench test that crashed passes (69 assertions).

--- a/src/bench/detection.cpp
+++ b/src/bench/detection.cpp
@@ -91,7 +91,7 @@
     consecutive_failures consecutive;
     failure_percentage percentage;
     double samples = 0;
-    service_model model = make_service(servers, rate, seed);
+    health_model model = make_service(servers, rate, seed);
     // At low rates the baselines need a longer history.
     duration const before = rate < 10 ? 20 * history : history;
     time_point const onset = model.start + before;
@@ -159,7 +159,7 @@
     double const exact = health::wald_bound(rates, divergence(which));
     double const declared =
         health::wald_bound(rates, declared_divergence(which));
-    summary const in_samples = summarize(samples);
+    distribution const in_samples = summarize(samples);
     auto const ratio = [&](double bound)
     {
         return samples.empty() ? "-"
--- a/src/bench/false_ejections.cpp
+++ b/src/bench/false_ejections.cpp
@@ -93,7 +93,7 @@
 void run_service(condition const& which, std::size_t servers, double rate,
                  std::uint64_t seed, duration length, false_counts& counts)
 {
-    service_model model = make_service(servers, rate, seed);
+    health_model model = make_service(servers, rate, seed);
     std::vector<held_detector<consecutive_failures>> consecutive(servers);
     std::vector<held_detector<failure_percentage>> percentage(servers);
     model.behave = which.behave;
--- a/src/bench/fleet_model.cpp
+++ b/src/bench/fleet_model.cpp
@@ -18,18 +18,18 @@
 /// in flight.
 constexpr double probation_rate = 10;
 
-duration until_next(service_model& model, double rate)
+duration until_next(health_model& model, double rate)
 {
     std::exponential_distribution<double> wait(rate / 1e6);
     return duration(1 + static_cast<duration::rep>(wait(model.random)));
 }
 
-health::server_test& test_of(service_model& model, std::size_t home)
+health::server_test& test_of(health_model& model, std::size_t home)
 {
     return model.homes[home].services.begin()->second.servers.begin()->second;
 }
 
-void send(service_model& model, std::size_t from, server_status const& status,
+void send(health_model& model, std::size_t from, server_status const& status,
           std::size_t to, duration delay)
 {
     if (to != from)
@@ -37,7 +37,7 @@
 }
 
 /// The other homes answer a request for reports with their present counts.
-void answer_request(service_model& model, std::size_t asking)
+void answer_request(health_model& model, std::size_t asking)
 {
     for (std::size_t from = 0; from < model.homes.size(); ++from)
     {
@@ -51,7 +51,7 @@
     }
 }
 
-void handle(service_model& model, std::size_t home, health::actions& out)
+void handle(health_model& model, std::size_t home, health::actions& out)
 {
     for (health::told_verdict const& told : out.verdicts)
     {
@@ -68,7 +68,7 @@
     out = {};
 }
 
-void deliver(service_model& model)
+void deliver(health_model& model)
 {
     std::vector<carried_report> due;
     std::erase_if(model.network,
@@ -89,7 +89,7 @@
     }
 }
 
-model_sample draw_sample(service_model& model, std::size_t server)
+model_sample draw_sample(health_model& model, std::size_t server)
 {
     behaviour const is = model.behave(server, model.now - model.start);
     std::lognormal_distribution<double> latency(std::log(median_latency_us),
@@ -103,7 +103,7 @@
             model.now};
 }
 
-void take_samples(service_model& model, std::size_t server)
+void take_samples(health_model& model, std::size_t server)
 {
     health::server_test const& test = test_of(model, server);
     while (model.next_sample[server] <= model.now)
@@ -138,9 +138,9 @@
     return all;
 }
 
-service_model make_service(std::size_t servers, double rate, std::uint64_t seed)
+health_model make_service(std::size_t servers, double rate, std::uint64_t seed)
 {
-    service_model model;
+    health_model model;
     model.random.seed(seed);
     model.rate = rate;
     model.homes.resize(servers);
@@ -160,7 +160,7 @@
     return model;
 }
 
-void run_until(service_model& model, time_point end,
+void run_until(health_model& model, time_point end,
                std::function<bool()> const& stop)
 {
     for (; model.now < end && !stop(); model.now += step)
--- a/src/bench/fleet_model.hpp
+++ b/src/bench/fleet_model.hpp
@@ -59,7 +59,7 @@
 
 /// One service with one server per home, on injected time. The homes run the
 /// real health duty; statuses travel between them.
-struct service_model
+struct health_model
 {
     std::vector<health::state> homes;
     std::vector<std::string> names;
@@ -77,11 +77,10 @@
     std::function<void(std::size_t server, health::verdict const&)> judged;
 };
 
-service_model make_service(std::size_t servers, double rate,
-                           std::uint64_t seed);
+health_model make_service(std::size_t servers, double rate, std::uint64_t seed);
 
 /// Runs the model until \p end or until \p stop returns true.
-void run_until(service_model& model, time_point end,
+void run_until(health_model& model, time_point end,
                std::function<bool()> const& stop);
 
 } // namespace gooseberrycove::bench
--- a/src/bench/summary.cpp
+++ b/src/bench/summary.cpp
@@ -20,7 +20,7 @@
     return *place;
 }
 
-summary summarize(std::vector<double> values)
+distribution summarize(std::vector<double> values)
 {
     if (values.empty())
         return {};
@@ -29,7 +29,7 @@
             *std::max_element(values.begin(), values.end())};
 }
 
-std::string text_of(summary const& what)
+std::string text_of(distribution const& what)
 {
     return fmt::format("{:.1f} / {:.1f} / {:.1f}", what.mean, what.median,
                        what.worst);
--- a/src/bench/summary.hpp
+++ b/src/bench/summary.hpp
@@ -7,7 +7,7 @@
 namespace gooseberrycove::bench
 {
 
-struct summary
+struct distribution
 {
     double mean = 0;
     double median = 0;
@@ -15,13 +15,13 @@
 };
 
 /// All zero for no values.
-summary summarize(std::vector<double> values);
+distribution summarize(std::vector<double> values);
 
 /// The value below which \p share of the values lie.
 double quantile(std::vector<double>& values, double share);
 
 /// Mean / median / worst with one decimal.
-std::string text_of(summary const& what);
+std::string text_of(distribution const& what);
 
 } // namespace gooseberrycove::bench
 
