--- a/testsuite/soak.sh
+++ b/testsuite/soak.sh
@@ -3,6 +3,8 @@
 # drawn from a seed, then checks the histories. Exits 1 on a violation.
 # Usage: soak.sh BIN_DIR [--seeds=N] [--first=S]
 #                [--deployment=kestrel|delta] [--seconds=T]
+#                [--schedule=FILE]
+# A schedule file replaces the drawn faults, to repeat a part of a run.
 set -uo pipefail
 bin=$(cd "$1" && pwd)
 shift
@@ -18,12 +20,14 @@
 first=1
 deployment=kestrel
 seconds=40
+schedule=
 for argument in "$@"; do
     case $argument in
     --seeds=*) seeds=${argument#*=} ;;
     --first=*) first=${argument#*=} ;;
     --deployment=*) deployment=${argument#*=} ;;
     --seconds=*) seconds=${argument#*=} ;;
+    --schedule=*) schedule=$(realpath "${argument#*=}") ;;
     *) fail "unknown argument: $argument" ;;
     esac
 done
@@ -110,6 +114,10 @@
 draw_schedule() {
     local -A busy=()
     local at=1000
+    if [ -n "$schedule" ]; then
+        cp "$schedule" "$run/schedule.txt"
+        return
+    fi
     RANDOM=$1
     while [ "$at" -lt $((seconds * 1000 - 2000)) ]; do
         draw_fault "$at"
