Bind claimed work to its home's run, and compare fresh sibling reports

Changes: work.home is checked by admission; members asks health before it answers and sends periodic statuses as verdicts come; only an ack's own record proves life; the codec carries both fields; timeouts are judged by health.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -58,6 +58,7 @@
         what.target = "/";
         what.deadline = now + limit;
         what.server = "s1";
+        what.home = home;
         what.origin = home;
         return what;
     }
@@ -452,6 +453,20 @@
     }
 }
 
+TEST_CASE("claimed work for an earlier run of the home is never run")
+{
+    // A restarted home has forgotten its fences: a paused claimant's copy
+    // would run beside that of its successor.
+    fixture f;
+    work late = f.make(0);
+    late.claim = {"c", 1};
+    late.home.incarnation = 0;
+    on_work(f.self, std::move(late), f.now, f.out);
+    CHECK(f.out.starts.empty());
+    CHECK(f.last_kind() == error_kind::outcome_unknown);
+    CHECK(f.out.answers.back().result.result == outcome::unknown);
+}
+
 TEST_CASE("queued claimed work that is fenced or refused never runs")
 {
     bool const by_fence = GENERATE(true, false);
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -60,7 +60,7 @@
         // A short deadline says nothing about the server.
         if (done.latency < quantile_time(estimate, p95_sigmas))
             return std::nullopt;
-        return health::sample_class::failure;
+        return health::sample_class::timeout;
     case dispatch::result_class::cut:
         return health::sample_class::failure;
     case dispatch::result_class::cancelled:
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -202,8 +202,12 @@
     bool const claimed = !what.claim.id.empty();
     // A claim that ran here must never be answered "not run", whatever else
     // stands against the attempt.
-    refusal refused =
-        claimed ? check_claim(known_claim(self.claims, what.claim)) : refusal{};
+    refusal refused;
+    if (claimed && what.home != self.self)
+        // An earlier copy may have reached the earlier run of this home.
+        refused = {error_kind::outcome_unknown, "claim_for_earlier_run"};
+    else if (claimed)
+        refused = check_claim(known_claim(self.claims, what.claim));
     if (refused.kind == error_kind::none)
         refused = check_work(self, what, now);
     if (refused.kind == error_kind::none)
--- a/src/bench/flood_policy.cpp
+++ b/src/bench/flood_policy.cpp
@@ -179,6 +179,7 @@
     made.deadline = deadline_of(run, request);
     made.server = server_name(home);
     made.other_homes = run.requests[request].attempts < max_homes;
+    made.home = run.homes[home].self;
     if (!what.repeatable)
         made.claim = {fmt::format("claim{}", request), 1};
     return made;
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -251,8 +251,10 @@
         return;
     for (auto& [server, test] : found->second.servers)
     {
-        if (!test.gone_since)
-            tell(test, now, "asked", false, false, out);
+        if (test.gone_since)
+            continue;
+        tell(test, now, "asked", false, false, out);
+        out.verdicts.back().what.asked = true;
     }
 }
 
--- a/src/include/gooseberrycove/health.hpp
+++ b/src/include/gooseberrycove/health.hpp
@@ -76,6 +76,8 @@
     std::string reason;
     /// Ask siblings for fresh reports at once, to confirm an alarm.
     bool wants_reports = false;
+    /// Answers a report_request.
+    bool asked = false;
 };
 
 /// Messages that the health duty takes.
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -44,6 +44,9 @@
     /// Whether routing has another home to try. Such work is refused rather
     /// than queued when it would miss its priority's target here.
     bool other_homes = false;
+    /// Run of the home that the work is meant for. A restarted home has
+    /// forgotten its fences, so claimed work for its earlier run is not run.
+    daemon_ref home;
     /// Daemon that gets the result. Equal to this daemon for local work.
     daemon_ref origin;
     /// Peer address of the origin, `ip:port`.
--- a/src/members/members_thread.cpp
+++ b/src/members/members_thread.cpp
@@ -122,6 +122,7 @@
         reply();
     push_or_drop(*to.peer, out.to_peers, kept);
     push_or_drop(*to.health, out.siblings, kept);
+    push_or_drop(*to.health, out.report_requests, kept);
     push_or_drop(*to.config, out.versions, kept);
     for (store::request& call : out.store)
     {
--- a/src/members/probe.cpp
+++ b/src/members/probe.cpp
@@ -154,12 +154,14 @@
     }
 }
 
-/// Whether the ack carries the record of the probed run of the daemon. At the
-/// address of a replaced machine another daemon may answer.
+/// Whether the ack comes from the probed run of the daemon. At the address of
+/// a replaced machine another daemon may answer. The first record of an ack is
+/// its sender's own; a relay puts the record of the daemon that answered
+/// behind its own. Further records are gossip and prove nothing.
 bool proves(packet const& what, probe const& pending)
 {
-    return std::ranges::any_of(what.peers, [&](peer_record const& record)
-                               { return record.daemon == pending.target; });
+    std::size_t const own = what.sender_address == pending.address ? 0 : 1;
+    return what.peers.size() > own && what.peers[own].daemon == pending.target;
 }
 
 } // namespace
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -53,7 +53,6 @@
     s.started = s.last_tick = now;
     s.next_ping = within(1000);
     s.next_dead_probe = s.next_recheck = now;
-    s.next_status = within(500);
     s.next_sync = now + duration(3'000'000) + (within(5000) - now);
     s.next_join = now;
     s.next_rendezvous = within(s.seeds.empty() ? 200 : 2000);
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -150,6 +150,19 @@
     announcement what;
     server_status status;
     time_point lease_until;
+    /// A verdict is to be sent to the homes of the service.
+    bool due = false;
+    time_point next_status;
+};
+
+/// A daemon that asked for the present statuses of a service.
+struct status_asker
+{
+    daemon_ref daemon;
+    std::string service;
+    /// Verdicts that it still has to get.
+    std::size_t left = 0;
+    time_point since;
 };
 
 struct state
@@ -171,6 +184,7 @@
     digest listed;
     std::vector<update> updates;
     std::vector<homed> homes;
+    std::vector<status_asker> askers;
     /// Servers drained by the operator; kept when a lease lapses.
     std::vector<std::string> drained;
     std::uint64_t sequence = 0;
@@ -186,7 +200,6 @@
     time_point next_dead_probe;
     time_point next_recheck;
     time_point next_news;
-    time_point next_status;
     time_point next_sync;
     time_point last_sync;
     time_point next_join;
@@ -211,6 +224,7 @@
     std::vector<service_view_ptr> views;
     std::vector<homed_server> homed;
     std::vector<health::sibling_report> siblings;
+    std::vector<health::report_request> report_requests;
     std::vector<config::peer_version> versions;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
--- a/src/members/status.cpp
+++ b/src/members/status.cpp
@@ -13,6 +13,14 @@
 namespace
 {
 
+/// Daemons that may wait for statuses, and for how long: a request that
+/// health did not answer by then is made again by the asker.
+constexpr std::size_t max_askers = 256;
+constexpr duration asker_expiry{2'000'000};
+
+/// Health reports at its own ticks, so a period may end a little early.
+constexpr duration verdict_jitter{50'000};
+
 /// A status that one daemon is to get.
 struct delivery
 {
@@ -125,41 +133,75 @@
         apply_status(s, status, home, now, out);
 }
 
-void answer_statuses(state& s, packet const& what, time_point, actions& out)
+void answer_statuses(state& s, packet const& what, time_point now, actions& out)
 {
-    std::vector<delivery> list;
-    for (std::size_t server = 0; server < s.homes.size(); ++server)
+    std::erase_if(s.askers, [now](status_asker const& item)
+                  { return now - item.since > asker_expiry; });
+    std::vector<std::string> asked;
+    for (server_status const& status : what.statuses)
+        asked.push_back(status.service);
+    std::ranges::sort(asked);
+    asked.erase(std::unique(asked.begin(), asked.end()), asked.end());
+    for (std::string const& service : asked)
     {
-        homed& here = s.homes[server];
-        if (!std::ranges::any_of(what.statuses,
-                                 [&](server_status const& asked) {
-                                     return asked.service == here.what.service;
-                                 }))
+        auto const homed_here =
+            std::ranges::count_if(s.homes, [&](homed const& here)
+                                  { return here.what.service == service; });
+        if (homed_here == 0 || s.askers.size() >= max_askers)
             continue;
-        here.status.sequence = ++s.status_sequence;
-        list.push_back({what.sender, server});
+        s.askers.push_back(
+            {what.sender, service, static_cast<std::size_t>(homed_here), now});
+        out.report_requests.push_back({service});
     }
-    send_deliveries(s, list, 0, out);
 }
 
 void run_statuses(state& s, time_point now, actions& out)
 {
-    if (now < s.next_status)
-        return;
     std::vector<delivery> list;
     for (std::size_t server = 0; server < s.homes.size(); ++server)
     {
+        homed& here = s.homes[server];
+        if (!here.due)
+            continue;
+        here.due = false;
         std::vector<delivery> const more = deliveries_of(s, server);
         list.insert(list.end(), more.begin(), more.end());
+        // All servers homed here share the budget.
+        double const bytes = static_cast<double>(
+            more.size() * (packet_overhead + estimate_size(here.status)));
+        duration const needed(static_cast<duration::rep>(
+            bytes * static_cast<double>(s.homes.size()) /
+            s.limits.status_budget * 1'000'000));
+        here.next_status =
+            now + std::max(s.limits.status_period - verdict_jitter, needed);
     }
     std::ranges::stable_sort(list, {},
                              [](delivery const& item) { return item.home.id; });
-    double const bytes = static_cast<double>(send_deliveries(s, list, 0, out));
-    duration const needed(
-        static_cast<duration::rep>(bytes / s.limits.status_budget * 1'000'000));
-    s.next_status = now + std::max(s.limits.status_period, needed);
+    send_deliveries(s, list, 0, out);
+}
+
+namespace
+{
+
+/// Sends a status that was asked for to all that wait for it.
+void send_asked(state& s, homed& here, actions& out)
+{
+    std::size_t const server = static_cast<std::size_t>(&here - s.homes.data());
+    here.status.sequence = ++s.status_sequence;
+    for (status_asker& item : s.askers)
+    {
+        if (item.service != here.what.service || item.left == 0)
+            continue;
+        --item.left;
+        delivery const one{item.daemon, server};
+        send_deliveries(s, {&one, 1}, 0, out);
+    }
+    std::erase_if(s.askers,
+                  [](status_asker const& item) { return item.left == 0; });
 }
 
+} // namespace
+
 void request_statuses(state& s, std::string_view service, actions& out)
 {
     for (std::size_t server = 0; server < s.homes.size(); ++server)
@@ -184,11 +226,16 @@
     status.queued = here->status.queued;
     bool const changed = status.health != here->status.health;
     here->status = std::move(status);
+    // Sent as long as it is fresh: siblings compare it with work of the same
+    // time. A status that is not due is dropped, the next verdict follows.
+    here->due = here->due || now >= here->next_status;
     refresh_entry(s, *here);
     if (changed)
         publish(s, *here, now);
     if (what.wants_reports)
         request_statuses(s, here->what.service, out);
+    if (what.asked)
+        send_asked(s, *here, out);
 }
 
 void on_server_load(state& s, server_load const& what, time_point, actions&)
--- a/src/members/tick.cpp
+++ b/src/members/tick.cpp
@@ -63,12 +63,12 @@
         run_probes(s, now, out);
         expire_peers(s, now, out);
         expire_leases(s, now, out);
-        run_statuses(s, now, out);
         run_sync(s, now, out);
         run_rendezvous(s, now, out);
         run_sweep(s, now);
         flush_live(s, now, out);
     }
+    run_statuses(s, now, out);
     flush_views(s, now, out);
     return s.last_tick + tick_period;
 }
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -83,6 +83,7 @@
     made.deadline = what.deadline;
     made.claim = what.claim.claim;
     made.server = which.server;
+    made.home = which.home;
     made.origin = self.self;
     made.origin_address = self.address;
     return made;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -93,6 +93,7 @@
     out.origin = put(value.origin);
     out.origin_address = value.origin_address;
     out.other_homes = value.other_homes;
+    out.home = put(value.home);
     return out;
 }
 
@@ -121,6 +122,7 @@
     out.origin = get(in.origin);
     out.origin_address = in.origin_address;
     out.other_homes = in.other_homes;
+    out.home = get(in.home);
     return out;
 }
 
@@ -377,6 +379,7 @@
         field.digest = static_cast<std::int64_t>(value.digest);
         field.peers = put_all<gen::PeerRecord>(value.peers);
         field.servers = put_all<gen::ServerRecord>(value.servers);
+        field.buckets.assign(value.buckets.begin(), value.buckets.end());
         out.__set_sync(field);
     }
 
@@ -405,6 +408,8 @@
     out.digest = static_cast<std::uint64_t>(in.digest);
     out.peers = get_all<members::peer_record>(in.peers);
     out.servers = get_all<members::server_record>(in.servers);
+    for (std::int32_t const bucket : in.buckets)
+        out.buckets.push_back(static_cast<std::uint32_t>(bucket));
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -321,6 +321,10 @@
 void Work::__set_other_homes(const bool val) {
   this->other_homes = val;
 }
+
+void Work::__set_home(const Daemon& val) {
+  this->home = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -509,6 +513,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->home.read(iprot);
+          this->__isset.home = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -606,6 +618,10 @@
   xfer += oprot->writeBool(this->other_homes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("home", ::apache::thrift::protocol::T_STRUCT, 21);
+  xfer += this->home.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -633,6 +649,7 @@
   swap(a.origin, b.origin);
   swap(a.origin_address, b.origin_address);
   swap(a.other_homes, b.other_homes);
+  swap(a.home, b.home);
   swap(a.__isset, b.__isset);
 }
 
@@ -657,6 +674,7 @@
   origin = other4.origin;
   origin_address = other4.origin_address;
   other_homes = other4.other_homes;
+  home = other4.home;
   __isset = other4.__isset;
 }
 Work& Work::operator=(const Work& other5) {
@@ -680,6 +698,7 @@
   origin = other5.origin;
   origin_address = other5.origin_address;
   other_homes = other5.other_homes;
+  home = other5.home;
   __isset = other5.__isset;
   return *this;
 }
@@ -706,6 +725,7 @@
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "origin_address=" << to_string(origin_address);
   out << ", " << "other_homes=" << to_string(other_homes);
+  out << ", " << "home=" << to_string(home);
   out << ")";
 }
 
@@ -2849,6 +2869,10 @@
 void Sync::__set_servers(const std::vector<ServerRecord> & val) {
   this->servers = val;
 }
+
+void Sync::__set_buckets(const std::vector<int32_t> & val) {
+  this->buckets = val;
+}
 std::ostream& operator<<(std::ostream& out, const Sync& obj)
 {
   obj.printTo(out);
@@ -2949,6 +2973,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->buckets.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += iprot->readI32(this->buckets[_i54]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2985,10 +3029,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter50;
-    for (_iter50 = this->peers.begin(); _iter50 != this->peers.end(); ++_iter50)
+    std::vector<PeerRecord> ::const_iterator _iter55;
+    for (_iter55 = this->peers.begin(); _iter55 != this->peers.end(); ++_iter55)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2997,10 +3041,22 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter51;
-    for (_iter51 = this->servers.begin(); _iter51 != this->servers.end(); ++_iter51)
+    std::vector<ServerRecord> ::const_iterator _iter56;
+    for (_iter56 = this->servers.begin(); _iter56 != this->servers.end(); ++_iter56)
+    {
+      xfer += (*_iter56).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<int32_t> ::const_iterator _iter57;
+    for (_iter57 = this->buckets.begin(); _iter57 != this->buckets.end(); ++_iter57)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += oprot->writeI32((*_iter57));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3019,26 +3075,29 @@
   swap(a.digest, b.digest);
   swap(a.peers, b.peers);
   swap(a.servers, b.servers);
+  swap(a.buckets, b.buckets);
   swap(a.__isset, b.__isset);
 }
 
-Sync::Sync(const Sync& other52) {
-  sender = other52.sender;
-  sender_address = other52.sender_address;
-  reply_wanted = other52.reply_wanted;
-  digest = other52.digest;
-  peers = other52.peers;
-  servers = other52.servers;
-  __isset = other52.__isset;
-}
-Sync& Sync::operator=(const Sync& other53) {
-  sender = other53.sender;
-  sender_address = other53.sender_address;
-  reply_wanted = other53.reply_wanted;
-  digest = other53.digest;
-  peers = other53.peers;
-  servers = other53.servers;
-  __isset = other53.__isset;
+Sync::Sync(const Sync& other58) {
+  sender = other58.sender;
+  sender_address = other58.sender_address;
+  reply_wanted = other58.reply_wanted;
+  digest = other58.digest;
+  peers = other58.peers;
+  servers = other58.servers;
+  buckets = other58.buckets;
+  __isset = other58.__isset;
+}
+Sync& Sync::operator=(const Sync& other59) {
+  sender = other59.sender;
+  sender_address = other59.sender_address;
+  reply_wanted = other59.reply_wanted;
+  digest = other59.digest;
+  peers = other59.peers;
+  servers = other59.servers;
+  buckets = other59.buckets;
+  __isset = other59.__isset;
   return *this;
 }
 void Sync::printTo(std::ostream& out) const {
@@ -3050,6 +3109,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "buckets=" << to_string(buckets);
   out << ")";
 }
 
@@ -3173,14 +3233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->peers.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->peers.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->peers[_i58].read(iprot);
+              xfer += this->peers[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3193,14 +3253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->servers.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->servers.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->servers[_i63].read(iprot);
+              xfer += this->servers[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3213,14 +3273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->statuses.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->statuses.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->statuses[_i68].read(iprot);
+              xfer += this->statuses[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3273,10 +3333,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter69;
-    for (_iter69 = this->peers.begin(); _iter69 != this->peers.end(); ++_iter69)
+    std::vector<PeerRecord> ::const_iterator _iter75;
+    for (_iter75 = this->peers.begin(); _iter75 != this->peers.end(); ++_iter75)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3285,10 +3345,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter70;
-    for (_iter70 = this->servers.begin(); _iter70 != this->servers.end(); ++_iter70)
+    std::vector<ServerRecord> ::const_iterator _iter76;
+    for (_iter76 = this->servers.begin(); _iter76 != this->servers.end(); ++_iter76)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3297,10 +3357,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter71;
-    for (_iter71 = this->statuses.begin(); _iter71 != this->statuses.end(); ++_iter71)
+    std::vector<ServerStatus> ::const_iterator _iter77;
+    for (_iter77 = this->statuses.begin(); _iter77 != this->statuses.end(); ++_iter77)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3325,29 +3385,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Packet::Packet(const Packet& other72) {
-  kind = other72.kind;
-  sender = other72.sender;
-  sender_address = other72.sender_address;
-  number = other72.number;
-  probe_address = other72.probe_address;
-  config_version = other72.config_version;
-  peers = other72.peers;
-  servers = other72.servers;
-  statuses = other72.statuses;
-  __isset = other72.__isset;
-}
-Packet& Packet::operator=(const Packet& other73) {
-  kind = other73.kind;
-  sender = other73.sender;
-  sender_address = other73.sender_address;
-  number = other73.number;
-  probe_address = other73.probe_address;
-  config_version = other73.config_version;
-  peers = other73.peers;
-  servers = other73.servers;
-  statuses = other73.statuses;
-  __isset = other73.__isset;
+Packet::Packet(const Packet& other78) {
+  kind = other78.kind;
+  sender = other78.sender;
+  sender_address = other78.sender_address;
+  number = other78.number;
+  probe_address = other78.probe_address;
+  config_version = other78.config_version;
+  peers = other78.peers;
+  servers = other78.servers;
+  statuses = other78.statuses;
+  __isset = other78.__isset;
+}
+Packet& Packet::operator=(const Packet& other79) {
+  kind = other79.kind;
+  sender = other79.sender;
+  sender_address = other79.sender_address;
+  number = other79.number;
+  probe_address = other79.probe_address;
+  config_version = other79.config_version;
+  peers = other79.peers;
+  servers = other79.servers;
+  statuses = other79.statuses;
+  __isset = other79.__isset;
   return *this;
 }
 void Packet::printTo(std::ostream& out) const {
@@ -3631,33 +3691,33 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other74) {
-  sender = other74.sender;
-  work = other74.work;
-  work_result = other74.work_result;
-  cancel = other74.cancel;
-  fence = other74.fence;
-  fence_answer = other74.fence_answer;
-  pull = other74.pull;
-  deltas = other74.deltas;
-  peer_version = other74.peer_version;
-  sync = other74.sync;
-  packet = other74.packet;
-  __isset = other74.__isset;
-}
-Message& Message::operator=(const Message& other75) {
-  sender = other75.sender;
-  work = other75.work;
-  work_result = other75.work_result;
-  cancel = other75.cancel;
-  fence = other75.fence;
-  fence_answer = other75.fence_answer;
-  pull = other75.pull;
-  deltas = other75.deltas;
-  peer_version = other75.peer_version;
-  sync = other75.sync;
-  packet = other75.packet;
-  __isset = other75.__isset;
+Message::Message(const Message& other80) {
+  sender = other80.sender;
+  work = other80.work;
+  work_result = other80.work_result;
+  cancel = other80.cancel;
+  fence = other80.fence;
+  fence_answer = other80.fence_answer;
+  pull = other80.pull;
+  deltas = other80.deltas;
+  peer_version = other80.peer_version;
+  sync = other80.sync;
+  packet = other80.packet;
+  __isset = other80.__isset;
+}
+Message& Message::operator=(const Message& other81) {
+  sender = other81.sender;
+  work = other81.work;
+  work_result = other81.work_result;
+  cancel = other81.cancel;
+  fence = other81.fence;
+  fence_answer = other81.fence_answer;
+  pull = other81.pull;
+  deltas = other81.deltas;
+  peer_version = other81.peer_version;
+  sync = other81.sync;
+  packet = other81.packet;
+  __isset = other81.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -156,7 +156,7 @@
 std::ostream& operator<<(std::ostream& out, const Claim& obj);
 
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -177,6 +177,7 @@
   bool origin :1;
   bool origin_address :1;
   bool other_homes :1;
+  bool home :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -226,6 +227,7 @@
   Daemon origin;
   std::string origin_address;
   bool other_homes;
+  Daemon home;
 
   _Work__isset __isset;
 
@@ -269,6 +271,8 @@
 
   void __set_other_homes(const bool val);
 
+  void __set_home(const Daemon& val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -311,6 +315,8 @@
       return false;
     if (!(other_homes == rhs.other_homes))
       return false;
+    if (!(home == rhs.home))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
@@ -1162,13 +1168,14 @@
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
 
 typedef struct _Sync__isset {
-  _Sync__isset() : sender(false), sender_address(false), reply_wanted(false), digest(false), peers(false), servers(false) {}
+  _Sync__isset() : sender(false), sender_address(false), reply_wanted(false), digest(false), peers(false), servers(false), buckets(false) {}
   bool sender :1;
   bool sender_address :1;
   bool reply_wanted :1;
   bool digest :1;
   bool peers :1;
   bool servers :1;
+  bool buckets :1;
 } _Sync__isset;
 
 class Sync : public virtual ::apache::thrift::TBase {
@@ -1189,6 +1196,7 @@
   int64_t digest;
   std::vector<PeerRecord>  peers;
   std::vector<ServerRecord>  servers;
+  std::vector<int32_t>  buckets;
 
   _Sync__isset __isset;
 
@@ -1204,6 +1212,8 @@
 
   void __set_servers(const std::vector<ServerRecord> & val);
 
+  void __set_buckets(const std::vector<int32_t> & val);
+
   bool operator == (const Sync & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1218,6 +1228,8 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(buckets == rhs.buckets))
+      return false;
     return true;
   }
   bool operator != (const Sync &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -34,6 +34,7 @@
   18: Daemon origin
   19: string origin_address
   20: bool other_homes
+  21: Daemon home
 }
 
 struct ServerStatus {
@@ -140,6 +141,7 @@
   4: i64 digest
   5: list<PeerRecord> peers
   6: list<ServerRecord> servers
+  7: list<i32> buckets
 }
 
 struct Packet {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -36,6 +36,7 @@
     what.claim = {"claim", 9};
     what.origin = {7, 8};
     what.other_homes = true;
+    what.home = {9, 10};
     return what;
 }
 
@@ -54,6 +55,7 @@
     CHECK(what.claim.epoch == 9);
     CHECK(what.origin == daemon_ref{7, 8});
     CHECK(what.other_homes);
+    CHECK(what.home == daemon_ref{9, 10});
 }
 
 TEST_CASE("every kind of payload comes back as the same kind")
@@ -70,6 +72,16 @@
     }
 }
 
+TEST_CASE("buckets of a synchronisation keep their bits")
+{
+    // Without them every difference would send the whole directory.
+    members::sync what;
+    what.buckets = {0, 1, 0xFFFFFFFF};
+    auto const frame = wire::encode("new key", {1, 1}, what, now);
+    auto const decoded = wire::decode(frame, keys, now);
+    CHECK(std::get<members::sync>(decoded.what).buckets == what.buckets);
+}
+
 TEST_CASE("unknown senders, newer versions and damage are refused")
 {
     std::string const good =
