Keep an operator's drain when the server moves to another home

Cause: a drain was kept only in the memory of the home that took it.

Each directory record now carries how often the operator has drained or undrained the server. The higher number wins, also in a record that loses otherwise, and a home that learns of it publishes the server again.

--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -58,6 +58,10 @@
     daemon_ref home;
     /// Rises with each change by the same home incarnation.
     std::uint64_t sequence = 0;
+    /// How often the operator has drained or undrained the server, so an odd
+    /// number is a drain. It goes with the server to another home, and the
+    /// higher number wins.
+    std::uint32_t drains = 0;
 };
 
 /// What a backend server tells its home.
--- a/src/members/directory.cpp
+++ b/src/members/directory.cpp
@@ -76,6 +76,12 @@
 void compact(state& s)
 {
     directory old = std::move(s.servers);
+    std::erase_if(s.drains,
+                  [&](auto const& item)
+                  {
+                      auto const id = old.names.find(item.first);
+                      return id == no_name || !old.entries[id].used;
+                  });
     s.servers = directory{};
     std::erase_if(s.updates, [](update const& pending)
                   { return pending.what == subject::server; });
@@ -194,6 +200,7 @@
     record.score = entry.score;
     record.home = entry.home;
     record.sequence = entry.sequence;
+    record.drains = drains_of(s, record.server);
     return record;
 }
 
@@ -245,6 +252,7 @@
 bool apply_server(state& s, server_record const& record, bool spread,
                   time_point now, actions& out)
 {
+    learn_drains(s, record, now, out);
     if (record.home.id == s.self.daemon.id)
     {
         correct_own(s, record, now);
--- a/src/members/gossip.cpp
+++ b/src/members/gossip.cpp
@@ -15,7 +15,7 @@
 /// Largest compact encodings: a daemon_ref takes 20 bytes, a 64-bit number 10,
 /// a double 8, and each field one byte of header.
 constexpr std::size_t peer_fixed = 60;
-constexpr std::size_t server_fixed = 60;
+constexpr std::size_t server_fixed = 66;
 constexpr std::size_t status_fixed = 84;
 
 std::size_t packet_size(packet const& what)
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -14,7 +14,7 @@
 
 bool is_drained(state const& s, std::string_view server)
 {
-    return std::ranges::find(s.drained, server) != s.drained.end();
+    return drains_of(s, server) % 2 == 1;
 }
 
 server_state effective_state(state const& s, announcement const& what)
@@ -107,6 +107,24 @@
 
 } // namespace
 
+std::uint32_t drains_of(state const& s, std::string_view server)
+{
+    auto const found = s.drains.find(server);
+    return found == s.drains.end() ? 0 : found->second;
+}
+
+void learn_drains(state& s, server_record const& record, time_point now,
+                  actions& out)
+{
+    if (record.drains <= drains_of(s, record.server))
+        return;
+    bool const before = is_drained(s, record.server);
+    s.drains[record.server] = record.drains;
+    homed const* const here = find_homed(s, record.server);
+    if (here != nullptr && before != is_drained(s, record.server))
+        announce_change(s, *here, now, out);
+}
+
 homed* find_homed(state& s, std::string_view server)
 {
     for (homed& here : s.homes)
@@ -203,10 +221,7 @@
                                   found = here != nullptr] { deliver(found); });
     if (here == nullptr || is_drained(s, what.server) == what.drain)
         return;
-    if (what.drain)
-        s.drained.push_back(what.server);
-    else
-        std::erase(s.drained, what.server);
+    ++s.drains[what.server];
     announce_change(s, *here, now, out);
 }
 
--- a/src/members/lease.hpp
+++ b/src/members/lease.hpp
@@ -11,6 +11,13 @@
 /// Returns nullptr when this daemon is not the home of the server.
 homed* find_homed(state& s, std::string_view server);
 
+/// server_record::drains as this daemon knows it.
+std::uint32_t drains_of(state const& s, std::string_view server);
+
+/// Takes over a later drain or undrain of a server from another daemon.
+void learn_drains(state& s, server_record const& record, time_point now,
+                  actions& out);
+
 /// Writes the entry of a server homed here under a new sequence number and
 /// spreads it. A server drained by the operator is published as draining.
 void publish(state& s, homed const& here, time_point now);
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -171,6 +171,34 @@
     CHECK(b.entry().state == server_state::draining);
 }
 
+TEST_CASE("the operator's drain goes with the server to another home")
+{
+    // Guards against work for a drained server after its home has died.
+    server_record drained = server_of(other, 7, server_state::draining);
+    drained.drains = 1;
+    bench knew;
+    knew.receive(drained);
+    knew.announce();
+    CHECK(knew.entry().state == server_state::draining);
+    CHECK(knew.out.homed.back().what.state == server_state::draining);
+
+    // The new home hears of the drain only after the announcement, also when
+    // it is the former home after a restart.
+    for (daemon_ref const former : {other, daemon_ref{here.id, 4}})
+    {
+        bench late;
+        late.announce();
+        drained.home = former;
+        drained.sequence = late.entry().sequence - 1;
+        late.receive(drained);
+        CHECK(late.entry().state == server_state::draining);
+        on_drain_request(late.s, {"server-1", false, {}}, late.now, late.out);
+        late.receive(drained);
+        CHECK(late.entry().state == server_state::serving);
+        CHECK(make_record(late.s, 0).drains == 2);
+    }
+}
+
 TEST_CASE("a server that moved is given up by its former home and not after "
           "a late record of the former home")
 {
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -171,8 +172,9 @@
     digest listed;
     std::vector<update> updates;
     std::vector<homed> homes;
-    /// Servers drained by the operator; kept when a lease lapses.
-    std::vector<std::string> drained;
+    /// server_record::drains of each server that an operator has drained, at
+    /// any home; kept when a lease lapses.
+    std::map<std::string, std::uint32_t, std::less<>> drains;
     std::uint64_t sequence = 0;
     std::uint64_t status_sequence = 0;
     std::vector<std::string> rendezvous;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -275,6 +275,7 @@
     out.score = value.score;
     out.home = put(value.home);
     out.sequence = static_cast<std::int64_t>(value.sequence);
+    out.drains = static_cast<std::int32_t>(value.drains);
     return out;
 }
 
@@ -289,6 +290,7 @@
     out.score = in.score;
     out.home = get(in.home);
     out.sequence = static_cast<std::uint64_t>(in.sequence);
+    out.drains = to_count(in.drains);
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -2605,6 +2605,10 @@
 void ServerRecord::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void ServerRecord::__set_drains(const int32_t val) {
+  this->drains = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -2697,6 +2701,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->drains);
+          this->__isset.drains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2746,6 +2758,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->drains);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2761,6 +2777,7 @@
   swap(a.score, b.score);
   swap(a.home, b.home);
   swap(a.sequence, b.sequence);
+  swap(a.drains, b.drains);
   swap(a.__isset, b.__isset);
 }
 
@@ -2773,6 +2790,7 @@
   score = other38.score;
   home = other38.home;
   sequence = other38.sequence;
+  drains = other38.drains;
   __isset = other38.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other39) {
@@ -2784,6 +2802,7 @@
   score = other39.score;
   home = other39.home;
   sequence = other39.sequence;
+  drains = other39.drains;
   __isset = other39.__isset;
   return *this;
 }
@@ -2798,6 +2817,7 @@
   out << ", " << "score=" << to_string(score);
   out << ", " << "home=" << to_string(home);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "drains=" << to_string(drains);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -1064,7 +1064,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerRecord& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : server(false), service_name(false), slots(false), state(false), health(false), score(false), home(false), sequence(false) {}
+  _ServerRecord__isset() : server(false), service_name(false), slots(false), state(false), health(false), score(false), home(false), sequence(false), drains(false) {}
   bool server :1;
   bool service_name :1;
   bool slots :1;
@@ -1073,6 +1073,7 @@
   bool score :1;
   bool home :1;
   bool sequence :1;
+  bool drains :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -1087,7 +1088,8 @@
                  state(0),
                  health(0),
                  score(0),
-                 sequence(0) {
+                 sequence(0),
+                 drains(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -1099,6 +1101,7 @@
   double score;
   Daemon home;
   int64_t sequence;
+  int32_t drains;
 
   _ServerRecord__isset __isset;
 
@@ -1118,6 +1121,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_drains(const int32_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -1136,6 +1141,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(drains == rhs.drains))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -130,6 +130,7 @@
   6: double score
   7: Daemon home
   8: i64 sequence
+  9: i32 drains
 }
 
 struct Sync {
