--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -18,7 +18,7 @@
 {
 
 /// Largest patch or announcement in bytes.
-constexpr std::size_t max_body = 4 * 1024 * 1024;
+constexpr std::size_t max_body = std::size_t{4} << 20;
 
 /// Who may call an endpoint.
 enum class access
@@ -119,7 +119,7 @@
 void admin_loop::run()
 {
     http::handlers handlers;
-    handlers.on_request = [this](http::exchange_ptr exchange)
+    handlers.on_request = [this](http::exchange_ptr const& exchange)
     { on_request(exchange); };
     m_listener.emplace(m_context, m_to.address, max_body, std::move(handlers));
     m_messages.set_waker([this] { m_context.stop(); });
--- a/src/capacity/decision_slopes.cpp
+++ b/src/capacity/decision_slopes.cpp
@@ -171,6 +171,7 @@
     for (int const size : {8, 26, 64, 256})
         routes.push_back({double(size), route_us(size)});
     std::vector<std::string> names;
+    names.reserve(64);
     for (int i = 0; i < 64; ++i)
         names.push_back(fmt::format("server-{:04}", i));
     std::vector<point> samples;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -146,7 +146,7 @@
 daemon_process::~daemon_process() = default;
 
 void daemon_process::start(
-    std::function<void(std::string_view what)> on_failure)
+    std::function<void(std::string_view what)> const& on_failure)
 {
     implementation& own = *m_implementation;
     auto const begin = [&own, on_failure](char const* duty, auto run)
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -19,7 +19,7 @@
 
     /// Starts the threads. \p on_failure is called on a thread that ended with
     /// an exception, such as an address that is in use.
-    void start(std::function<void(std::string_view what)> on_failure);
+    void start(std::function<void(std::string_view what)> const& on_failure);
 
     /// Reads the key files again. \throws settings_error
     void reload_keys();
--- a/src/include/gooseberrycove/wire.hpp
+++ b/src/include/gooseberrycove/wire.hpp
@@ -19,7 +19,7 @@
 inline constexpr std::size_t frame_prefix = 1 + code_size;
 
 /// Largest frame that is accepted: a body of 1 MiB or a full synchronisation.
-inline constexpr std::size_t max_frame = 16 * 1024 * 1024;
+inline constexpr std::size_t max_frame = std::size_t{16} << 20;
 
 struct message
 {
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -185,8 +186,9 @@
     std::vector<update> updates;
     std::vector<homed> homes;
     std::vector<status_asker> askers;
-    /// Servers drained by the operator; kept when a lease lapses.
-    std::vector<std::string> drained;
+    /// server_record::drains of each server that an operator has drained, at
+    /// any home; kept when a lease lapses.
+    std::map<std::string, std::uint32_t, std::less<>> drains;
     std::uint64_t sequence = 0;
     /// Unix time at `started`, in milliseconds. Sequences follow the time, so
     /// that a new home that has not seen the old one's sequence goes past it.
--- a/testsuite/daemon_lost/run.sh
+++ b/testsuite/daemon_lost/run.sh
@@ -61,5 +61,5 @@
 expect_exit 0 "${load[@]}" --set load.seed=2
 all_ran >/dev/null || fail "after the loss: $(cat "$output")"
 expect_exit 0 "$bin/gcove_check" --require=I2 "$run/load.jsonl" \
-    "$run/s1.jsonl" "$run/s2.jsonl"
+    "$run"/s[12].*.jsonl
 echo "ok"
