Report a request whose kept connection dies as lost in gcove_load

Cause: on a reused connection that dies libcurl sends the request again on a new one. When the daemon was killed, the second connect was refused, and the transfer ended as not sent although the first one had reached a backend server. The history then said not run, which the checker reports as a violation of I3. The daemon was ruled out: it had been killed before it could answer, and dispatch and store open a connection for each transfer.

The transfer now notes that bytes may have been sent, and ends when libcurl wants to send them again.

The test of the transfers fails before (not_sent instead of lost) and passes after.

--- a/src/load/transfer_thread.cpp
+++ b/src/load/transfer_thread.cpp
@@ -25,8 +25,21 @@
     transfer what;
     transfer_result result;
     header_list headers{nullptr, curl_slist_free_all};
+    /// Bytes of the request may have left this process.
+    bool sent = false;
 };
 
+/// On a reused connection that dies libcurl sends the request a second time;
+/// when that one could not be sent, the first one would be forgotten.
+int before_send(void* to, char*, char*, int, int)
+{
+    bool& sent = static_cast<open_transfer*>(to)->sent;
+    if (sent)
+        return CURL_PREREQFUNC_ABORT;
+    sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* to)
 {
     static_cast<open_transfer*>(to)->result.body.append(data, size * count);
@@ -91,6 +104,8 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, what.method.c_str());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &open);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &open);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &open);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -100,13 +115,11 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &open);
 }
 
-transfer_end classify(CURL* easy, CURLcode code, int status)
+transfer_end classify(bool sent, CURLcode code, int status)
 {
-    long sent = 0;
-    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
     if (code == CURLE_OK)
         return transfer_end::complete;
-    if (code == CURLE_COULDNT_CONNECT || sent == 0)
+    if (!sent)
         return transfer_end::not_sent;
     if (code == CURLE_OPERATION_TIMEDOUT)
         return transfer_end::timed_out;
@@ -157,7 +170,7 @@
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         result.status = static_cast<int>(status);
-        result.end = classify(easy, code, result.status);
+        result.end = classify(open.mapped()->sent, code, result.status);
         m_results.try_push(std::move(result));
         curl_multi_remove_handle(m_multi, easy);
         curl_easy_cleanup(easy);
