--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -12,8 +12,8 @@
 
 /// Requests of one connection that wait for their answers in order.
 constexpr std::size_t max_pipelined = 8;
-constexpr std::size_t max_url = 8 * 1024;
-constexpr std::size_t max_header_value = 16 * 1024;
+constexpr std::size_t max_url = 8192;
+constexpr std::size_t max_header_value = 16384;
 /// A header that trickles in must not hold a connection forever.
 constexpr std::chrono::seconds read_limit{60};
 /// Longer than any request's deadline, so that deadlines decide.
@@ -169,7 +169,8 @@
 {
     std::exception_ptr failure;
     m_implementation->m_server.open_async(
-        [] {}, [&failure](std::exception_ptr fault) { failure = fault; });
+        [] {},
+        [&failure](std::exception_ptr const& fault) { failure = fault; });
     // The opening runs on the context; nothing else is queued on it yet.
     context.poll();
     context.restart();
@@ -191,7 +192,8 @@
 
 void listener::stop()
 {
-    m_implementation->m_server.close_async([] {}, [](std::exception_ptr) {});
+    m_implementation->m_server.close_async([] {},
+                                           [](std::exception_ptr const&) {});
 }
 
 } // namespace gooseberrycove::http
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -66,7 +66,7 @@
     read_length();
 }
 
-std::uint64_t connection::send(std::string frame)
+std::uint64_t connection::send(std::string_view frame)
 {
     if (m_ended || m_finishing || m_queue.size() >= max_queued_frames)
         return 0;
--- a/src/peer/connection.hpp
+++ b/src/peer/connection.hpp
@@ -46,7 +46,7 @@
 
     /// Queues a frame. Returns its tag, a rising number, or 0 when the queue
     /// is full or the stream has ended.
-    std::uint64_t send(std::string frame);
+    std::uint64_t send(std::string_view frame);
 
     /// Closes after the queued frames are written.
     void finish();
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -48,9 +48,9 @@
     {
         offer(*to.routing, std::move(value), to, "routing");
     }
-    void operator()(admission::cancel&& value)
+    void operator()(admission::cancel const& value)
     {
-        offer(*to.admission, std::move(value), to, "admission");
+        offer(*to.admission, value, to, "admission");
     }
     void operator()(claims::fence&& value)
     {
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -66,7 +66,7 @@
     void drain_inbox();
     void send(outgoing const& what);
     void send_datagram(std::string_view address, std::string const& frame);
-    void send_stream(outgoing const& what, std::string frame);
+    void send_stream(outgoing const& what, std::string_view frame);
     connection& connection_to(std::string const& address);
     std::shared_ptr<connection> make_connection(tcp::socket socket);
     void on_frame(connection* from, std::string_view frame);
@@ -168,14 +168,14 @@
 
 void peer_loop::send(outgoing const& what)
 {
-    std::string frame =
+    std::string const frame =
         wire::encode(m_to.keys->current(), m_to.self, what.what, clock_now());
     m_to.counts->count_peer_bytes(direction::out,
                                   carries_work(what.what) ? "work" : "control",
                                   frame.size());
     if (std::holds_alternative<members::packet>(what.what))
         return send_datagram(what.address, frame);
-    send_stream(what, std::move(frame));
+    send_stream(what, frame);
 }
 
 void peer_loop::send_datagram(std::string_view address,
@@ -190,7 +190,7 @@
                         ignored);
 }
 
-void peer_loop::send_stream(outgoing const& what, std::string frame)
+void peer_loop::send_stream(outgoing const& what, std::string_view frame)
 {
     auto const* const carried = std::get_if<work>(&what.what);
     sent_work record{nullptr, 0, 0, what.address};
@@ -207,7 +207,7 @@
     // send() finds it.
     if (carried)
         m_sent[{carried->id, carried->attempt}] = record;
-    std::uint64_t const tag = stream.send(std::move(frame));
+    std::uint64_t const tag = stream.send(frame);
     if (!carried)
         return;
     attempt_key const key{carried->id, carried->attempt};
@@ -251,7 +251,7 @@
     { on_frame(&from, frame); };
     what.on_end = [this](connection& ended, std::uint64_t last_written)
     { on_end(ended, last_written); };
-    auto const made =
+    auto made =
         std::make_shared<connection>(std::move(socket), std::move(what));
     m_connections.insert(made);
     return made;
--- a/src/routing/claim_queries.cpp
+++ b/src/routing/claim_queries.cpp
@@ -45,7 +45,7 @@
 }
 
 void on_claim_query(state& self, caller_request const& from,
-                    looked_up const& config, deliver_reply deliver,
+                    looked_up const& config, deliver_reply const& deliver,
                     time_point now, actions& out)
 {
     refusal const reason = check_account(self, from, config, now);
--- a/src/routing/claim_queries.hpp
+++ b/src/routing/claim_queries.hpp
@@ -19,7 +19,7 @@
 /// Checks the account as for any request, then asks claims. A refusal is among
 /// the replies of \p out.
 void on_claim_query(state& self, caller_request const& from,
-                    looked_up const& config, deliver_reply deliver,
+                    looked_up const& config, deliver_reply const& deliver,
                     time_point now, actions& out);
 
 } // namespace gooseberrycove::routing
