--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 capacity: build
 	$(BUILD)/bin/gcove_capacity
+	bash testsuite/fleet_capacity.sh $(BUILD)/bin
 
 clean:
 	cmake --build $(BUILD) --target clean
--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -62,7 +62,7 @@
 
 void log_lost(std::string_view ring)
 {
-    log_warning(event_line(event::ring_full).field("ring", ring));
+    log_warning(event_line(event::ring_full).field("duty", ring));
 }
 
 void send_answer(wiring const& out, answer&& made)
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -122,7 +122,7 @@
 /// One placement decision, for the log.
 struct decision
 {
-    event what = event::work_queued;
+    event what = event::work_started;
     request_id request;
     std::string service;
     priority_index priority = 0;
--- a/src/claims/claims_thread.cpp
+++ b/src/claims/claims_thread.cpp
@@ -55,13 +55,6 @@
     std::deque<routing::message> answers;
 };
 
-void push_answers(backlog& kept, wiring const& to)
-{
-    while (!kept.answers.empty() &&
-           to.routing->try_push(std::move(kept.answers.front())))
-        kept.answers.pop_front();
-}
-
 /// A fence that finds no room is repeated by the protocol.
 void send_fence(outgoing_fence&& sent, wiring const& to)
 {
@@ -113,7 +106,7 @@
         kept.answers.emplace_back(std::move(result));
     for (claim_released const& released : out.released)
         kept.answers.emplace_back(released);
-    push_answers(kept, to);
+    push_waiting(kept.answers, *to.routing);
 }
 
 } // namespace
--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -30,7 +30,7 @@
 
 void log_dropped(std::string_view receiver)
 {
-    log_warning(event_line(event::ring_full).field("to", receiver));
+    log_warning(event_line(event::ring_full).field("duty", receiver));
 }
 
 /// Tells the version in force to those that do not have it. A full ring is
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -176,7 +176,7 @@
     answer.latency = result.latency;
     // Probe results are weak evidence and repeated, so one may be dropped.
     if (!out.health->try_push(std::move(answer)))
-        log_warning(event_line(event::ring_full).field("ring", "health"));
+        log_warning(event_line(event::ring_full).field("duty", "health"));
 }
 
 void collect_finished(state& self, wiring const& out, time_point now)
@@ -232,7 +232,7 @@
     }
     if (!self.undelivered.empty())
         log_error(event_line(event::ring_full)
-                      .field("ring", "admission")
+                      .field("duty", "admission")
                       .field("lost", std::uint64_t{self.undelivered.size()}));
 }
 
--- a/src/include/gooseberrycove/duty.hpp
+++ b/src/include/gooseberrycove/duty.hpp
@@ -3,11 +3,22 @@
 
 #include <gooseberrycove/ring.hpp>
 
+#include <deque>
+#include <utility>
 #include <vector>
 
 namespace gooseberrycove
 {
 
+/// Pushes waiting messages in order until the ring is full. For messages that
+/// must not be dropped; their number is bounded by the requests in flight.
+template <class Message>
+void push_waiting(std::deque<Message>& waiting, ring<Message>& to)
+{
+    while (!waiting.empty() && to.try_push(std::move(waiting.front())))
+        waiting.pop_front();
+}
+
 /// Loop of a duty that waits only on its ring. Returns when the ring is closed
 /// and empty.
 ///
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -28,10 +28,8 @@
     request_hedged = 203,
     request_answered = 204,
 
-    work_queued = 300,
     work_refused = 301,
     work_started = 302,
-    server_chosen = 303,
 
     dispatch_finished = 400,
 
@@ -40,7 +38,6 @@
     server_probation = 502,
     server_readmitted = 503,
     alarm_cleared = 504,
-    ejection_refused_by_floor = 505,
 
     peer_joined = 600,
     peer_suspected = 601,
@@ -49,7 +46,6 @@
     server_announced = 604,
     server_draining = 605,
     server_gone = 606,
-    server_placed = 607,
 
     config_in_force = 700,
     config_patch_committed = 701,
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -25,13 +25,6 @@
     std::deque<claims::message> claim_messages;
 };
 
-template <class Message>
-void push_all(std::deque<Message>& waiting, ring<Message>& to)
-{
-    while (!waiting.empty() && to.try_push(std::move(waiting.front())))
-        waiting.pop_front();
-}
-
 front::answer encode(reply&& from)
 {
     front::answer answer;
@@ -121,8 +114,8 @@
     for (event_line const& line : todo.log)
         log_info(line);
     todo = {};
-    push_all(waiting.answers, *to.front);
-    push_all(waiting.claim_messages, *to.claims);
+    push_waiting(waiting.answers, *to.front);
+    push_waiting(waiting.claim_messages, *to.claims);
 }
 
 looked_up look_up(config::tables_ptr const& tables, std::string_view account,
--- a/testsuite/fleet_capacity.sh
+++ b/testsuite/fleet_capacity.sh
@@ -3,6 +3,7 @@
 # processor time and memory against the size of the fleet, the time until a
 # patch is in force, and the latency and processor time that one and two hops
 # add. Usage: fleet_capacity.sh BIN_DIR [SIZE...]
+#        fleet_capacity.sh BIN_DIR latency
 set -uo pipefail
 bin=$(cd "$1" && pwd)
 shift
@@ -178,6 +179,7 @@
 echo "| daemons | control bytes/s in and out | % of a core | resident MB | in force after ms |"
 echo "|---|---|---|---|---|"
 for size in "${sizes[@]}"; do
+    [ "$size" = latency ] && continue
     measure_fleet "$size"
 done
 measure_latency
