--- a/src/health/health_test.cpp
+++ b/src/health/health_test.cpp
@@ -383,3 +383,20 @@
                   model.now, out);
     CHECK(model.test_of(0).raised);
 }
+
+TEST_CASE("a report that repeats its counts is no fresh report")
+{
+    // Guards against the confirmation of an alarm with stale counts.
+    sibling_map siblings;
+    server_status status;
+    status.server = "v1";
+    status.samples = 400;
+    status.sequence = 1;
+    take_report(siblings, status, start);
+    status.sequence = 2;
+    take_report(siblings, status, start + 1s);
+    CHECK(fresh_of(siblings, "v0", start, start).reported == 0);
+    status.samples = 380;
+    take_report(siblings, status, start + 1s);
+    CHECK(fresh_of(siblings, "v0", start, start).reported == 1);
+}
