Spread a drain at once, and also from a record that loses otherwise

Cause: a record that lost against a later one still taught its drain, but was not spread further, and a new drain waited for the home's next pings. In testsuite/soak_drain_race.txt daemon-4 was frozen 1 s after a drain that it had not heard of, and gave the server 2 pieces of work when it went on.

The home now tells up to 16 peers at once, and a daemon that learns of a drain spreads it.

--- a/src/members/gossip.cpp
+++ b/src/members/gossip.cpp
@@ -142,4 +142,20 @@
     out.to_peers.push_back({address, std::move(what)});
 }
 
+void push_news(state& s, int count, actions& out)
+{
+    std::vector<std::uint64_t> receivers;
+    for (; count > 0; --count)
+    {
+        member const* const who = random_live(s);
+        if (who == nullptr ||
+            std::ranges::find(receivers, who->record.daemon.id) !=
+                receivers.end())
+            continue;
+        receivers.push_back(who->record.daemon.id);
+        send_packet(s, make_packet(s, packet_kind::ping, s.next_number++),
+                    who->record.address, who->record.daemon.id, out);
+    }
+}
+
 } // namespace gooseberrycove::members
--- a/src/members/gossip.hpp
+++ b/src/members/gossip.hpp
@@ -30,6 +30,10 @@
 void send_packet(state& s, packet&& what, std::string const& address,
                  std::uint64_t receiver, actions& out);
 
+/// Sends the updates to up to \p count random live peers without waiting for
+/// the next ping.
+void push_news(state& s, int count, actions& out);
+
 } // namespace gooseberrycove::members
 
 #endif
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/// Peers that are told of a drain at once; enough for a small fleet, and at the
+/// target's size drains are rare.
+constexpr int drain_messages = 16;
+
 bool is_drained(state const& s, std::string_view server)
 {
     return drains_of(s, server) % 2 == 1;
@@ -123,6 +127,10 @@
     homed const* const here = find_homed(s, record.server);
     if (here != nullptr && before != is_drained(s, record.server))
         announce_change(s, *here, now, out);
+    // Spread from here too: a record that loses otherwise goes no further.
+    std::uint32_t const id = s.servers.names.find(record.server);
+    if (id != no_name && s.servers.entries[id].used)
+        add_update(s, subject::server, id);
 }
 
 homed* find_homed(state& s, std::string_view server)
@@ -223,6 +231,8 @@
         return;
     ++s.drains[what.server];
     announce_change(s, *here, now, out);
+    // The home may be gone before its next pings.
+    push_news(s, drain_messages, out);
 }
 
 } // namespace gooseberrycove::members
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -197,6 +197,22 @@
         CHECK(late.entry().state == server_state::serving);
         CHECK(make_record(late.s, 0).drains == 2);
     }
+
+    // Guards against a drain that ends with a home that dies at once, and
+    // against one that a loser's record brought and nobody spreads.
+    bench home;
+    home.announce();
+    home.out = actions{};
+    on_drain_request(home.s, {"server-1", true, {}}, home.now, home.out);
+    auto const& told = std::get<packet>(home.out.to_peers.at(0).what);
+    CHECK(told.servers.at(0).drains == 1);
+    bench third;
+    third.receive(server_of(other, 9));
+    third.s.updates.clear();
+    drained.home = other;
+    drained.sequence = 7;
+    third.receive(drained);
+    CHECK(third.s.updates.size() == 1);
 }
 
 TEST_CASE("a server that moved is given up by its former home and not after "
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -120,18 +120,7 @@
     toggle_listed(s, s.self);
     s.self.state = peer_state::leaving;
     s.sweep_wanted = true;
-    std::vector<std::uint64_t> receivers;
-    for (int count = 0; count < leave_messages; ++count)
-    {
-        member const* const who = random_live(s);
-        if (who == nullptr ||
-            std::ranges::find(receivers, who->record.daemon.id) !=
-                receivers.end())
-            continue;
-        receivers.push_back(who->record.daemon.id);
-        send_packet(s, make_packet(s, packet_kind::ping, s.next_number++),
-                    who->record.address, who->record.daemon.id, out);
-    }
+    push_news(s, leave_messages, out);
     out.log.push_back(event_line(event::peer_left).field("peer", s.self.name));
 }
 
--- a/testsuite/faults.sh
+++ b/testsuite/faults.sh
@@ -140,7 +140,8 @@
 
 undrain_anywhere() {
     record undrain "server=\"$1\"" "time_us=$(now_us)"
-    home_action "$1" undrain
+    # An operator repeats it while the server moves between homes.
+    wait_until 5 home_action "$1" undrain
 }
 
 # operator_patch DAEMON BASE FLOOR: one of two operators.
