Share the handling of request targets and the constant-time comparison

Cause: percent-encoding stood in store and ctl, the path of a target in front and routing, and claims compared a code in its own way. Change: core has uri.hpp with path_of, query_value and percent_encode; claims calls equal_in_constant_time. Behaviour is unchanged.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -3,6 +3,7 @@
 #include "documents.hpp"
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/http.hpp>
+#include <gooseberrycove/uri.hpp>
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -131,7 +132,7 @@
 
 void admin_loop::on_request(http::exchange_ptr const& exchange)
 {
-    std::string_view const path = http::path_of(exchange->target());
+    std::string_view const path = uri::path_of(exchange->target());
     for (endpoint const& item : endpoints)
     {
         bool const matches = item.path.ends_with('/')
@@ -260,7 +261,7 @@
 void admin_loop::get_history(http::exchange_ptr const& exchange)
 {
     config::history_request question;
-    std::string const since = http::query_value(exchange->target(), "since");
+    std::string const since = uri::query_value(exchange->target(), "since");
     question.since = since.empty() ? 0 : read_version(since);
     question.deliver =
         on_this_thread(exchange, [](std::vector<config::delta> const& patches)
@@ -295,9 +296,9 @@
 void admin_loop::get_explain(http::exchange_ptr const& exchange)
 {
     routing::explain_request question;
-    question.method = http::query_value(exchange->target(), "method");
-    question.path = http::query_value(exchange->target(), "path");
-    question.account = http::query_value(exchange->target(), "account");
+    question.method = uri::query_value(exchange->target(), "method");
+    question.path = uri::query_value(exchange->target(), "path");
+    question.account = uri::query_value(exchange->target(), "account");
     if (question.method.empty() || question.path.empty())
         return refuse(exchange, error_kind::bad_request,
                       "required: query parameters method and path");
@@ -309,7 +310,7 @@
 
 void admin_loop::post_server(http::exchange_ptr const& exchange)
 {
-    std::string_view rest = http::path_of(exchange->target());
+    std::string_view rest = uri::path_of(exchange->target());
     rest.remove_prefix(std::string_view("/servers/").size());
     auto const slash = rest.find('/');
     std::string_view const action =
--- a/src/claims/mint.cpp
+++ b/src/claims/mint.cpp
@@ -1,7 +1,7 @@
 #include "claims/job.hpp"
+#include <gooseberrycove/key_set.hpp>
 
 #include <fmt/format.h>
-#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
@@ -62,8 +62,7 @@
         return std::nullopt;
     std::string const mac = mac_of(s, account, key.substr(0, dot));
     std::string_view const given = key.substr(dot + 1);
-    if (mac.size() != given.size() ||
-        CRYPTO_memcmp(mac.data(), given.data(), mac.size()) != 0)
+    if (!equal_in_constant_time(mac, given))
         return std::nullopt;
     std::string_view rest = key.substr(prefix.size());
     parsed_key result;
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -1,5 +1,7 @@
 #include "ctl/command.hpp"
 
+#include <gooseberrycove/uri.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -34,23 +36,6 @@
     {"explain", verb::explain, 2, 3},
 };
 
-/// Percent-encodes all but the unreserved characters of RFC 3986.
-std::string escape(std::string_view text)
-{
-    std::string result;
-    for (unsigned char c : text)
-    {
-        bool const plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                           (c >= '0' && c <= '9') || c == '-' || c == '_' ||
-                           c == '.' || c == '~';
-        if (plain)
-            result += static_cast<char>(c);
-        else
-            result += fmt::format("%{:02X}", c);
-    }
-    return result;
-}
-
 http_request build_patch(options const& flags, std::string_view file)
 {
     if (flags.base < 0)
@@ -69,11 +54,11 @@
 
 std::string explain_target(std::vector<std::string> const& arguments)
 {
-    std::string target =
-        fmt::format("/explain?method={}&path={}", escape(arguments[0]),
-                    escape(arguments[1]));
+    std::string target = fmt::format("/explain?method={}&path={}",
+                                     uri::percent_encode(arguments[0]),
+                                     uri::percent_encode(arguments[1]));
     if (arguments.size() > 2)
-        target += "&account=" + escape(arguments[2]);
+        target += "&account=" + uri::percent_encode(arguments[2]);
     return target;
 }
 
@@ -129,10 +114,15 @@
     case verb::daemons:
         return {"GET", "/daemons", {}, {}};
     case verb::drain:
-        return {"POST", "/servers/" + escape(arguments[0]) + "/drain", {}, {}};
+        return {"POST",
+                "/servers/" + uri::percent_encode(arguments[0]) + "/drain",
+                {},
+                {}};
     case verb::undrain:
-        return {
-            "POST", "/servers/" + escape(arguments[0]) + "/undrain", {}, {}};
+        return {"POST",
+                "/servers/" + uri::percent_encode(arguments[0]) + "/undrain",
+                {},
+                {}};
     case verb::explain:
         return {"GET", explain_target(arguments), {}, {}};
     }
--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -1,4 +1,5 @@
 #include "caller_request.hpp"
+#include <gooseberrycove/uri.hpp>
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
@@ -91,9 +92,9 @@
 
 TEST_CASE("query values are decoded and absent ones are empty")
 {
-    CHECK(http::query_value("/e?path=%2Fa%20b&x=1", "path") == "/a b");
-    CHECK(http::query_value("/e?path", "path").empty());
-    CHECK(http::query_value("/e?a=%zz", "a") == "%zz");
+    CHECK(uri::query_value("/e?path=%2Fa%20b&x=1", "path") == "/a b");
+    CHECK(uri::query_value("/e?path", "path").empty());
+    CHECK(uri::query_value("/e?a=%zz", "a") == "%zz");
     CHECK(http::bearer_token("Bearer a:b") == "a:b");
     CHECK(http::bearer_token("Basic a").empty());
 }
--- a/src/front/http.cpp
+++ b/src/front/http.cpp
@@ -3,65 +3,6 @@
 namespace gooseberrycove::http
 {
 
-namespace
-{
-
-int hex_value(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
-std::string percent_decode(std::string_view text)
-{
-    std::string out;
-    for (std::size_t i = 0; i < text.size(); ++i)
-    {
-        bool const escape = text[i] == '%' && i + 2 < text.size() &&
-                            hex_value(text[i + 1]) >= 0 &&
-                            hex_value(text[i + 2]) >= 0;
-        if (!escape)
-        {
-            out += text[i] == '+' ? ' ' : text[i];
-            continue;
-        }
-        out += static_cast<char>(hex_value(text[i + 1]) * 16 +
-                                 hex_value(text[i + 2]));
-        i += 2;
-    }
-    return out;
-}
-
-} // namespace
-
-std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
-std::string query_value(std::string_view target, std::string_view name)
-{
-    auto const mark = target.find('?');
-    if (mark == target.npos)
-        return {};
-    std::string_view rest = target.substr(mark + 1);
-    while (!rest.empty())
-    {
-        auto const end = std::min(rest.find('&'), rest.size());
-        std::string_view const pair = rest.substr(0, end);
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-        auto const equal = pair.find('=');
-        if (equal != pair.npos && pair.substr(0, equal) == name)
-            return percent_decode(pair.substr(equal + 1));
-    }
-    return {};
-}
-
 std::string_view bearer_token(std::string_view authorization)
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/include/gooseberrycove/http.hpp
+++ b/src/include/gooseberrycove/http.hpp
@@ -71,12 +71,6 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-/// Part of \p target before the query.
-std::string_view path_of(std::string_view target);
-
-/// Decoded value of a query parameter; empty when absent.
-std::string query_value(std::string_view target, std::string_view name);
-
 /// Token of an `Authorization: Bearer` header; empty for other values.
 std::string_view bearer_token(std::string_view authorization);
 
--- a/src/routing/authenticate.cpp
+++ b/src/routing/authenticate.cpp
@@ -40,9 +40,4 @@
            account_name(credentials) == account->name;
 }
 
-std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 } // namespace gooseberrycove::routing
--- a/src/routing/authenticate.hpp
+++ b/src/routing/authenticate.hpp
@@ -19,9 +19,6 @@
 bool authenticated(std::string_view credentials,
                    std::optional<config::account_view> const& account);
 
-/// The path of a target without its query.
-std::string_view path_of(std::string_view target);
-
 } // namespace gooseberrycove::routing
 
 #endif
--- a/src/routing/claim_queries.cpp
+++ b/src/routing/claim_queries.cpp
@@ -2,6 +2,7 @@
 
 #include "authenticate.hpp"
 #include "decisions.hpp"
+#include <gooseberrycove/uri.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -57,7 +58,7 @@
     }
     std::string const account(config.account->name);
     request_id const id = from.id;
-    std::string_view const path = path_of(from.target);
+    std::string_view const path = uri::path_of(from.target);
     if (path == mint_path)
     {
         out.claim_messages.push_back(
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -4,6 +4,7 @@
 #include "claim_queries.hpp"
 #include "decisions.hpp"
 #include <gooseberrycove/duty.hpp>
+#include <gooseberrycove/uri.hpp>
 
 #include <algorithm>
 #include <deque>
@@ -159,8 +160,8 @@
     void operator()(caller_request& from) const
     {
         looked_up const found = look_up(tables, account_name(from.credentials),
-                                        from.method, path_of(from.target));
-        if (is_claim_query(from.method, path_of(from.target)))
+                                        from.method, uri::path_of(from.target));
+        if (is_claim_query(from.method, uri::path_of(from.target)))
         {
             auto const deliver = [front = to.front](reply&& item)
             { front->try_push(encode(std::move(item))); };
@@ -200,7 +201,7 @@
     {
         wanted.deliver(explain(self,
                                look_up(tables, wanted.account, wanted.method,
-                                       path_of(wanted.path)),
+                                       uri::path_of(wanted.path)),
                                now));
     }
     void operator()(services_request const& wanted) const
--- a/src/store/call.cpp
+++ b/src/store/call.cpp
@@ -1,5 +1,7 @@
 #include "store/call.hpp"
 
+#include <gooseberrycove/uri.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -11,33 +13,18 @@
 
 using nlohmann::json;
 
-/// Percent-encodes all but the unreserved characters of RFC 3986.
-std::string escape(std::string_view text)
-{
-    std::string result;
-    for (unsigned char c : text)
-    {
-        bool const plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                           (c >= '0' && c <= '9') || c == '-' || c == '_' ||
-                           c == '.' || c == '~';
-        if (plain)
-            result += static_cast<char>(c);
-        else
-            result += fmt::format("%{:02X}", c);
-    }
-    return result;
-}
-
 http_call encode_one(get_row const& what)
 {
-    return {"GET", "/table/row?key=" + escape(what.key), "", false};
+    return {"GET", "/table/row?key=" + uri::percent_encode(what.key), "",
+            false};
 }
 
 http_call encode_one(scan_rows const& what)
 {
     return {"GET",
             fmt::format("/table/scan?prefix={}&after={}&limit={}",
-                        escape(what.prefix), escape(what.after), what.limit),
+                        uri::percent_encode(what.prefix),
+                        uri::percent_encode(what.after), what.limit),
             "", false};
 }
 
@@ -60,12 +47,13 @@
 
 http_call encode_one(get_object const& what)
 {
-    return {"GET", "/object/" + escape(what.name), "", false};
+    return {"GET", "/object/" + uri::percent_encode(what.name), "", false};
 }
 
 http_call encode_one(put_object const& what)
 {
-    return {"PUT", "/object/" + escape(what.name), what.content, true};
+    return {"PUT", "/object/" + uri::percent_encode(what.name), what.content,
+            true};
 }
 
 row read_row(json const& item)
