--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	bash .ci/packages
 
 build: setup
-	cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) >/dev/null
+	cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) \
+	    -DGCOVE_WARNINGS_AS_ERRORS=ON >/dev/null
 	cmake --build $(BUILD) -j $(JOBS)
 
 test: build
--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -9,7 +9,7 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <optional>
+#include <memory>
 #include <random>
 
 namespace gooseberrycove::admin
@@ -29,6 +29,14 @@
     operator_key
 };
 
+/// Name behind the first part of `/announce/NAME`; empty for `/announce`.
+std::string_view last_part(std::string_view target)
+{
+    std::string_view const path = uri::path_of(target);
+    auto const slash = path.find('/', 1);
+    return slash == path.npos ? std::string_view{} : path.substr(slash + 1);
+}
+
 /// Sockets of the administration port and the questions to other duties.
 class admin_loop
 {
@@ -61,6 +69,9 @@
     void get_ready(http::exchange_ptr const& exchange);
     void get_metrics(http::exchange_ptr const& exchange);
     void post_announce(http::exchange_ptr const& exchange);
+    void post_withdraw(http::exchange_ptr const& exchange);
+    void announce(http::exchange_ptr const& exchange,
+                  members::announcement what);
     void get_config(http::exchange_ptr const& exchange);
     void patch_config(http::exchange_ptr const& exchange);
     void get_history(http::exchange_ptr const& exchange);
@@ -91,13 +102,13 @@
         };
     }
 
-    static constexpr std::size_t endpoint_count = 12;
+    static constexpr std::size_t endpoint_count = 14;
     static std::array<endpoint, endpoint_count> const endpoints;
 
     inbox& m_messages;
     wiring const& m_to;
     asio::io_context m_context;
-    std::optional<http::listener> m_listener;
+    std::vector<std::unique_ptr<http::listener>> m_listeners;
     std::mt19937_64 m_generator;
 };
 
@@ -107,6 +118,8 @@
     {"GET", "/readyz", access::open, &admin_loop::get_ready},
     {"GET", "/metrics", access::open, &admin_loop::get_metrics},
     {"POST", "/announce", access::server, &admin_loop::post_announce},
+    {"POST", "/announce/", access::server, &admin_loop::post_announce},
+    {"POST", "/withdraw/", access::server, &admin_loop::post_withdraw},
     {"GET", "/config", access::operator_key, &admin_loop::get_config},
     {"PATCH", "/config", access::operator_key, &admin_loop::patch_config},
     {"GET", "/config/history", access::operator_key, &admin_loop::get_history},
@@ -122,7 +135,11 @@
     http::handlers handlers;
     handlers.on_request = [this](http::exchange_ptr const& exchange)
     { on_request(exchange); };
-    m_listener.emplace(m_context, m_to.address, max_body, std::move(handlers));
+    m_listeners.push_back(std::make_unique<http::listener>(
+        m_context, m_to.address, max_body, handlers));
+    for (std::string const& address : m_to.also_at)
+        m_listeners.push_back(std::make_unique<http::listener>(
+            m_context, address, max_body, handlers));
     m_messages.set_waker([this] { m_context.stop(); });
     std::vector<std::monostate> none;
     if (!m_messages.pop_all(none))
@@ -163,6 +180,8 @@
         return true;
     std::string_view const token =
         http::bearer_token(exchange.header("Authorization"));
+    if (needed == access::operator_key && !m_to.admin_keys->has_file())
+        return false;
     if (needed == access::server)
         return m_to.announce_keys->accepts(token);
     return m_to.admin_keys->accepts(token);
@@ -202,11 +221,24 @@
 }
 
 void admin_loop::post_announce(http::exchange_ptr const& exchange)
+{
+    announce(exchange,
+             read_announcement(exchange->body(), last_part(exchange->target())));
+}
+
+void admin_loop::post_withdraw(http::exchange_ptr const& exchange)
+{
+    announce(exchange,
+             read_withdrawal(exchange->body(), last_part(exchange->target())));
+}
+
+void admin_loop::announce(http::exchange_ptr const& exchange,
+                          members::announcement what)
 {
     if (m_to.draining->load())
         return refuse(exchange, error_kind::draining, "shutting down");
     members::announced question;
-    question.what = read_announcement(exchange->body());
+    question.what = std::move(what);
     question.deliver = on_this_thread(
         exchange,
         [](duration lease)
@@ -232,8 +264,7 @@
             {
                 http::response out{
                     200, "application/json", document, {}, false};
-                out.headers.emplace_back("ETag",
-                                         fmt::format("\"{}\"", version));
+                out.headers.push_back({"ETag", fmt::format("\"{}\"", version)});
                 return out;
             })});
 }
@@ -297,6 +328,7 @@
 {
     routing::explain_request question;
     question.method = uri::query_value(exchange->target(), "method");
+    question.host = uri::query_value(exchange->target(), "host");
     question.path = uri::query_value(exchange->target(), "path");
     question.account = uri::query_value(exchange->target(), "account");
     if (question.method.empty() || question.path.empty())
--- a/src/admin/admin_thread.hpp
+++ b/src/admin/admin_thread.hpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace gooseberrycove::admin
 {
@@ -22,6 +23,8 @@
 {
     /// `ip:port` for operators and backend servers.
     std::string address;
+    /// Further addresses with the same endpoints.
+    std::vector<std::string> also_at;
     std::string daemon_name;
     key_set* admin_keys = nullptr;
     key_set* announce_keys = nullptr;
--- a/src/admin/documents.cpp
+++ b/src/admin/documents.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t min_lease_ms = 1'000;
 constexpr std::uint32_t max_lease_ms = 60'000;
 constexpr std::size_t max_name = 128;
+/// An hour; longer times are taken for a wrong unit.
+constexpr std::uint64_t max_warmup_ms = 3'600'000;
 
 http::response as_json(json const& document, int status = 200)
 {
@@ -123,8 +125,7 @@
     out.content_type = "application/problem+json";
     out.body = problem_document(kind, detail, "");
     if (row.retry_after_s > 0)
-        out.headers.emplace_back("Retry-After",
-                                 std::to_string(row.retry_after_s));
+        out.headers.push_back({"Retry-After", std::to_string(row.retry_after_s)});
     return out;
 }
 
@@ -133,7 +134,7 @@
     if (what.kind == error_kind::none)
     {
         http::response out = as_json({{"version", what.version}});
-        out.headers.emplace_back("ETag", fmt::format("\"{}\"", what.version));
+        out.headers.push_back({"ETag", fmt::format("\"{}\"", what.version)});
         return out;
     }
     json document = json::parse(problem_document(what.kind, what.detail, ""));
@@ -241,13 +242,17 @@
                     {"candidates", std::move(list)}});
 }
 
-members::announcement read_announcement(std::string_view body)
+members::announcement read_announcement(std::string_view body,
+                                        std::string_view server)
 {
     json const from = json::parse(body, nullptr, false);
     if (!from.is_object())
         throw error(error_kind::bad_request, "allowed: a JSON object");
     members::announcement out;
-    out.server = read_name(from, "name");
+    if (!server.empty() && !(from.contains("slots") && from.contains("state")))
+        refuse("", "an object with slots and state");
+    out.server =
+        server.empty() ? read_name(from, "name") : std::string(server);
     out.service = read_name(from, "service");
     out.address = read_name(from, "address");
     if (!is_address(out.address))
@@ -256,7 +261,12 @@
         static_cast<std::uint32_t>(read_number(from, "slots", 1, max_slots, 1));
     out.connections = static_cast<std::uint32_t>(
         read_number(from, "connections", 1, max_connections, max_connections));
-    out.incarnation = read_number(from, "incarnation", 0, UINT64_MAX, 0);
+    out.incarnation = read_number(from, "born", 0, UINT64_MAX, 0);
+    out.incarnation =
+        read_number(from, "incarnation", 0, UINT64_MAX, out.incarnation);
+    out.sequence = read_number(from, "sequence", 0, UINT64_MAX, 0);
+    out.warmup = std::chrono::milliseconds(
+        read_number(from, "warmup_ms", 0, max_warmup_ms, 0));
     out.lease = std::chrono::milliseconds(
         read_number(from, "lease_ms", min_lease_ms, max_lease_ms, 6'000));
     auto const state = from.find("state");
@@ -272,6 +282,18 @@
     return out;
 }
 
+members::announcement read_withdrawal(std::string_view body,
+                                      std::string_view server)
+{
+    members::announcement out;
+    out.server = server;
+    out.state = members::server_state::gone;
+    json const from = json::parse(body, nullptr, false);
+    if (from.is_object())
+        out.incarnation = read_number(from, "born", 0, UINT64_MAX, 0);
+    return out;
+}
+
 std::uint64_t read_version(std::string_view if_match)
 {
     std::string_view text = if_match;
--- a/src/admin/documents.hpp
+++ b/src/admin/documents.hpp
@@ -24,8 +24,15 @@
 http::response refusal(error_kind kind, std::string_view detail);
 
 /// Reads a backend server's announcement.
+/// \param server  its name when that is not in the body; such an announcement
+///                must also have its slots and state
 /// \throws error of kind bad_request naming the member that is wrong
-members::announcement read_announcement(std::string_view body);
+members::announcement read_announcement(std::string_view body,
+                                        std::string_view server = {});
+
+/// Reads the end of a backend server, which may tell its incarnation.
+members::announcement read_withdrawal(std::string_view body,
+                                      std::string_view server);
 
 /// Reads the version in an If-Match header, `"N"` with or without quotes.
 /// \throws error of kind bad_request
--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -26,6 +26,7 @@
     policy.service = service.name;
     policy.reserved_slots = service.reserved_slots;
     policy.warmup = service.warmup;
+    policy.probe_path = service.probe_path;
     auto const priorities = tables.priorities();
     for (config::priority_share const& share : service.shares)
     {
@@ -52,7 +53,7 @@
 void log_decision(decision const& made)
 {
     event_line line(made.what);
-    line.field("request", to_string(made.request))
+    line.field("request", made.request)
         .field("service", made.service)
         .field("priority", static_cast<int>(made.priority))
         .field("server", made.server)
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -113,6 +113,7 @@
     result.status =
         end.kind == error_kind::none ? done.status : answer_of(end.kind).status;
     result.content_type = std::move(done.content_type);
+    result.headers = std::move(done.headers);
     result.body = std::move(done.body);
     result.detail = std::move(done.detail);
     result.service_time = done.latency;
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -39,7 +39,14 @@
            has_blank_or_control(what.target) ||
            has_control_character(what.content_type) ||
            has_control_character(what.idempotency_key) ||
-           has_control_character(what.traceparent);
+           has_control_character(what.traceparent) ||
+           has_control_character(what.caller_id) ||
+           has_control_character(what.caller_service) ||
+           std::ranges::any_of(what.headers,
+                               [](header_field const& field) {
+                                   return has_blank_or_control(field.name) ||
+                                          has_control_character(field.value);
+                               });
 }
 
 refusal refuse_by_server(homed_state const& server, work const& what)
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -10,7 +10,7 @@
 {
     decision made;
     made.what = what;
-    made.request = of.id;
+    made.request = of.caller_id;
     made.service = of.service;
     made.priority = of.priority;
     made.server = server;
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -204,12 +204,18 @@
     return 0;
 }
 
+duration warmup_of(homed_state const& server, service_policy const& policy)
+{
+    return server.warmup.count() > 0 ? server.warmup : policy.warmup;
+}
+
 std::uint32_t slots_of(homed_state const& server, service_policy const& policy,
                        time_point now)
 {
     if (server.health.health == health_state::probation)
         return 1;
-    return usable_slots(server.limit, server.announced, policy.warmup, now);
+    return usable_slots(server.limit, server.announced,
+                        warmup_of(server, policy), now);
 }
 
 bool takes_work(homed_state const& server, bool repeatable)
--- a/src/admission/schedule.hpp
+++ b/src/admission/schedule.hpp
@@ -9,6 +9,9 @@
 /// The most urgent priority that the service declares.
 priority_index urgent_priority(service_policy const& policy);
 
+/// Time from the announcement in which the server is expected to be slow.
+duration warmup_of(homed_state const& server, service_policy const& policy);
+
 /// Requests that a server may have in flight at \p now.
 std::uint32_t slots_of(homed_state const& server, service_policy const& policy,
                        time_point now);
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -27,7 +27,8 @@
                   bool gone, actions& out)
 {
     out.known.push_back({server.name, server.service, server.address,
-                         server.limit.declared, policy.warmup, gone});
+                         server.limit.declared, warmup_of(server, policy), gone,
+                         policy.probe_path});
 }
 
 /// Gives queued work back that no server here may take any more.
@@ -86,6 +87,7 @@
     {
         server.announced = now;
         server.incarnation = what.incarnation;
+        server.warmup = what.warmup;
         server.health = {};
         server.limit = {};
     }
@@ -130,11 +132,12 @@
     if (found == self.services.end())
         return;
     service_state& service = found->second;
-    bool const warmup_changed = service.policy.warmup != policy.warmup;
+    bool const known_changed = service.policy.warmup != policy.warmup ||
+                               service.policy.probe_path != policy.probe_path;
     service.policy = policy;
     for (std::string const& name : service.servers)
     {
-        if (warmup_changed)
+        if (known_changed)
             report_known(self.servers.at(name), policy, false, out);
     }
     start_queued(self, service, now, out);
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -31,6 +31,7 @@
     std::string service;
     std::uint32_t reserved_slots = 1;
     duration warmup{0};
+    std::string probe_path = "/healthz";
     std::array<priority_policy, max_priorities> priorities{};
 };
 
@@ -54,6 +55,9 @@
     std::uint64_t incarnation = 0;
     adaptive_limit limit;
     time_point announced;
+    /// Time that the server itself expects to stay slow, from `announced`; the
+    /// service's warm-up holds when it is 0.
+    duration warmup{0};
     std::uint32_t in_flight = 0;
     /// Requests in flight that are not of the most urgent priority.
     std::uint32_t lower_in_flight = 0;
@@ -123,7 +127,8 @@
 struct decision
 {
     event what = event::work_started;
-    request_id request;
+    /// The caller's id.
+    std::string request;
     std::string service;
     priority_index priority = 0;
     std::string server;
--- a/src/claims/claim.cpp
+++ b/src/claims/claim.cpp
@@ -122,6 +122,7 @@
     case store::status::refused:
         return give_up(s, j, now, out);
     case store::status::not_found:
+    case store::status::history_lost:
     case store::status::unknown:
         break;
     }
--- a/src/claims/settle.cpp
+++ b/src/claims/settle.cpp
@@ -115,6 +115,7 @@
         return what.rows.empty() ? read_row(s, j, now, out)
                                  : on_absent(s, j, now, out);
     case store::status::not_found:
+    case store::status::history_lost:
         return on_absent(s, j, now, out);
     case store::status::refused:
     case store::status::unknown:
--- a/src/cmake/gcove_macros.cmake
+++ b/src/cmake/gcove_macros.cmake
@@ -2,7 +2,13 @@
 set(SANITIZE "" CACHE STRING "address, thread, undefined or empty")
 
 add_library(gcove_options INTERFACE)
-target_compile_options(gcove_options INTERFACE -Wall -Wextra -Werror -Wshadow)
+target_compile_options(gcove_options INTERFACE -Wall -Wextra -Wshadow)
+# Only the project's own builds stop at a warning: another compiler or build
+# type may report one that this one does not.
+option(GCOVE_WARNINGS_AS_ERRORS "Stop the build at a warning" OFF)
+if(GCOVE_WARNINGS_AS_ERRORS)
+    target_compile_options(gcove_options INTERFACE -Werror)
+endif()
 target_include_directories(gcove_options
     INTERFACE ${CMAKE_SOURCE_DIR}/src/include ${CMAKE_SOURCE_DIR}/src)
 if(SANITIZE)
--- a/src/config/commit.cpp
+++ b/src/config/commit.cpp
@@ -308,6 +308,7 @@
         return retry_later(duty, now);
     case store::status::refused:
     case store::status::not_found:
+    case store::status::history_lost:
         if (patch.ambiguous)
             return retry_later(duty, now);
         return refuse(duty, error_kind::store_unavailable,
--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -91,7 +91,7 @@
         return;
     log_dropped("store");
     actions out;
-    on_store_reply(self.duty, {number, store::status::refused, {}, {}}, now,
+    on_store_reply(self.duty, {number, store::status::refused, {}, {}, 0}, now,
                    out);
     perform(self, std::move(out), now);
 }
@@ -132,6 +132,7 @@
 {
     duty_thread self{messages, to, {}};
     self.duty.own_address = to.own_address;
+    self.duty.follows_document = to.follows_document;
     self.duty.random = random_seed();
     run_duty(
         messages,
--- a/src/config/config_thread.hpp
+++ b/src/config/config_thread.hpp
@@ -25,6 +25,8 @@
     store::inbox& store;
     /// Own peer address, `ip:port`.
     std::string own_address;
+    /// The operator writes whole documents into the store.
+    bool follows_document = false;
     /// Set once this daemon holds a configuration that it may serve by.
     std::atomic<bool>& ready;
     /// May be null.
--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -57,7 +57,7 @@
 std::string match(std::shared_ptr<table_data const> const& data,
                   std::string_view method, std::string_view path)
 {
-    auto const found = tables(data).match(method, path);
+    auto const found = tables(data).match(method, "", path);
     return found ? std::string(found->name) : std::string();
 }
 
@@ -157,7 +157,7 @@
     next = apply_patch(*base(), R"({"priorities":{"low":{"rank":0}}})", 2).data;
     REQUIRE(next);
     CHECK(tables(next).priorities()[0].name == "low");
-    CHECK(tables(next).match("GET", "/x/1")->priority == 1);
+    CHECK(tables(next).match("GET", "", "/x/1")->priority == 1);
     next = apply_patch(*base(),
                        R"({"priorities":{"high":null},
         "services":{"a":{"priorities":{"high":null}}},
@@ -165,7 +165,7 @@
                        2)
                .data;
     REQUIRE(next);
-    CHECK(tables(next).match("GET", "/x/1")->priority == 0);
+    CHECK(tables(next).match("GET", "", "/x/1")->priority == 0);
 }
 
 TEST_CASE("the longest pattern wins, then the exact method")
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -93,9 +93,9 @@
     value = std::chrono::milliseconds(ms);
 }
 
-std::string read_text(reader& in, std::string_view key)
+std::string read_text(reader& in, std::string_view key, bool required = true)
 {
-    json const* const found = in.find(key, true);
+    json const* const found = in.find(key, required);
     if (found == nullptr)
         return {};
     if (!found->is_string())
@@ -132,6 +132,19 @@
                        { return c > 0x20 && c < 0x7F && c != '?'; });
 }
 
+/// A lower-case DNS name or IPv4 address without port.
+bool is_host(std::string_view host)
+{
+    return !host.empty() && host.size() <= max_host_size &&
+           std::all_of(host.begin(), host.end(),
+                       [](char c)
+                       {
+                           return (c >= 'a' && c <= 'z') ||
+                                  (c >= '0' && c <= '9') || c == '.' ||
+                                  c == '-' || c == '_';
+                       });
+}
+
 bool is_method(std::string_view method)
 {
     if (method == "*")
@@ -209,6 +222,41 @@
               { return left.priority < right.priority; });
 }
 
+void read_flag(reader& in, std::string_view key, bool required, bool& value)
+{
+    json const* const flag = in.find(key, required);
+    if (flag == nullptr)
+        return;
+    if (flag->is_boolean())
+        value = flag->get<bool>();
+    else
+        in.fail(key, "allowed: true or false");
+}
+
+/// Reads either the service of a route or its split.
+void read_services(reader& in, route& result)
+{
+    if (!in.from.contains("split"))
+    {
+        result.service = read_text(in, "service");
+        return;
+    }
+    json const& parts = in.from["split"];
+    if (in.from.contains("service"))
+        return in.fail("split", "not allowed beside service");
+    if (!parts.is_object() || parts.empty() || parts.size() > max_split_parts)
+        return in.fail("split", "must be an object of 1 to 16 services");
+    std::string const path = pointer_to(in.path, "split");
+    reader list{parts, path, in.faults};
+    for (auto const& [name, weight] : parts.items())
+    {
+        weighted_service part{name, 0};
+        read_number(list, name, {0, 1e6, true}, true, part.weight);
+        result.split.push_back(std::move(part));
+    }
+    result.service = result.split.front().service;
+}
+
 } // namespace
 
 std::string pointer_to(std::string_view parent, std::string_view token)
@@ -256,20 +304,36 @@
         if (!name.empty())
             shares[name] = {{"min_share", share.min_share}};
     }
-    return {{"floor_slots", one.floor_slots},
-            {"reserved_slots", one.reserved_slots},
-            {"warmup_ms", to_ms(one.warmup)},
-            {"priorities", shares}};
+    json result{{"floor_slots", one.floor_slots},
+                {"reserved_slots", one.reserved_slots},
+                {"warmup_ms", to_ms(one.warmup)},
+                {"priorities", shares}};
+    service const defaults;
+    if (one.floor_share != defaults.floor_share)
+        result["floor_share"] = one.floor_share;
+    if (one.probe_path != defaults.probe_path)
+        result["probe_path"] = one.probe_path;
+    return result;
 }
 
 json to_json(route const& one, std::span<priority const> names)
 {
-    return {{"service", one.service},
-            {"method", one.method},
-            {"path", one.path},
-            {"priority", priority_name(names, one.priority)},
-            {"repeatable", one.repeatable},
-            {"timeout_ms", one.timeout_ms}};
+    json result{{"method", one.method},
+                {"path", one.path},
+                {"priority", priority_name(names, one.priority)},
+                {"repeatable", one.repeatable},
+                {"timeout_ms", one.timeout_ms}};
+    if (one.split.empty())
+        result["service"] = one.service;
+    for (weighted_service const& part : one.split)
+        result["split"][part.service] = part.weight;
+    if (!one.host.empty())
+        result["host"] = one.host;
+    if (one.attempts != default_attempts)
+        result["attempts"] = one.attempts;
+    if (one.open)
+        result["open"] = true;
+    return result;
 }
 
 json to_json(account const& one)
@@ -308,13 +372,19 @@
     reader in{from, path, faults};
     service result;
     result.name = name;
-    if (!check_fields(
-            in, {"floor_slots", "priorities", "reserved_slots", "warmup_ms"}))
+    if (!check_fields(in, {"floor_slots", "floor_share", "priorities",
+                           "probe_path", "reserved_slots", "warmup_ms"}))
         return std::nullopt;
     read_number(in, "floor_slots", {0, 1e7, true}, true, result.floor_slots);
     read_number(in, "reserved_slots", {0, 1e4, true}, false,
                 result.reserved_slots);
+    read_number(in, "floor_share", {0, 1, false}, false, result.floor_share);
     read_time(in, "warmup_ms", 0, false, result.warmup);
+    if (from.contains("probe_path"))
+        result.probe_path = read_text(in, "probe_path");
+    if (!is_path(result.probe_path) || result.probe_path.ends_with('*'))
+        in.fail("probe_path", "allowed: / and up to 1023 visible ASCII "
+                              "characters without ? and *");
     read_shares(in, names, result);
     if (faults.size() > before)
         return std::nullopt;
@@ -329,26 +399,27 @@
     reader in{from, path, faults};
     route result;
     result.name = name;
-    if (!check_fields(in, {"service", "method", "path", "priority",
-                           "repeatable", "timeout_ms"}))
+    if (!check_fields(in, {"attempts", "host", "service", "split", "method",
+                           "open", "path", "priority", "repeatable",
+                           "timeout_ms"}))
         return std::nullopt;
-    result.service = read_text(in, "service");
+    read_services(in, result);
     result.method = read_text(in, "method");
+    result.host = read_text(in, "host", false);
     result.path = read_text(in, "path");
     std::string const wanted = read_text(in, "priority");
     read_number(in, "timeout_ms", {1, max_ms, true}, true, result.timeout_ms);
-    if (json const* const flag = in.find("repeatable", true))
-    {
-        if (flag->is_boolean())
-            result.repeatable = flag->get<bool>();
-        else
-            in.fail("repeatable", "allowed: true or false");
-    }
+    read_number(in, "attempts", {1, 255, true}, false, result.attempts);
+    read_flag(in, "repeatable", true, result.repeatable);
+    read_flag(in, "open", false, result.open);
     if (faults.size() > before)
         return std::nullopt;
     result.priority = find_priority(in, "priority", wanted, names);
     if (!is_method(result.method))
         in.fail("method", "allowed: * or up to 16 capital letters");
+    if (from.contains("host") && !is_host(result.host))
+        in.fail("host", "allowed: up to 253 lower-case letters, digits and "
+                        ". - _, without a port");
     if (!is_path(result.path))
         in.fail("path", "allowed: / and up to 1023 visible ASCII characters "
                         "without ?, with * only at the end");
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -45,6 +45,17 @@
     return std::nullopt;
 }
 
+std::optional<stored_document> parse_stored_document(std::string_view text)
+try
+{
+    json const row = json::parse(text);
+    return stored_document{row.at("version"), row.at("document").dump()};
+}
+catch (json::exception const&)
+{
+    return std::nullopt;
+}
+
 std::string render_delta(delta const& value)
 {
     return dump({{"version", value.version},
--- a/src/config/records.hpp
+++ b/src/config/records.hpp
@@ -14,6 +14,9 @@
 inline constexpr std::string_view head_key = "config/head";
 inline constexpr std::string_view patch_prefix = "config/patch/";
 
+/// Key of the row with the whole document, where an operator keeps it there.
+inline constexpr std::string_view document_key = "config/document";
+
 /// Versions between two snapshots.
 inline constexpr std::uint64_t snapshot_interval = 64;
 
@@ -33,6 +36,17 @@
 std::string render_head(head const& value);
 std::optional<head> parse_head(std::string_view text);
 
+/// A whole document as the row document_key holds it.
+struct stored_document
+{
+    std::uint64_t version = 0;
+    /// See parse_document().
+    std::string text;
+};
+
+/// `{"version": NUMBER, "document": OBJECT}`; nothing for other text.
+std::optional<stored_document> parse_stored_document(std::string_view text);
+
 std::string render_delta(delta const& value);
 std::optional<delta> parse_delta(std::string_view text);
 
--- a/src/config/references.cpp
+++ b/src/config/references.cpp
@@ -45,20 +45,35 @@
     return base.priorities[index - removed_priority].name;
 }
 
+/// Every service that the route leads to.
+std::vector<std::string> services_of(route const& one)
+{
+    std::vector<std::string> names;
+    for (weighted_service const& part : one.split)
+        names.push_back(part.service);
+    if (names.empty())
+        names.push_back(one.service);
+    return names;
+}
+
 /// Checks one route that the patch sets.
 void check_set_route(table_data const& data, route const& one,
                      std::vector<fault>& faults)
 {
     std::string const path = pointer_to("/routes", one.name);
-    service const* const target = find_service(data, one.service);
-    if (target == nullptr)
-        faults.push_back({pointer_to(path, "service"),
-                          fmt::format("no service named '{}'", one.service)});
-    else if (!accepts(*target, one.priority))
-        faults.push_back(
-            {pointer_to(path, "priority"),
-             fmt::format("service '{}' does not accept this priority",
-                         one.service)});
+    for (std::string const& name : services_of(one))
+    {
+        service const* const target = find_service(data, name);
+        if (target == nullptr)
+            faults.push_back(
+                {pointer_to(path, one.split.empty() ? "service" : "split"),
+                 fmt::format("no service named '{}'", name)});
+        else if (!accepts(*target, one.priority))
+            faults.push_back(
+                {pointer_to(path, "priority"),
+                 fmt::format("service '{}' does not accept this priority",
+                             name)});
+    }
     std::string const other = find_same_pattern(data, one);
     if (!other.empty())
         faults.push_back(
@@ -77,16 +92,18 @@
              fmt::format("route '{}' uses it", one.name)});
         return;
     }
-    service const* const target = find_service(data, one.service);
-    if (target == nullptr)
-        faults.push_back({pointer_to("/services", one.service),
-                          fmt::format("route '{}' uses it", one.name)});
-    else if (!accepts(*target, one.priority))
-        faults.push_back(
-            {pointer_to(
-                 pointer_to(pointer_to("/services", one.service), "priorities"),
-                 data.priorities[one.priority].name),
-             fmt::format("route '{}' uses it", one.name)});
+    for (std::string const& name : services_of(one))
+    {
+        std::string const path = pointer_to("/services", name);
+        service const* const target = find_service(data, name);
+        if (target == nullptr)
+            faults.push_back(
+                {path, fmt::format("route '{}' uses it", one.name)});
+        else if (!accepts(*target, one.priority))
+            faults.push_back({pointer_to(pointer_to(path, "priorities"),
+                                         data.priorities[one.priority].name),
+                              fmt::format("route '{}' uses it", one.name)});
+    }
 }
 
 void check_service(table_data const& base, service const& one,
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -31,6 +31,11 @@
 /// Reads of the head per second for the whole fleet.
 inline constexpr double fleet_polls_per_s = 200;
 
+/// Time for which the store holds a watch of the document open. Each call has
+/// a price there, and a connection that went silent is noticed after it; in
+/// between peers tell newer versions.
+inline constexpr duration document_wait = std::chrono::seconds(25);
+
 /// A call without any answer for this long is taken as unknown. More than the
 /// timeout of every call but that of a snapshot.
 inline constexpr duration call_limit = std::chrono::seconds(5);
@@ -44,7 +49,9 @@
     scan,      ///< patches that this daemon lacks
     get_snapshot,
     put_snapshot,
-    history
+    history,
+    read_document, ///< of an operator who keeps it in the store
+    watch_document
 };
 
 struct call
@@ -118,6 +125,12 @@
 struct state
 {
     std::string own_address;
+    /// The operator writes whole documents into the store. Otherwise patches
+    /// are committed there by daemons.
+    bool follows_document = false;
+    /// Revision from which the document is watched, or 0 to read it.
+    std::uint64_t document_revision = 0;
+    unsigned document_failures = 0;
     /// Seed for the choice of peers and for generated patch ids; must differ
     /// between all runs of all daemons.
     std::uint64_t random = 0;
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -1,6 +1,7 @@
 #include "config/table_data.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <tuple>
 
 namespace gooseberrycove::config
@@ -31,7 +32,8 @@
     std::string_view name;
     std::string_view service;
     std::string_view method;
-    std::string_view path;
+    std::string_view pattern;
+    std::string_view split;
 };
 
 route_texts texts_of(route_block const& from, route_entry const& entry)
@@ -47,10 +49,39 @@
     texts.name = take(entry.name_size);
     texts.service = take(entry.service_size);
     texts.method = take(entry.method_size);
-    texts.path = take(entry.path_size);
+    texts.pattern = take(entry.pattern_size);
+    texts.split = take(entry.split_size);
     return texts;
 }
 
+/// `service=weight` for each part, separated by blanks; names have no blanks.
+std::string pack_split(std::span<weighted_service const> parts)
+{
+    std::string text;
+    for (weighted_service const& part : parts)
+    {
+        text += text.empty() ? "" : " ";
+        text += part.service + '=' + std::to_string(part.weight);
+    }
+    return text;
+}
+
+std::vector<split_part> unpack_split(std::string_view text)
+{
+    std::vector<split_part> parts;
+    while (!text.empty())
+    {
+        std::string_view const item = text.substr(0, text.find(' '));
+        text.remove_prefix(std::min(text.size(), item.size() + 1));
+        std::size_t const equal = item.find('=');
+        split_part part{item.substr(0, equal)};
+        std::from_chars(item.data() + equal + 1, item.data() + item.size(),
+                        part.weight);
+        parts.push_back(part);
+    }
+    return parts;
+}
+
 /// Calls visit(block, entry) for each route with this hash of its name until
 /// it returns true.
 template <class Visit>
@@ -91,8 +122,14 @@
 
 route_view view_of(route_texts const& texts, route_entry const& entry)
 {
-    return {texts.name, texts.service, entry.priority, entry.repeatable,
-            std::chrono::milliseconds(entry.timeout_ms)};
+    return {texts.name,
+            texts.service,
+            entry.priority,
+            entry.repeatable,
+            std::chrono::milliseconds(entry.timeout_ms),
+            unpack_split(texts.split),
+            entry.attempts,
+            entry.open};
 }
 
 /// The route for the pattern with the hash; an exact method wins over `*`.
@@ -106,7 +143,7 @@
                   [&](route_block const& from, route_entry const& entry)
                   {
                       route_texts const texts = texts_of(from, entry);
-                      std::string_view pattern = texts.path;
+                      std::string_view pattern = texts.pattern;
                       if (wildcard != pattern.ends_with('*'))
                           return false;
                       if (wildcard)
@@ -120,6 +157,26 @@
     return found;
 }
 
+/// The route for a host with a path behind it. Only patterns longer than the
+/// host belong to it.
+std::optional<route_view> match_key(table_data const& data,
+                                    std::string_view method,
+                                    std::string_view key, std::size_t host_size)
+{
+    auto found = match_pattern(data, hash_name(key), method, key, false);
+    auto const& lengths = data.wildcard_lengths;
+    std::size_t length = std::min(key.size() + 1, lengths.size());
+    while (!found && length-- > host_size)
+    {
+        if (lengths[length] == 0)
+            continue;
+        std::string_view const prefix = key.substr(0, length);
+        found =
+            match_pattern(data, wildcard_hash(prefix), method, prefix, true);
+    }
+    return found;
+}
+
 template <class Block, std::size_t Count, class Size>
 std::size_t sum(shards<Block, Count> const& all, Size size)
 {
@@ -146,19 +203,17 @@
 }
 
 std::optional<route_view> tables::match(std::string_view method,
+                                        std::string_view host,
                                         std::string_view path) const
 {
-    auto found = match_pattern(*m_data, hash_name(path), method, path, false);
-    auto const& lengths = m_data->wildcard_lengths;
-    std::size_t length = std::min(path.size() + 1, lengths.size());
-    while (!found && length-- > 0)
-    {
-        if (lengths[length] == 0)
-            continue;
-        std::string_view const prefix = path.substr(0, length);
-        found =
-            match_pattern(*m_data, wildcard_hash(prefix), method, prefix, true);
-    }
+    std::string key;
+    for (char const c : host.substr(0, host.find(':')))
+        key += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    std::size_t const host_size = key.size();
+    key += path;
+    auto found = match_key(*m_data, method, key, host_size);
+    if (!found && host_size > 0)
+        found = match_key(*m_data, method, path, 0);
     return found;
 }
 
@@ -184,6 +239,13 @@
                         entry.burst};
 }
 
+bool tables::has_accounts() const
+{
+    return std::ranges::any_of(
+        m_data->accounts,
+        [](auto const& shard) { return shard && !shard->entries.empty(); });
+}
+
 service const* tables::find_service(std::string_view name) const
 {
     return config::find_service(*m_data, name);
@@ -205,13 +267,20 @@
 {
     route_entry const& entry = from.entries[index];
     route_texts const texts = texts_of(from, entry);
-    return {std::string(texts.name),
-            std::string(texts.service),
-            std::string(texts.method),
-            std::string(texts.path),
-            entry.priority,
-            entry.repeatable,
-            entry.timeout_ms};
+    route one;
+    one.name = texts.name;
+    one.service = texts.service;
+    one.method = texts.method;
+    one.host = texts.pattern.substr(0, entry.host_size);
+    one.path = texts.pattern.substr(entry.host_size);
+    one.priority = entry.priority;
+    one.repeatable = entry.repeatable;
+    one.timeout_ms = entry.timeout_ms;
+    one.attempts = entry.attempts;
+    one.open = entry.open;
+    for (split_part const& part : unpack_split(texts.split))
+        one.split.push_back({std::string(part.service), part.weight});
+    return one;
 }
 
 account_block pack(std::vector<account> const& values)
@@ -238,7 +307,8 @@
     std::size_t size = 0;
     for (route const& value : values)
         size += value.name.size() + value.service.size() + value.method.size() +
-                value.path.size();
+                value.host.size() + value.path.size() +
+                pack_split(value.split).size();
     result.entries.reserve(values.size());
     result.text.reserve(size);
     for (route const& value : values)
@@ -247,7 +317,13 @@
         entry.hash = hash_name(value.name);
         entry.begin = static_cast<std::uint32_t>(result.text.size());
         entry.timeout_ms = value.timeout_ms;
-        entry.path_size = static_cast<std::uint16_t>(value.path.size());
+        std::string const pattern = pattern_of(value);
+        std::string const split = pack_split(value.split);
+        entry.pattern_size = static_cast<std::uint16_t>(pattern.size());
+        entry.split_size = static_cast<std::uint16_t>(split.size());
+        entry.host_size = static_cast<std::uint8_t>(value.host.size());
+        entry.attempts = static_cast<std::uint8_t>(value.attempts);
+        entry.open = value.open;
         entry.name_size = static_cast<std::uint8_t>(value.name.size());
         entry.service_size = static_cast<std::uint8_t>(value.service.size());
         entry.method_size = static_cast<std::uint8_t>(value.method.size());
@@ -257,7 +333,8 @@
         result.text += value.name;
         result.text += value.service;
         result.text += value.method;
-        result.text += value.path;
+        result.text += pattern;
+        result.text += split;
     }
     return result;
 }
@@ -273,6 +350,11 @@
            std::make_tuple(hash_name(right.name), std::string_view(right.name));
 }
 
+std::string pattern_of(route const& one)
+{
+    return one.host + one.path;
+}
+
 std::uint64_t pattern_hash(std::string_view pattern)
 {
     if (!pattern.ends_with('*'))
@@ -324,11 +406,12 @@
 std::string find_same_pattern(table_data const& data, route const& self)
 {
     std::string other;
-    visit_pattern(data, pattern_hash(self.path),
+    std::string const pattern = pattern_of(self);
+    visit_pattern(data, pattern_hash(pattern),
                   [&](route_block const& from, route_entry const& entry)
                   {
                       route_texts const texts = texts_of(from, entry);
-                      bool const same = texts.path == self.path &&
+                      bool const same = texts.pattern == pattern &&
                                         texts.method == self.method &&
                                         texts.name != self.name;
                       if (same)
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -23,6 +23,12 @@
 /// Longest path of a route in bytes.
 inline constexpr std::size_t max_path_size = 1024;
 
+/// Longest host of a route in bytes; the limit of DNS names.
+inline constexpr std::size_t max_host_size = 253;
+
+/// Parts of a split route.
+inline constexpr std::size_t max_split_parts = 16;
+
 /// A route's priority that the patch being applied removes: this plus its
 /// former index. Never in force.
 inline constexpr priority_index removed_priority = 128;
@@ -35,15 +41,28 @@
     float burst = 0;
 };
 
+struct weighted_service
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
 struct route
 {
     std::string name;
+    /// The service of the first part when the route is split.
     std::string service;
     std::string method;
     std::string path;
     priority_index priority = 0;
     bool repeatable = true;
     std::uint32_t timeout_ms = 0;
+    /// Lower-case host without port; empty for a route of every host.
+    std::string host = {};
+    /// Ordered by service; empty without a split.
+    std::vector<weighted_service> split = {};
+    std::uint32_t attempts = default_attempts;
+    bool open = false;
 };
 
 /// Texts start at `begin` in the block; the name ends where the next entry's
@@ -56,19 +75,24 @@
     float burst = 0;
 };
 
-/// The name, service, method and path follow each other from `begin`.
+/// The name, service, method, pattern and split follow each other from `begin`.
+/// The pattern is the host with the path behind it.
 struct route_entry
 {
     /// hash_name() of the name.
     std::uint64_t hash = 0;
     std::uint32_t begin = 0;
     std::uint32_t timeout_ms = 0;
-    std::uint16_t path_size = 0;
+    std::uint16_t pattern_size = 0;
+    std::uint16_t split_size = 0;
     std::uint8_t name_size = 0;
     std::uint8_t service_size = 0;
     std::uint8_t method_size = 0;
+    std::uint8_t host_size = 0;
+    std::uint8_t attempts = default_attempts;
     priority_index priority = 0;
     bool repeatable = true;
+    bool open = false;
 };
 
 /// One shard: entries of fixed size and their texts. Accounts are ordered by
@@ -133,6 +157,9 @@
     return hash % Count;
 }
 
+/// The host with the path behind it. A pattern without a host starts with `/`.
+std::string pattern_of(route const& one);
+
 /// Hash of a pattern as used in pattern_entry.
 std::uint64_t pattern_hash(std::string_view pattern);
 
--- a/src/config/table_edit.cpp
+++ b/src/config/table_edit.cpp
@@ -102,11 +102,11 @@
     bool add = true;
 };
 
-void count_wildcard(table_data& data, std::string_view path, bool add)
+void count_wildcard(table_data& data, std::string_view pattern, bool add)
 {
-    if (!path.ends_with('*'))
+    if (!pattern.ends_with('*'))
         return;
-    std::size_t const length = path.size() - 1;
+    std::size_t const length = pattern.size() - 1;
     if (data.wildcard_lengths.size() <= length)
         data.wildcard_lengths.resize(length + 1);
     data.wildcard_lengths[length] += add ? 1 : -1;
@@ -141,8 +141,9 @@
 void note_pattern(table_data& data, std::vector<pattern_change>& patterns,
                   route const& one, bool add)
 {
-    count_wildcard(data, one.path, add);
-    patterns.push_back({{pattern_hash(one.path), hash_name(one.name)}, add});
+    std::string const pattern = pattern_of(one);
+    count_wildcard(data, pattern, add);
+    patterns.push_back({{pattern_hash(pattern), hash_name(one.name)}, add});
 }
 
 void flush_routes(table_edit& edit)
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -1,6 +1,7 @@
 #include "config/versions.hpp"
 
 #include "config/document.hpp"
+#include "config/follow.hpp"
 
 #include <algorithm>
 
@@ -138,7 +139,7 @@
             late.push_back(one.number);
     }
     for (std::uint64_t number : late)
-        on_store_reply(duty, {number, store::status::unknown, {}, {}}, now,
+        on_store_reply(duty, {number, store::status::unknown, {}, {}, 0}, now,
                        out);
 }
 
@@ -150,7 +151,9 @@
     bool const big =
         why == purpose::get_snapshot || why == purpose::put_snapshot;
     // A snapshot at the target has about 60 MB.
-    duration const timeout = std::chrono::seconds(big ? 60 : 2);
+    duration timeout = std::chrono::seconds(big ? 60 : 2);
+    if (why == purpose::watch_document)
+        timeout += document_wait;
     std::uint64_t const number = ++duty.last_call;
     duty.calls.push_back({number, why, now + timeout + call_limit});
     out.calls.push_back({number, std::move(what), timeout, nullptr});
@@ -210,7 +213,9 @@
         {false, event_line(event::config_in_force).field("version", version)});
     settle_by_history(duty, now, out);
     update_ready(duty, out);
-    if (!duty.ready)
+    // Daemons that watch the store get the document from there, and the others
+    // learn of its version with the next packet from a peer.
+    if (!duty.ready || duty.follows_document)
         return;
     if (duty.history.empty())
         return send_to_random_peers(
@@ -226,7 +231,8 @@
     bool const heard =
         duty.store_failed && wanted > 0 && duty.peers_heard.size() >= wanted;
     if (duty.ready || !(duty.head.known || heard) ||
-        duty.current->version() < duty.highest_known)
+        duty.current->version() < duty.highest_known ||
+        (duty.follows_document && duty.current->version() == 0))
         return;
     duty.ready = true;
     duty.peers_heard.clear();
@@ -391,6 +397,9 @@
         return on_snapshot_written(duty, got, now);
     case purpose::history:
         return on_history_reply(duty, got, out);
+    case purpose::read_document:
+    case purpose::watch_document:
+        return on_document_reply(duty, got, now, out);
     }
 }
 
@@ -400,7 +409,9 @@
     bool const polling =
         std::any_of(duty.calls.begin(), duty.calls.end(),
                     [](call const& one) { return one.why == purpose::poll; });
-    if (now >= duty.next_poll && !polling)
+    if (duty.follows_document)
+        tick_document(duty, now, out);
+    else if (now >= duty.next_poll && !polling)
     {
         duty.next_poll = now + poll_period(duty);
         add_call(duty, purpose::poll, store::get_row{std::string(head_key)},
--- a/src/config/versions_test.cpp
+++ b/src/config/versions_test.cpp
@@ -425,7 +425,7 @@
         [&]
         {
             run(messages, {to_routing, to_admission, to_members, to_peer,
-                           to_store, "127.0.0.1:1", ready});
+                           to_store, "127.0.0.1:1", false, ready});
         });
     std::thread platform(
         [&]
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -61,6 +61,8 @@
                  "Whether the request ran is unknown"},
     error_answer{wrong_protocol, "wrong_protocol", 400, not_run, 0,
                  "The peer message's protocol version is not supported"},
+    error_answer{no_configuration, "no_configuration", 503, not_run, 1,
+                 "The daemon has not read the configuration yet"},
 };
 
 } // namespace
--- a/src/core/key_set.cpp
+++ b/src/core/key_set.cpp
@@ -17,6 +17,9 @@
 
 std::vector<std::string> read_keys(std::string_view path)
 {
+    // Daemons without a key share the empty one.
+    if (path.empty())
+        return {std::string()};
     std::istringstream lines(read_file(path));
     std::vector<std::string> keys;
     for (std::string line; std::getline(lines, line);)
@@ -58,7 +61,7 @@
 
 bool key_set::accepts(std::string_view key) const
 {
-    bool accepted = false;
+    bool accepted = !has_file();
     for (std::string const& known : all())
         accepted = equal_in_constant_time(known, key) || accepted;
     return accepted;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include "members/members_thread.hpp"
 #include "peer/peer_thread.hpp"
 #include "routing/routing_thread.hpp"
+#include "platform/row_store.hpp"
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/store.hpp>
@@ -32,12 +33,45 @@
 
 } // namespace
 
+namespace
+{
+
+bool uses_rows(settings const& from)
+{
+    return from.text("daemon", "platform_interface") == "rows";
+}
+
+store::protocol protocol_of(settings const& from)
+{
+    std::string const& name = from.text("daemon", "platform_interface");
+    if (name == "own")
+        return store::own_protocol();
+    if (name != "rows")
+        throw settings_error("daemon.platform_interface: '" + name +
+                             "' is not allowed, allowed: own, rows");
+    return platform::row_store_protocol(from.real("daemon", "floor_share"));
+}
+
+header_names names_of(settings const& from)
+{
+    header_names names;
+    names.request_id = from.text("headers", "request_id");
+    names.time_allowed = from.text("headers", "time_allowed");
+    names.expected_server = from.text("headers", "expected_server");
+    names.caller_service = from.text("headers", "caller_service");
+    names.not_run = from.text("headers", "not_run");
+    return names;
+}
+
+} // namespace
+
 struct daemon_process::implementation
 {
     explicit implementation(settings const& from);
 
     std::string name;
     std::string platform;
+    store::protocol platform_protocol;
     key_set peer_keys;
     key_set admin_keys;
     key_set announce_keys;
@@ -81,6 +115,7 @@
 daemon_process::implementation::implementation(settings const& from)
     : name(from.text("daemon", "name")),
       platform("http://" + from.text("daemon", "platform")),
+      platform_protocol(protocol_of(from)),
       peer_keys(from.text("daemon", "peer_key_file")),
       admin_keys(from.text("daemon", "admin_key_file")),
       announce_keys(from.text("daemon", "announce_key_file"))
@@ -98,18 +133,28 @@
 {
     std::string const& address = from.text("daemon", "peer");
     to_front = std::make_unique<front::wiring>(front::wiring{
-        from.text("daemon", "listen"), &counts, &routing, &callers_in_flight});
+        from.text("daemon", "listen"),
+        {names_of(from), from.number("daemon", "max_body_bytes")},
+        &counts,
+        &routing,
+        &callers_in_flight});
     to_routing = std::make_unique<routing::wiring>(
         routing::wiring{&front, &admission, &peer, &claims, self, address,
-                        from.text("daemon", "data_centre"), &counts});
+                        from.text("daemon", "data_centre"),
+                        from.text("daemon", "service"), &counts});
     to_claims = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, self, address,
                        peer_keys.current()});
     to_admission = std::make_unique<admission::wiring>(
         admission::wiring{&dispatch, &health, &members, &routing, &peer,
                           &claims, self, address, &work_in_flight});
+    dispatch::server_dialect dialect;
+    dialect.names = names_of(from);
+    dialect.max_answer = from.number("daemon", "max_body_bytes");
+    dialect.undelimited_answers =
+        from.boolean("daemon", "undelimited_answers");
     to_dispatch = std::make_unique<dispatch::wiring>(
-        dispatch::wiring{&admission, &health});
+        dispatch::wiring{&admission, &health, std::move(dialect)});
     to_peer = std::make_unique<peer::wiring>(peer::wiring{
         self, address, from.text("daemon", "peer_bind"), &peer_keys, &counts,
         &routing, &admission, &claims, &config, &members});
@@ -132,10 +177,12 @@
                         self.id ^ self.incarnation, &counts});
     to_config = std::make_unique<config::wiring>(
         config::wiring{routing, admission, members, peer, store, record.address,
-                       ready, &counts});
+                       uses_rows(from), ready, &counts});
     to_admin = std::make_unique<admin::wiring>(
-        admin::wiring{record.admin_address, name, &admin_keys, &announce_keys,
-                      &counts, &members, &config, &routing, &ready, &draining});
+        admin::wiring{record.admin_address,
+                      from.addresses("daemon", "also_admin"), name, &admin_keys,
+                      &announce_keys, &counts, &members, &config, &routing,
+                      &ready, &draining});
 }
 
 daemon_process::daemon_process(std::unique_ptr<implementation> made)
@@ -164,7 +211,12 @@
                 }
             });
     };
-    begin("store", [&own] { store::run(own.store, own.platform, own.name); });
+    begin("store",
+          [&own]
+          {
+              store::run(own.store, own.platform, own.name,
+                         own.platform_protocol);
+          });
     begin("peer", [&own] { peer::run(own.peer, *own.to_peer); });
     begin("dispatch",
           [&own] { dispatch::run(own.dispatch, *own.to_dispatch); });
@@ -186,13 +238,15 @@
     m_implementation->announce_keys.reload();
 }
 
-void daemon_process::drain(time_point limit)
+void daemon_process::drain(time_point notice_end, time_point limit)
 {
     implementation& own = *m_implementation;
     own.draining = true;
     own.members.try_push(members::leave{});
     own.front.try_push(front::drain{});
     own.admission.try_push(admission::drain{});
+    std::this_thread::sleep_until(notice_end);
+    own.front.try_push(front::stop_taking{});
     int empty_looks = 0;
     while (empty_looks < empty_looks_needed && clock_now() < limit)
     {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -24,9 +24,11 @@
     /// Reads the key files again. \throws settings_error
     void reload_keys();
 
-    /// Refuses new work as not run, tells peers that this daemon leaves, and
-    /// waits for the requests in flight until \p limit.
-    void drain(time_point limit);
+    /// Takes no new work for the backend servers here and tells peers that this
+    /// daemon leaves. Passes callers' requests on to other daemons until
+    /// \p notice_end, then refuses them as not run, and waits for the requests
+    /// in flight until \p limit.
+    void drain(time_point notice_end, time_point limit);
 
     /// Ends all threads. Called once, after start().
     void stop();
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -37,6 +37,21 @@
     return out;
 }
 
+setting fraction(char const* key, char const* value, char const* help)
+{
+    setting out = optional(key, setting_type::real, value, help);
+    out.minimum = 0;
+    out.maximum = 1;
+    return out;
+}
+
+setting header(char const* key, char const* value, char const* help)
+{
+    setting out = optional(key, setting_type::text, value, help);
+    out.section = "headers";
+    return out;
+}
+
 std::array const schema{
     required("name", setting_type::text,
              "name of this daemon, unique in the fleet and kept over restarts"),
@@ -44,6 +59,12 @@
     required("listen", setting_type::address, "port for callers, ip:port"),
     required("admin", setting_type::address,
              "port for operators and backend servers, ip:port"),
+    optional("also_admin", setting_type::addresses, "",
+             "further addresses with the endpoints of `admin`, ip:port "
+             "separated by blanks"),
+    optional("service", setting_type::text, "",
+             "service of the backend server on this VM, told to the servers "
+             "that run requests from here"),
     required("peer", setting_type::address,
              "port for daemons, TCP and UDP, ip:port"),
     optional("peer_bind", setting_type::address, "",
@@ -51,21 +72,49 @@
              "connections come from this ip"),
     required("platform", setting_type::address,
              "the platform's table service and object store, ip:port"),
-    required(
-        "peer_key_file", setting_type::text,
-        "file with one or two keys shared by the daemons; reread on SIGHUP"),
-    required("admin_key_file", setting_type::text,
-             "file with one or two operators' keys; reread on SIGHUP"),
-    required("announce_key_file", setting_type::text,
-             "file with one or two backend servers' keys; reread on SIGHUP"),
+    optional("platform_interface", setting_type::text, "own",
+             "interface of the platform: own, or rows with the operator's "
+             "document in a row"),
+    optional("peer_key_file", setting_type::text, "",
+             "file with one or two keys shared by the daemons; reread on "
+             "SIGHUP; without it peers are not authenticated"),
+    optional("admin_key_file", setting_type::text, "",
+             "file with one or two operators' keys; reread on SIGHUP; without "
+             "it the operators' endpoints are closed"),
+    optional("announce_key_file", setting_type::text, "",
+             "file with one or two backend servers' keys; reread on SIGHUP; "
+             "without it announcements need no key"),
     optional("seeds", setting_type::addresses, "",
              "peer addresses of daemons to join, ip:port separated by blanks"),
     bounded("drain_seconds", "30", 0, 3600,
             "seconds that a shutdown waits for requests in flight"),
+    bounded("drain_notice_ms", "0", 0, 60'000,
+            "milliseconds of a shutdown in which requests are still taken and "
+            "passed to other daemons"),
+    bounded("max_body_bytes", "1048576", 1024, 64 << 20,
+            "largest body of a request or an answer in bytes"),
+    fraction("floor_share", "0",
+             "share of a service's slots that ejection leaves in use, where "
+             "the configuration comes from a platform that does not say"),
+    optional("undelimited_answers", setting_type::boolean, "false",
+             "whether an answer of a backend server may have no length and "
+             "end with its connection"),
     bounded(
         "log_level", "0", 0, 3,
         "least severity that is logged: 0 info, 1 warning, 2 error, 3 fatal; "
         "reread on SIGHUP"),
+    header("request_id", "X-Request-Id", "header with the caller's id"),
+    header("time_allowed", "X-Deadline-Ms",
+           "header with the milliseconds that the sender still waits"),
+    header("expected_server", "",
+           "header that names the backend server that is meant; not sent when "
+           "empty"),
+    header("caller_service", "",
+           "header that names the service of the VM where the request began; "
+           "not sent when empty"),
+    header("not_run", "",
+           "header whose presence on an answer states that the request was "
+           "not run; besides it `X-Outcome: not_run` does"),
 };
 
 } // namespace
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -94,7 +94,10 @@
     log_info(event_line(event::process_draining));
     auto const limit =
         std::chrono::seconds(values.number("daemon", "drain_seconds"));
-    process->drain(failed ? clock_now() : clock_now() + limit);
+    std::chrono::milliseconds const notice(
+        values.number("daemon", "drain_notice_ms"));
+    time_point const now = clock_now();
+    process->drain(failed ? now : now + notice, failed ? now : now + limit);
     process->stop();
     log_info(event_line(event::process_stopped));
     return failed ? exit_failed : 0;
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -1,7 +1,5 @@
 #include "classify.hpp"
 
-#include <strings.h>
-
 #include <charconv>
 
 namespace gooseberrycove::dispatch
@@ -10,12 +8,6 @@
 namespace
 {
 
-bool equals_ignoring_case(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() &&
-           strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 std::string_view trim(std::string_view text)
 {
     auto const first = text.find_first_not_of(" \t\r\n");
@@ -28,7 +20,7 @@
 {
     constexpr std::string_view chunked = "chunked";
     return codings.size() >= chunked.size() &&
-           equals_ignoring_case(codings.substr(codings.size() - chunked.size()),
+           is_same_header(codings.substr(codings.size() - chunked.size()),
                                 chunked);
 }
 
@@ -39,7 +31,8 @@
 
 } // namespace
 
-void on_header_line(answer_head& head, std::string_view line)
+void on_header_line(answer_head& head, header_names const& names,
+                    std::string_view line)
 {
     if (line.starts_with("HTTP/"))
     {
@@ -55,13 +48,18 @@
         return;
     std::string_view const name = line.substr(0, colon);
     std::string_view const value = trim(line.substr(colon + 1));
-    if (equals_ignoring_case(name, "Content-Length"))
+    head.headers.push_back({std::string(name), std::string(value)});
+    if (is_same_header(name, "Content-Length"))
         head.delimited = true;
-    else if (equals_ignoring_case(name, "Transfer-Encoding"))
+    else if (is_same_header(name, "Transfer-Encoding"))
         head.delimited = head.delimited || ends_in_chunked(value);
-    else if (equals_ignoring_case(name, "X-Outcome"))
-        head.outcome_not_run = equals_ignoring_case(value, "not_run");
-    else if (equals_ignoring_case(name, "Content-Type"))
+    else if (is_same_header(name, "X-Outcome"))
+        head.not_run = head.not_run || is_same_header(value, "not_run");
+    else if (!names.not_run.empty() && is_same_header(name, names.not_run))
+        head.not_run = true;
+    else if (is_same_header(name, names.request_id))
+        head.request_id = value;
+    else if (is_same_header(name, "Content-Type"))
         head.content_type = value;
 }
 
@@ -75,11 +73,18 @@
         return result_class::timed_out;
     if (facts.end != transfer_end::complete)
         return result_class::cut;
-    // An answer that ends with the connection may have been truncated.
-    if (!head.delimited && !has_no_body(facts, head))
+    // A late or second answer on a kept connection belongs to no request.
+    if (!head.request_id.empty() && !facts.request_id.empty() &&
+        head.request_id != facts.request_id)
         return result_class::cut;
-    if (head.status == 503 && head.outcome_not_run)
+    // A server in whose place another one runs answers 421 and runs nothing.
+    bool const misdirected = head.status == 421;
+    if (misdirected || (head.status >= 400 && head.not_run))
         return result_class::refused_not_run;
+    // An answer that ends with the connection may have been truncated.
+    if (!head.delimited && !has_no_body(facts, head) &&
+        !facts.undelimited_is_whole)
+        return result_class::cut;
     return result_class::answered;
 }
 
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -125,7 +125,7 @@
     inbox requests{64};
     admission::inbox results{64};
     health::inbox probes{64};
-    std::thread duty{[this] { run(requests, {&results, &probes}); }};
+    std::thread duty{[this] { run(requests, {&results, &probes, {}}); }};
 
     ~fixture()
     {
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -105,7 +105,7 @@
         "answered", "connect_failed", "refused_not_run",
         "cut",      "timed_out",      "cancelled"};
     event_line line(event::dispatch_finished);
-    line.field("request", to_string(done.job.what.id))
+    line.field("request", done.job.what.caller_id)
         .field("server", done.job.server)
         .field("class", names[static_cast<std::size_t>(result.what)])
         .field("status", result.status)
@@ -136,7 +136,8 @@
     if (job.what.deadline > now)
     {
         add_transfer(self,
-                     make_transfer(take_handle(self), std::move(job), now));
+                     make_transfer(take_handle(self), std::move(job),
+                                   out.dialect, now));
         return;
     }
     finished result;
@@ -161,9 +162,10 @@
     deliver(self, out, std::move(result));
 }
 
-void handle(state& self, wiring const&, probe const& what, time_point now)
+void handle(state& self, wiring const& out, probe const& what, time_point now)
 {
-    add_transfer(self, make_transfer(take_handle(self), what, now));
+    add_transfer(self,
+                 make_transfer(take_handle(self), what, out.dialect, now));
 }
 
 void report_probe(wiring const& out, transfer const& done,
--- a/src/dispatch/dispatch_thread.hpp
+++ b/src/dispatch/dispatch_thread.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_DISPATCH_DISPATCH_THREAD_HPP
 #define GOOSEBERRYCOVE_DISPATCH_DISPATCH_THREAD_HPP
 
+#include "transfer.hpp"
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/dispatch.hpp>
 #include <gooseberrycove/health.hpp>
@@ -13,6 +14,7 @@
 {
     admission::inbox* admission = nullptr;
     health::inbox* health = nullptr;
+    server_dialect dialect;
 };
 
 /// Runs until \p requests is closed; finishes transfers in flight first.
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <new>
 
 namespace gooseberrycove::dispatch
@@ -23,7 +24,7 @@
 {
     transfer& self = *static_cast<transfer*>(context);
     std::size_t const bytes = size * count;
-    if (self.body.size() + bytes > max_answer)
+    if (self.body.size() + bytes > self.dialect->max_answer)
     {
         self.too_large = true;
         return CURL_WRITEFUNC_ERROR;
@@ -36,7 +37,7 @@
                         void* context)
 {
     transfer& self = *static_cast<transfer*>(context);
-    on_header_line(self.head, {data, size * count});
+    on_header_line(self.head, self.dialect->names, {data, size * count});
     return size * count;
 }
 
@@ -73,15 +74,31 @@
         add_header(list, fmt::format("{}: {}", name, value));
 }
 
-header_ptr make_headers(work const& what, duration remaining)
+header_ptr make_headers(start const& job, header_names const& names,
+                        duration remaining)
 {
+    work const& what = job.what;
     header_ptr list;
-    add_header(list, "X-Request-Id", to_string(what.id));
-    add_header(list, "X-Deadline-Ms",
+    for (header_field const& field : what.headers)
+        // libcurl sends a header without a value only when it is written with
+        // a semicolon.
+        add_header(list, field.value.empty() ? field.name + ";"
+                                             : field.name + ": " + field.value);
+    bool const has_agent = std::ranges::any_of(
+        what.headers, [](header_field const& field)
+        { return is_same_header(field.name, "Accept"); });
+    // Without a value libcurl leaves out its own default.
+    if (!has_agent)
+        add_header(list, "Accept:");
+    add_header(list, names.request_id, what.caller_id);
+    add_header(list, names.time_allowed,
                fmt::format("{}", to_milliseconds(remaining)));
+    if (!names.expected_server.empty())
+        add_header(list, names.expected_server, job.server);
+    if (!names.caller_service.empty())
+        add_header(list, names.caller_service, what.caller_service);
     add_header(list, "traceparent", what.traceparent);
     add_header(list, "Idempotency-Key", what.idempotency_key);
-    // Without a value libcurl leaves out its own default.
     add_header(list, what.content_type.empty()
                          ? "Content-Type:"
                          : "Content-Type: " + what.content_type);
@@ -148,15 +165,17 @@
 } // namespace
 
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
+                                        server_dialect const& dialect,
                                         time_point now)
 {
     auto self = std::make_unique<transfer>();
     self->easy = std::move(easy);
+    self->dialect = &dialect;
     self->job = std::move(job);
     self->started = now;
     work const& what = self->job.what;
     duration const remaining = what.deadline - now;
-    self->headers = make_headers(what, remaining);
+    self->headers = make_headers(self->job, dialect.names, remaining);
     set_common_options(*self, what.target, remaining);
     set_method(self->easy.get(), what);
     curl_easy_setopt(self->easy.get(), CURLOPT_HTTPHEADER, self->headers.get());
@@ -169,15 +188,17 @@
 }
 
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, probe const& what,
+                                        server_dialect const& dialect,
                                         time_point now)
 {
     auto self = std::make_unique<transfer>();
     self->easy = std::move(easy);
+    self->dialect = &dialect;
     self->is_probe = true;
     self->job.server = what.server;
     self->job.address = what.address;
     self->started = now;
-    set_common_options(*self, "/healthz", probe_limit);
+    set_common_options(*self, what.path, probe_limit);
     use_own_connection(self->easy.get());
     return self;
 }
@@ -188,6 +209,8 @@
     facts.end = end_of(code);
     facts.may_have_sent = done.sends > 0;
     facts.head_request = done.job.what.method == "HEAD";
+    facts.undelimited_is_whole = done.dialect->undelimited_answers;
+    facts.request_id = done.job.what.caller_id;
     finished result;
     result.ticket = done.job.ticket;
     result.what = classify(facts, done.head);
@@ -195,16 +218,22 @@
     if (code != CURLE_URL_MALFORMAT)
         result.latency = now - done.started;
     if (done.too_large)
-        result.detail = fmt::format("answer exceeds {} bytes", max_answer);
+        result.detail = fmt::format("answer exceeds {} bytes",
+                                    done.dialect->max_answer);
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
     else if (result.what == result_class::cut)
-        result.detail = "answer has neither Content-Length nor chunked end";
+        result.detail = "answer to another request, or one without an end";
     if (result.what == result_class::answered ||
         result.what == result_class::refused_not_run)
     {
         result.status = done.head.status;
         result.content_type = std::move(done.head.content_type);
+        result.headers =
+            forwarded(done.head.headers,
+                      std::array<std::string_view, 3>{
+                          "Content-Type", "X-Outcome",
+                          done.dialect->names.request_id});
         result.body = std::move(done.body);
     }
     return result;
--- a/src/dispatch/transfer.hpp
+++ b/src/dispatch/transfer.hpp
@@ -12,8 +12,15 @@
 namespace gooseberrycove::dispatch
 {
 
-/// Largest answer of a backend server in bytes.
-inline constexpr std::size_t max_answer = 1 << 20;
+/// How a deployment's backend servers are spoken to.
+struct server_dialect
+{
+    header_names names;
+    /// Largest answer in bytes.
+    std::size_t max_answer = 1 << 20;
+    /// Answers may have no length and end with their connection.
+    bool undelimited_answers = false;
+};
 
 struct easy_deleter
 {
@@ -31,6 +38,7 @@
 struct transfer
 {
     start job;
+    server_dialect const* dialect = nullptr;
     /// Set for a probe; `job` then holds only the server and its address.
     bool is_probe = false;
     easy_ptr easy;
@@ -46,10 +54,12 @@
 /// Sets up \p easy for the job. The transfer's time limit is what remains of
 /// the job's deadline at \p now.
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
+                                        server_dialect const& dialect,
                                         time_point now);
 
 /// Sets up a request to the probe endpoint.
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, probe const& what,
+                                        server_dialect const& dialect,
                                         time_point now);
 
 /// Moves the answer out of a transfer that libcurl has ended.
--- a/src/fake_platform/platform.cpp
+++ b/src/fake_platform/platform.cpp
@@ -53,6 +53,11 @@
     return reply;
 }
 
+store::reply run(state& platform, store::watch_row const& what)
+{
+    return run(platform, store::get_row{what.key});
+}
+
 store::reply run(state& platform, store::scan_rows const& what)
 {
     store::reply reply;
--- a/src/front/caller_request.hpp
+++ b/src/front/caller_request.hpp
@@ -10,18 +10,29 @@
 namespace gooseberrycove::front
 {
 
+/// How callers' requests are read.
+struct reading
+{
+    header_names names;
+    /// Largest body in bytes.
+    std::size_t max_body = default_max_body;
+};
+
 /// Reads the headers of a caller's request.
-/// \param generator  source of the request id when the caller sent none
+/// \param generator  source of the fleet's own request id
 /// \throws error of kind bad_request or too_large
 routing::caller_request read_request(http::exchange const& from,
+                                     reading const& how,
                                      std::mt19937_64& generator,
                                      time_point now);
 
-/// The answer as HTTP, with X-Outcome, X-Request-Id and Retry-After.
-http::response to_response(answer const& what);
+/// The answer as HTTP, with X-Outcome, the caller's id and Retry-After.
+http::response to_response(answer const& what, std::string_view caller_id,
+                           header_names const& names);
 
 /// The answer to a request that was refused before routing saw it.
-answer refusal(request_id id, error_kind kind, std::string_view detail);
+answer refusal(std::string_view caller_id, error_kind kind,
+               std::string_view detail);
 
 } // namespace gooseberrycove::front
 
--- a/src/front/front_thread.hpp
+++ b/src/front/front_thread.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_FRONT_THREAD_HPP
 #define GOOSEBERRYCOVE_FRONT_THREAD_HPP
 
+#include "caller_request.hpp"
 #include <gooseberrycove/front.hpp>
 #include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/routing.hpp>
@@ -15,6 +16,7 @@
 {
     /// `ip:port` for callers.
     std::string address;
+    reading requests;
     metrics* counts = nullptr;
     routing::inbox* routing = nullptr;
     /// Requests in flight, read by the main thread while it drains.
--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -64,6 +64,15 @@
         return {value->data(), value->size()};
     }
 
+    std::vector<header_field> headers() const override
+    {
+        std::vector<header_field> fields;
+        m_request->header().for_each_field(
+            [&](restinio::http_header_field_t const& field)
+            { fields.push_back({field.name(), field.value()}); });
+        return fields;
+    }
+
     std::string_view body() const override { return m_request->body(); }
 
     std::uint64_t connection() const override
@@ -83,8 +92,9 @@
         if (!what.content_type.empty())
             builder.append_header(restinio::http_field::content_type,
                                   what.content_type);
-        for (auto const& [name, value] : what.headers)
-            builder.append_header(name, value);
+        for (header_field const& field : what.headers)
+            builder.append_header(
+                restinio::http_header_field_t(field.name, field.value));
         if (what.close)
             builder.connection_close();
         builder.set_body(what.body);
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -136,7 +136,8 @@
         now - test.last_probe >= probe_period)
     {
         test.last_probe = now;
-        out.probes.push_back({test.what.server, test.what.address});
+        out.probes.push_back(
+            {test.what.server, test.what.address, test.what.probe_path});
     }
 }
 
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -41,20 +41,43 @@
     std::uint32_t floor_slots = 0;
     /// Slots of each server that only the most urgent priority may use.
     std::uint32_t reserved_slots = 1;
+    /// Share of the slots that ejection must leave in use, 0 to 1. Of this and
+    /// floor_slots the larger one holds.
+    double floor_share = 0;
     /// Time after an announcement in which latency is no evidence.
     duration warmup{0};
+    /// Path of the probe endpoint of the service's backend servers.
+    std::string probe_path = "/healthz";
     /// Priorities that the service accepts.
     std::vector<priority_share> shares;
 };
 
+/// One part of a route whose requests are split between services.
+struct split_part
+{
+    std::string_view service;
+    std::uint32_t weight = 1;
+};
+
+/// Backend servers that one request may reach when a route does not say.
+inline constexpr std::uint32_t default_attempts = 3;
+
 /// A route as found by tables::match(); the views live as long as the tables.
 struct route_view
 {
     std::string_view name;
+    /// The service of the first part when the route is split.
     std::string_view service;
     priority_index priority = 0;
     bool repeatable = true;
     duration timeout{0};
+    /// Parts in the order of their services; empty without a split.
+    std::vector<split_part> split = {};
+    /// Backend servers that one request may reach.
+    std::uint32_t attempts = default_attempts;
+    /// Callers need no account, and non-repeatable requests no key: each
+    /// request is sent to a backend server at most once.
+    bool open = false;
 };
 
 using key_hash = std::array<std::uint8_t, 16>;
@@ -81,13 +104,19 @@
 
     std::uint64_t version() const;
 
-    /// The longest pattern that matches wins; a pattern ending in `*` matches
-    /// every path that starts with the text before it. Method `*` matches any.
+    /// Routes of the host go before routes without one. Among them the longest
+    /// pattern that matches wins; a pattern ending in `*` matches every path
+    /// that starts with the text before it. Method `*` matches any.
+    ///
+    /// \param host  value of the Host header; its case and port are ignored
     std::optional<route_view> match(std::string_view method,
+                                    std::string_view host,
                                     std::string_view path) const;
 
     std::optional<account_view> account(std::string_view name) const;
 
+    bool has_accounts() const;
+
     /// Returns nullptr for an unknown service.
     service const* find_service(std::string_view name) const;
 
--- a/src/include/gooseberrycove/dispatch.hpp
+++ b/src/include/gooseberrycove/dispatch.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace gooseberrycove::dispatch
 {
@@ -34,13 +35,15 @@
 {
     std::string server;
     std::string address;
+    /// Path of the probe endpoint.
+    std::string path = "/healthz";
 };
 
 enum class result_class : std::uint8_t
 {
     answered,        ///< complete answer with any HTTP status
     connect_failed,  ///< no byte was sent: not run
-    refused_not_run, ///< 503 with `X-Outcome: not_run`
+    refused_not_run, ///< the server states that it did not run the request
     cut,             ///< the connection ended before the answer was complete
     timed_out,
     cancelled
@@ -52,6 +55,8 @@
     result_class what = result_class::cut;
     int status = 0;
     std::string content_type;
+    /// Further headers that go on to the caller.
+    std::vector<header_field> headers;
     std::string body;
     std::string detail;
     duration latency{0};
--- a/src/include/gooseberrycove/error.hpp
+++ b/src/include/gooseberrycove/error.hpp
@@ -46,7 +46,8 @@
     store_unavailable,
     timed_out,
     outcome_unknown,
-    wrong_protocol
+    wrong_protocol,
+    no_configuration
 };
 
 /// How an error kind is answered.
--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_FRONT_HPP
 
 #include <gooseberrycove/error.hpp>
+#include <gooseberrycove/header.hpp>
 #include <gooseberrycove/ring.hpp>
 #include <gooseberrycove/types.hpp>
 
@@ -11,8 +12,8 @@
 namespace gooseberrycove::front
 {
 
-/// Largest body of a caller's request in bytes.
-inline constexpr std::size_t max_body = std::size_t{1024} * 1024;
+/// Largest body of a caller's request in bytes when the settings do not say.
+inline constexpr std::size_t default_max_body = std::size_t{1024} * 1024;
 
 /// What the caller of request \p id gets.
 struct answer
@@ -20,19 +21,27 @@
     request_id id;
     int status = 500;
     std::string content_type;
+    /// Further headers of the backend server's answer.
+    std::vector<header_field> headers;
     std::string body;
     outcome result = outcome::unknown;
     int retry_after_s = 0;
 };
 
-/// Stops accepting connections; new requests on open ones are refused as not
-/// run, requests in flight are finished.
+/// Each further answer ends its connection. Requests are still taken and
+/// passed on: callers need a moment to turn to other daemons.
 struct drain
 {
 };
 
+/// Stops accepting connections; new requests on open ones are refused as not
+/// run.
+struct stop_taking
+{
+};
+
 /// Messages that the front duty takes.
-using message = std::variant<std::monostate, answer, drain>;
+using message = std::variant<std::monostate, answer, drain, stop_taking>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::front
--- a/src/include/gooseberrycove/health.hpp
+++ b/src/include/gooseberrycove/health.hpp
@@ -42,6 +42,7 @@
     std::uint32_t slots = 0;
     duration warmup{0};
     bool gone = false;
+    std::string probe_path = "/healthz";
 };
 
 /// Status of a backend server of the same service at another home.
--- a/src/include/gooseberrycove/http.hpp
+++ b/src/include/gooseberrycove/http.hpp
@@ -1,6 +1,8 @@
 #ifndef GOOSEBERRYCOVE_HTTP_HPP
 #define GOOSEBERRYCOVE_HTTP_HPP
 
+#include <gooseberrycove/header.hpp>
+
 #include <asio/io_context.hpp>
 
 #include <cstdint>
@@ -8,7 +10,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace gooseberrycove::http
@@ -19,7 +20,7 @@
     int status = 200;
     std::string content_type;
     std::string body;
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<header_field> headers;
     /// Closes the connection after this response.
     bool close = false;
 };
@@ -35,6 +36,8 @@
     virtual std::string_view target() const = 0;
     /// Empty when the header is absent.
     virtual std::string_view header(std::string_view name) const = 0;
+    /// All headers in the order in which they came.
+    virtual std::vector<header_field> headers() const = 0;
     virtual std::string_view body() const = 0;
     /// Number of the connection, for the closed handler.
     virtual std::uint64_t connection() const = 0;
--- a/src/include/gooseberrycove/key_set.hpp
+++ b/src/include/gooseberrycove/key_set.hpp
@@ -14,6 +14,8 @@
 class key_set
 {
 public:
+    /// Without a path there is no key: nothing has to be proved to a daemon
+    /// that is reached only from its own VM or fleet.
     /// \throws settings_error when the file cannot be read, holds no key or
     ///     more than two keys
     explicit key_set(std::string_view path);
@@ -22,6 +24,8 @@
     /// \throws settings_error as the constructor
     void reload();
 
+    bool has_file() const { return !m_path.empty(); }
+
     std::string current() const;
     std::vector<std::string> all() const;
 
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -73,8 +73,14 @@
     std::string address;
     std::uint32_t slots = 1;
     std::uint32_t connections = 0;
+    /// Rises with each start of the server.
     std::uint64_t incarnation = 0;
+    /// Rises with each announcement of one start; 0 when the server does not
+    /// number them.
+    std::uint64_t sequence = 0;
     server_state state = server_state::serving;
+    /// Time for which the server stays slow after its start.
+    duration warmup{0};
     duration lease{0};
     /// Share of slots in use as the server reports it; weak evidence.
     double load = 0;
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -18,17 +18,23 @@
 /// A caller's request as the front end read it.
 struct caller_request
 {
+    /// The fleet's own number of the request.
     request_id id;
+    /// The caller's id; opaque, passed on as it came.
+    std::string caller_id;
     /// `ACCOUNT:SECRET` of the Authorization header; empty when absent.
     std::string credentials;
     std::string method;
     /// Path and query.
     std::string target;
+    std::string host;
     std::string content_type;
+    /// Further headers that go on to the backend server.
+    std::vector<header_field> headers;
     std::string body;
     std::string idempotency_key;
     std::string traceparent;
-    /// X-Deadline-Ms; zero when absent.
+    /// Time that the caller waits; zero when it did not say.
     duration time_allowed{0};
     time_point received;
 };
@@ -61,6 +67,7 @@
 struct explain_request
 {
     std::string method;
+    std::string host;
     std::string path;
     std::string account;
     std::function<void(explanation&&)> deliver;
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -47,6 +47,16 @@
     std::string key;
 };
 
+/// Waits until a row changes.
+struct watch_row
+{
+    std::string key;
+    /// reply::revision of the last reply about the row.
+    std::uint64_t after = 0;
+    /// The reply comes without a row when nothing changed for this long.
+    duration wait{0};
+};
+
 struct scan_rows
 {
     std::string prefix;
@@ -66,7 +76,8 @@
 };
 
 using operation =
-    std::variant<get_row, scan_rows, transaction, get_object, put_object>;
+    std::variant<get_row, watch_row, scan_rows, transaction, get_object,
+                 put_object>;
 
 enum class status
 {
@@ -74,6 +85,7 @@
     condition_failed, ///< nothing was written; rows holds the failed rows
     not_found,
     refused, ///< down or over rate; nothing was written
+    history_lost, ///< a watch cannot go on from the revision it named
     unknown  ///< no reply: a write may or may not have taken effect
 };
 
@@ -84,6 +96,9 @@
     status result = status::unknown;
     std::vector<row> rows;
     std::string content;
+    /// Version of the newest write that the reply takes into account; 0 when
+    /// the platform does not say.
+    std::uint64_t revision = 0;
 };
 
 /// One call to the platform. The reply is delivered by calling `deliver` on
@@ -98,6 +113,42 @@
 
 using inbox = ring<request>;
 
+/// An operation as an HTTP interface takes it.
+struct http_call
+{
+    std::string method;
+    /// Path and query, percent-encoded.
+    std::string target;
+    std::string body;
+    bool is_write = false;
+};
+
+/// How a transfer ended.
+struct transfer_end
+{
+    /// The whole response was received.
+    bool complete = false;
+    /// Bytes of the request may have left this process.
+    bool sent = false;
+    int status = 0;
+    std::string_view body;
+};
+
+/// The HTTP interface of a table service and object store.
+struct protocol
+{
+    std::function<http_call(operation const&)> encode;
+    /// Classifies the end of a transfer. A write without a complete and
+    /// readable response is unknown; refused only stands for calls that
+    /// certainly wrote nothing.
+    std::function<reply(operation const&, std::uint64_t number,
+                        transfer_end const&)>
+        decode;
+};
+
+/// The interface that the project's own stand-in has.
+protocol own_protocol();
+
 /// Calls that may wait in the store's ring; further ones are refused.
 inline constexpr std::size_t inbox_capacity = 1024;
 
@@ -108,7 +159,8 @@
 public:
     /// \param base_url  `http://ip:port` of the platform's service
     /// \param name      sent as X-Client
-    client(inbox& requests, std::string_view base_url, std::string_view name);
+    client(inbox& requests, std::string_view base_url, std::string_view name,
+           protocol spoken = own_protocol());
 
     client(client const&) = delete;
     client& operator=(client const&) = delete;
@@ -120,13 +172,15 @@
     inbox& m_requests;
     std::string m_base_url;
     std::string m_name;
+    protocol m_protocol;
     /// Handle of libcurl's multi interface.
     std::shared_ptr<void> m_multi;
 };
 
 /// Constructs a client and runs it. For use when no other thread pushes into
 /// \p requests before.
-void run(inbox& requests, std::string_view base_url, std::string_view client);
+void run(inbox& requests, std::string_view base_url, std::string_view client,
+         protocol const& spoken = own_protocol());
 
 } // namespace gooseberrycove::store
 
--- a/src/include/gooseberrycove/wire.hpp
+++ b/src/include/gooseberrycove/wire.hpp
@@ -18,8 +18,8 @@
 inline constexpr std::size_t code_size = 16;
 inline constexpr std::size_t frame_prefix = 1 + code_size;
 
-/// Largest frame that is accepted: a body of 1 MiB or a full synchronisation.
-inline constexpr std::size_t max_frame = std::size_t{16} << 20;
+/// Largest frame that is accepted: the largest body with its headers.
+inline constexpr std::size_t max_frame = std::size_t{65} << 20;
 
 struct message
 {
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_WORK_HPP
 
 #include <gooseberrycove/error.hpp>
+#include <gooseberrycove/header.hpp>
 #include <gooseberrycove/types.hpp>
 
 #include <string>
@@ -22,6 +23,8 @@
 struct work
 {
     request_id id;
+    /// The caller's own id; opaque, passed on as it came.
+    std::string caller_id;
     /// Distinguishes the attempts of one request; a result repeats it.
     std::uint32_t attempt = 0;
     std::string account;
@@ -33,9 +36,13 @@
     /// Path and query.
     std::string target;
     std::string content_type;
+    /// Further headers that go on to the server.
+    std::vector<header_field> headers;
     std::string body;
     std::string idempotency_key;
     std::string traceparent;
+    /// Service of the VM where the request began.
+    std::string caller_service;
     time_point deadline;
     claim_ref claim;
     /// Backend server chosen by routing; the home may use another one of the
@@ -91,6 +98,8 @@
     outcome result = outcome::unknown;
     int status = 0;
     std::string content_type;
+    /// Further headers of the server's answer.
+    std::vector<header_field> headers;
     std::string body;
     std::string server;
     std::string detail;
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -94,6 +94,65 @@
     return std::clamp(wanted, s.limits.minimum_lease, s.limits.maximum_lease);
 }
 
+/// Time for which an announcement may be held up on its way. A server that
+/// starts again under its name has a higher incarnation.
+constexpr duration late_limit = std::chrono::minutes(2);
+
+/// Whether the announcement is older than what is known of the server, or of
+/// another one that has started at its address since.
+bool is_late(state const& s, announcement const& what, time_point now)
+{
+    // Such a server does not tell one start from another.
+    if (what.incarnation == 0)
+        return false;
+    for (departed const& gone : s.departures)
+    {
+        if (gone.server == what.server && now - gone.since < late_limit &&
+            what.incarnation <= gone.incarnation)
+            return true;
+    }
+    for (homed const& here : s.homes)
+    {
+        bool const same = here.what.server == what.server;
+        if (!same && here.what.address != what.address)
+            continue;
+        if (here.what.incarnation > what.incarnation)
+            return true;
+        if (same && here.what.incarnation == what.incarnation &&
+            what.sequence != 0 && what.sequence < here.what.sequence)
+            return true;
+    }
+    return false;
+}
+
+/// Servers at whose address a later one has started.
+std::vector<std::string> replaced_by(state const& s, announcement const& what)
+{
+    std::vector<std::string> names;
+    for (homed const& here : s.homes)
+    {
+        if (here.what.server != what.server &&
+            here.what.address == what.address &&
+            here.what.incarnation < what.incarnation)
+            names.push_back(here.what.server);
+    }
+    return names;
+}
+
+void note_departure(state& s, announcement const& what, time_point now)
+{
+    std::erase_if(s.departures,
+                  [&](departed const& gone)
+                  {
+                      return gone.server == what.server ||
+                             now - gone.since >= late_limit;
+                  });
+    homed const* const here = find_homed(s, what.server);
+    std::uint64_t const last = here != nullptr ? here->what.incarnation : 0;
+    s.departures.push_back(
+        {what.server, std::max(last, what.incarnation), now});
+}
+
 /// Returns whether the announcement brought something new.
 bool store_announcement(state& s, announcement const& what, homed*& here)
 {
@@ -214,10 +273,20 @@
                                  { deliver(lease); });
     if (what.what.state == server_state::gone)
     {
-        if (find_homed(s, what.what.server) != nullptr)
+        homed const* const leaving = find_homed(s, what.what.server);
+        // The end of an earlier start came late.
+        if (leaving != nullptr && what.what.incarnation != 0 &&
+            leaving->what.incarnation > what.what.incarnation)
+            return;
+        note_departure(s, what.what, now);
+        if (leaving != nullptr)
             remove_homed(s, what.what.server, "announced", now, out);
         return;
     }
+    if (is_late(s, what.what, now))
+        return;
+    for (std::string const& name : replaced_by(s, what.what))
+        remove_homed(s, name, "replaced at its address", now, out);
     homed* here = nullptr;
     bool const changed = store_announcement(s, what.what, here);
     here->lease_until = now + lease;
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -15,7 +15,9 @@
 constexpr std::uint64_t write_number = 2;
 constexpr unsigned slots = 16;
 constexpr std::string_view prefix = "rendezvous/";
-constexpr duration lonely_scan_period{5'000'000};
+/// After a loss of all daemons at once the fleet serves again when they have
+/// found each other, which takes one period.
+constexpr duration lonely_scan_period{1'000'000};
 
 std::string slot_key(std::uint64_t slot)
 {
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -156,6 +156,14 @@
     time_point next_status;
 };
 
+/// A backend server that announced its end here.
+struct departed
+{
+    std::string server;
+    std::uint64_t incarnation = 0;
+    time_point since;
+};
+
 /// A daemon that asked for the present statuses of a service.
 struct status_asker
 {
@@ -185,6 +193,8 @@
     digest listed;
     std::vector<update> updates;
     std::vector<homed> homes;
+    /// Announcements after which servers left, against late ones.
+    std::vector<departed> departures;
     std::vector<status_asker> askers;
     /// server_record::drains of each server that an operator has drained, at
     /// any home; kept when a lease lapses.
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -81,9 +82,10 @@
 
 std::string key_path()
 {
-    std::string const path = "peer_test.key";
+    std::filesystem::path const path =
+        std::filesystem::temp_directory_path() / "gcove_peer_test.key";
     std::ofstream(path) << "secret\n";
-    return path;
+    return path.string();
 }
 
 work work_for(std::uint64_t number, std::string const& origin)
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -53,8 +53,8 @@
                    request const& what, time_point now)
 {
     assessment const found =
-        assess(service.candidates, service.floor_slots, self.evidence, now);
-    if (!what.repeatable)
+        assess(service, self.evidence, now);
+    if (what.claimed)
         return next_claimed(service, what, found.standings);
     std::vector<daemon_ref> const tried = tried_homes(what);
     choice const chosen =
@@ -68,6 +68,7 @@
 {
     work made;
     made.id = what.from.id;
+    made.caller_id = what.from.caller_id;
     made.attempt = which.number;
     made.account = what.account;
     made.service = what.service;
@@ -77,9 +78,11 @@
     made.method = what.from.method;
     made.target = what.from.target;
     made.content_type = what.from.content_type;
+    made.headers = what.from.headers;
     made.body = what.from.body;
     made.idempotency_key = what.from.idempotency_key;
     made.traceparent = what.from.traceparent;
+    made.caller_service = self.caller_service;
     made.deadline = what.deadline;
     made.claim = what.claim.claim;
     made.server = which.server;
@@ -93,7 +96,7 @@
                        target const& to)
 {
     event_line line(why);
-    line.field("request", to_string(what.from.id))
+    line.field("request", what.from.caller_id)
         .field("service", what.service)
         .field("priority", what.priority_name)
         .field("server", to.chosen.who->server)
@@ -115,6 +118,14 @@
     return self.services[std::string(name)];
 }
 
+assessment assess(service_state const& service, home_evidence const& evidence,
+                  time_point now)
+{
+    std::uint32_t const floor = floor_of(
+        service.candidates, service.floor_slots, service.floor_share);
+    return assess(service.candidates, floor, evidence, now);
+}
+
 /// Whether another home than the one of the last attempt is left to try.
 bool has_other_home(state const& self, service_state const& service,
                     request const& what, time_point now)
@@ -124,12 +135,12 @@
     std::vector<daemon_ref> const tried = tried_homes(what);
     auto const untried = [&](daemon_ref const& home)
     { return std::find(tried.begin(), tried.end(), home) == tried.end(); };
-    if (!what.repeatable)
+    if (what.claimed)
         return std::any_of(what.claim.homes.begin(), what.claim.homes.end(),
                            [&](claims::claim_home const& home)
                            { return untried(home.daemon); });
     assessment const found =
-        assess(service.candidates, service.floor_slots, self.evidence, now);
+        assess(service, self.evidence, now);
     for (std::size_t i = 0; i < found.standings.size(); ++i)
     {
         if (found.standings[i] == standing::healthy &&
@@ -142,7 +153,8 @@
 bool start_attempt(state& self, request& what, event why,
                    std::string_view reason, time_point now, actions& out)
 {
-    if (what.attempts.size() >= max_homes || now >= what.deadline)
+    if (what.attempts.size() >= max_homes ||
+        what.reached >= what.most_reached || now >= what.deadline)
         return false;
     service_state& service = service_of(self, what.service);
     target const to = next_target(self, service, what, now);
@@ -165,7 +177,7 @@
 {
     service_state const& service = service_of(self, what.service);
     assessment const found =
-        assess(service.candidates, service.floor_slots, self.evidence, now);
+        assess(service, self.evidence, now);
     std::vector<claims::claim_home> homes;
     std::vector<daemon_ref> named;
     while (homes.size() < max_homes)
--- a/src/routing/attempts.hpp
+++ b/src/routing/attempts.hpp
@@ -8,6 +8,10 @@
 
 service_state& service_of(state& self, std::string_view name);
 
+/// The floor rule with the floor of the service.
+assessment assess(service_state const& service, home_evidence const& evidence,
+                  time_point now);
+
 /// Sends the request to the best home that was not tried yet. False when no
 /// home is left or too many were tried.
 bool start_attempt(state& self, request& what, event why,
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -1,6 +1,7 @@
 #include "candidates.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrycove::routing
 {
@@ -222,6 +223,16 @@
     return result;
 }
 
+std::uint32_t floor_of(std::span<members::candidate const> candidates,
+                       std::uint32_t slots, double share)
+{
+    std::uint32_t usable = 0;
+    for (members::candidate const& who : candidates)
+        usable += in_use(who) ? who.slots : 0;
+    return std::max(slots,
+                    static_cast<std::uint32_t>(std::ceil(share * usable)));
+}
+
 double load_of(members::candidate const& who,
                outstanding_map const& outstanding)
 {
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -71,6 +71,11 @@
                   std::uint32_t floor_slots, home_evidence const& evidence,
                   time_point now);
 
+/// The larger of the two floors that a service may declare.
+/// \param share  of the slots of all servers that could be used
+std::uint32_t floor_of(std::span<members::candidate const> candidates,
+                       std::uint32_t slots, double share);
+
 using outstanding_map = std::map<std::string, std::uint32_t, std::less<>>;
 
 /// (in flight + queued) / slots. Own attempts count at least, because reports
--- a/src/routing/claim_queries.cpp
+++ b/src/routing/claim_queries.cpp
@@ -15,10 +15,12 @@
 constexpr std::string_view mint_path = "/keys";
 constexpr std::string_view outcome_path = "/outcome/";
 
-reply minted_reply(request_id id, std::string const& key)
+reply minted_reply(request_id id, std::string const& caller_id,
+                   std::string const& key)
 {
     reply out;
     out.id = id;
+    out.caller_id = caller_id;
     out.result.status = 200;
     out.result.result = outcome::ran;
     out.result.content_type = "application/json";
@@ -26,10 +28,12 @@
     return out;
 }
 
-reply state_reply(request_id id, claims::claim_state&& found)
+reply state_reply(request_id id, std::string const& caller_id,
+                  claims::claim_state&& found)
 {
     reply out;
     out.id = id;
+    out.caller_id = caller_id;
     out.kind = found.kind;
     if (found.kind != error_kind::none)
         out.detail = "state of the request with this idempotency key";
@@ -53,7 +57,7 @@
     if (reason.kind != error_kind::none)
     {
         out.replies.push_back(
-            {from.id, reason.kind, std::string(reason.detail), {}});
+            {from.id, from.caller_id, reason.kind, std::string(reason.detail), {}});
         return;
     }
     std::string const account(config.account->name);
@@ -62,14 +66,16 @@
     if (path == mint_path)
     {
         out.claim_messages.push_back(
-            claims::mint_request{account, [id, deliver](std::string&& key)
-                                 { deliver(minted_reply(id, key)); }});
+            claims::mint_request{account,
+                                 [id, caller = from.caller_id,
+                                  deliver](std::string&& key)
+                                 { deliver(minted_reply(id, caller, key)); }});
         return;
     }
     out.claim_messages.push_back(claims::state_request{
         account, std::string(path.substr(outcome_path.size())),
-        [id, deliver](claims::claim_state&& found)
-        { deliver(state_reply(id, std::move(found))); }});
+        [id, caller = from.caller_id, deliver](claims::claim_state&& found)
+        { deliver(state_reply(id, caller, std::move(found))); }});
 }
 
 } // namespace gooseberrycove::routing
--- a/src/routing/explain.cpp
+++ b/src/routing/explain.cpp
@@ -6,7 +6,10 @@
 explanation explain(state const& self, looked_up const& config, time_point now)
 {
     explanation result;
-    if (!config.account)
+    bool const is_open = config.route && config.route->open;
+    if (!config.configured)
+        result.kind = error_kind::no_configuration;
+    else if (!config.account && !is_open && config.has_accounts)
         result.kind = error_kind::unauthenticated;
     else if (!config.route)
         result.kind = error_kind::no_route;
@@ -16,17 +19,19 @@
     result.service = config.route->service;
     result.priority = config.priority_name;
     result.repeatable = config.route->repeatable;
-    result.floor_slots = config.floor_slots;
     auto const service = self.services.find(config.route->service);
     if (service == self.services.end())
     {
         result.kind = error_kind::no_server;
+        result.floor_slots = config.floor_slots;
         return result;
     }
     std::span<members::candidate const> const candidates =
         service->second.candidates;
+    result.floor_slots =
+        floor_of(candidates, config.floor_slots, config.floor_share);
     assessment const found =
-        assess(candidates, config.floor_slots, self.evidence, now);
+        assess(candidates, result.floor_slots, self.evidence, now);
     result.healthy_slots = found.capacity;
     bool any = false;
     for (std::size_t i = 0; i < candidates.size(); ++i)
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -36,7 +36,7 @@
         return;
     what.answered = true;
     event_line line(event::request_answered);
-    line.field("request", to_string(what.from.id))
+    line.field("request", what.from.caller_id)
         .field("service", what.service)
         .field("priority", what.priority_name)
         .field("server", result.server)
@@ -46,7 +46,8 @@
                                                   : answer_of(kind).result))
         .field("attempts", static_cast<unsigned>(what.attempts.size()));
     out.log.push_back(std::move(line));
-    out.replies.push_back({what.from.id, kind, std::string(detail),
+    out.replies.push_back({what.from.id, what.from.caller_id, kind,
+                           std::string(detail),
                            std::move(result), what.priority_name,
                            what.from.received});
 }
@@ -165,7 +166,7 @@
     std::uint64_t const passed_over =
         service == self.services.end() ? 0 : service->second.candidates.size();
     event_line line(event::request_refused);
-    line.field("request", to_string(what.from.id))
+    line.field("request", what.from.caller_id)
         .field("service", what.service)
         .field("priority", what.priority_name)
         .field("server", "")
@@ -174,6 +175,7 @@
         .field("passed_over", passed_over);
     out.log.push_back(std::move(line));
     out.replies.push_back({what.from.id,
+                           what.from.caller_id,
                            kind,
                            std::string(detail),
                            {},
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -19,6 +19,14 @@
     using enum error_kind;
     if (self.requests.size() >= self.most_in_flight)
         return {overloaded, "too many requests in flight at this daemon"};
+    if (!config.configured)
+        return {no_configuration, "no configuration was read yet"};
+    if (config.route && config.route->open)
+        return config.route->service.empty()
+                   ? refusal{no_server, "all parts of the split have weight 0"}
+                   : refusal{};
+    if (!config.route && !config.has_accounts)
+        return {no_route, "no route matches"};
     refusal const account = check_account(self, from, config, now);
     if (account.kind != none)
         return account;
@@ -42,6 +50,8 @@
     made.priority_name = config.priority_name;
     made.priority = config.route->priority;
     made.repeatable = config.route->repeatable;
+    made.claimed = !made.repeatable && !config.route->open;
+    made.most_reached = config.route->attempts;
     duration allowed = config.route->timeout;
     if (made.from.time_allowed.count() > 0)
         allowed = std::min(allowed, made.from.time_allowed);
@@ -98,7 +108,7 @@
         watch(self, what, now);
         return;
     }
-    if (what.repeatable)
+    if (!what.claimed)
     {
         refuse(self, what, error_kind::no_server,
                "no backend server is eligible", out);
@@ -135,12 +145,13 @@
     if (earlier != self.requests.end())
     {
         event_line line(event::request_refused);
-        line.field("request", to_string(id)).field("reason", "id_in_use");
+        line.field("request", from.caller_id).field("reason", "id_in_use");
         out.log.push_back(std::move(line));
         // While the first caller waits, an answer for this id would reach it.
         if (earlier->second.answered)
             out.replies.push_back(
                 {id,
+                 from.caller_id,
                  error_kind::in_progress,
                  "an earlier request with this id is not settled",
                  {}});
@@ -161,12 +172,13 @@
     }
     service_state& service = service_of(self, made.service);
     service.floor_slots = config.floor_slots;
+    service.floor_share = config.floor_share;
     count_request(service.budget, now);
     request& what = self.requests.emplace(id, std::move(made)).first->second;
-    if (what.repeatable)
-        run(self, what, now, out);
-    else
+    if (what.claimed)
         ask_for_claim(self, what, now, out);
+    else
+        run(self, what, now, out);
 }
 
 void on_claim_result(state& self, claims::claim_result&& result, time_point now,
@@ -230,7 +242,7 @@
     request& what = found->second;
     // Claimed work runs on, so that its result is recorded for a later
     // request with the same key.
-    if (!what.repeatable)
+    if (what.claimed)
     {
         what.answered = true;
         if (what.now_in == phase::claiming)
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -36,12 +36,18 @@
 }
 
 /// Whether another home may be tried after this failure.
-bool may_move_on(state& self, request& what, outcome result, time_point now)
+/// \param arrived  the request has reached a backend server, which makes
+///                 another attempt a repeat at the service
+bool may_move_on(state& self, request& what, outcome result, bool arrived,
+                 time_point now)
 {
     if (what.answered || has_open_attempt(what))
         return false;
-    if (result == outcome::not_run)
+    if (result == outcome::not_run && !arrived)
         return true;
+    if (result == outcome::not_run)
+        return what.attempts.size() < max_homes && now < what.deadline &&
+               take_retry(service_of(self, what.service).budget, now);
     if (!what.repeatable || what.attempts.size() >= max_homes ||
         now >= what.deadline)
         return false;
@@ -52,9 +58,12 @@
                 time_point now, actions& out)
 {
     outcome const known = result.result;
+    bool const arrived = result.service_time.count() > 0;
+    what.reached += arrived || known != outcome::not_run ? 1 : 0;
     std::string_view const reason = answer_of(result.kind).name;
     keep_failure(what, std::move(result));
-    if (what.now_in == phase::running && may_move_on(self, what, known, now) &&
+    if (what.now_in == phase::running && 
+        may_move_on(self, what, known, arrived, now) &&
         start_attempt(self, what, event::request_retried, reason, now, out))
         return;
     if (has_open_attempt(what))
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -34,6 +34,7 @@
     {
         answer.status = from.result.status;
         answer.content_type = std::move(from.result.content_type);
+        answer.headers = std::move(from.result.headers);
         answer.body = std::move(from.result.body);
         answer.result = from.result.result;
         return answer;
@@ -41,7 +42,7 @@
     error_answer const& row = answer_of(from.kind);
     answer.status = row.status;
     answer.content_type = "application/problem+json";
-    answer.body = problem_document(from.kind, from.detail, to_string(from.id));
+    answer.body = problem_document(from.kind, from.detail, from.caller_id);
     answer.result = row.result;
     answer.retry_after_s = row.retry_after_s;
     return answer;
@@ -119,18 +120,36 @@
     push_waiting(waiting.claim_messages, *to.claims);
 }
 
-looked_up look_up(config::tables_ptr const& tables, std::string_view account,
-                  std::string_view method, std::string_view path)
+/// What a request asks for, as the configuration is searched.
+struct wanted_route
+{
+    std::string_view account;
+    std::string_view method;
+    std::string_view host;
+    std::string_view path;
+};
+
+looked_up look_up(state& self, config::tables_ptr const& tables,
+                  wanted_route const& wanted)
 {
     looked_up found;
-    if (!tables)
+    // Version 0 is the empty configuration that a daemon starts with.
+    found.configured = tables && tables->version() > 0;
+    if (!found.configured)
         return found;
-    found.account = tables->account(account);
-    found.route = tables->match(method, path);
+    found.has_accounts = tables->has_accounts();
+    found.account = tables->account(wanted.account);
+    found.route = tables->match(wanted.method, wanted.host, wanted.path);
     if (!found.route)
         return found;
+    if (!found.route->split.empty())
+        found.route->service =
+            next_part(self.splits, *found.route, self.random);
     if (auto const* service = tables->find_service(found.route->service))
+    {
         found.floor_slots = service->floor_slots;
+        found.floor_share = service->floor_share;
+    }
     auto const priorities = tables->priorities();
     if (found.route->priority < priorities.size())
         found.priority_name = priorities[found.route->priority].name;
@@ -142,8 +161,11 @@
 {
     for (auto& [name, service] : self.services)
     {
-        if (auto const* found = tables.find_service(name))
-            service.floor_slots = found->floor_slots;
+        auto const* const found = tables.find_service(name);
+        if (found == nullptr)
+            continue;
+        service.floor_slots = found->floor_slots;
+        service.floor_share = found->floor_share;
     }
 }
 
@@ -159,8 +181,10 @@
     void operator()(std::monostate) const {}
     void operator()(caller_request& from) const
     {
-        looked_up const found = look_up(tables, account_name(from.credentials),
-                                        from.method, uri::path_of(from.target));
+        looked_up const found =
+            look_up(self, tables,
+                    {account_name(from.credentials), from.method, from.host,
+                     uri::path_of(from.target)});
         if (is_claim_query(from.method, uri::path_of(from.target)))
         {
             auto const deliver = [front = to.front](reply&& item)
@@ -200,8 +224,10 @@
     void operator()(explain_request const& wanted) const
     {
         wanted.deliver(explain(self,
-                               look_up(tables, wanted.account, wanted.method,
-                                       uri::path_of(wanted.path)),
+                               look_up(self, tables,
+                                       {wanted.account, wanted.method,
+                                        wanted.host,
+                                        uri::path_of(wanted.path)}),
                                now));
     }
     void operator()(services_request const& wanted) const
@@ -218,6 +244,7 @@
     self.self = to.self;
     self.address = to.address;
     self.data_centre = to.data_centre;
+    self.caller_service = to.caller_service;
     self.random.seed(to.self.id ^ to.self.incarnation);
     config::tables_ptr tables;
     outbox waiting;
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -20,6 +20,8 @@
     /// Own peer address, `ip:port`.
     std::string address;
     std::string data_centre;
+    /// Service of this VM's backend server; empty when it is not told.
+    std::string caller_service;
     /// May be null.
     metrics* counts = nullptr;
 };
--- /dev/null
+++ b/src/routing/split_test.cpp
@@ -0,0 +1,51 @@
+#include "split.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::routing;
+
+namespace
+{
+
+config::route_view split_route(std::vector<config::split_part> parts)
+{
+    config::route_view route;
+    route.name = "r";
+    route.split = std::move(parts);
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("a split keeps its shares in every window of every daemon")
+{
+    // Guards against shares that hold only on average: 300 requests over 27
+    // daemons are 11 for each.
+    config::route_view const route = split_route({{"a", 90}, {"b", 10}});
+    std::mt19937_64 random(7);
+    for (int window = 0; window < 50; ++window)
+    {
+        double first = 0;
+        for (int daemon = 0; daemon < 27; ++daemon)
+        {
+            split_positions positions;
+            for (int i = 0; i < 11; ++i)
+                first += next_part(positions, route, random) == "a" ? 1 : 0;
+        }
+        CHECK(first / (27 * 11) == Approx(0.9).margin(0.04));
+    }
+}
+
+TEST_CASE("a part without weight gets nothing, and new weights hold at once")
+{
+    std::mt19937_64 random(1);
+    split_positions positions;
+    for (int i = 0; i < 100; ++i)
+        next_part(positions, split_route({{"a", 1}, {"b", 99}}), random);
+    for (int i = 0; i < 100; ++i)
+        CHECK(next_part(positions, split_route({{"a", 1}, {"b", 0}}), random) ==
+              "a");
+    CHECK(next_part(positions, split_route({{"a", 0}, {"b", 0}}), random)
+              .empty());
+}
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -4,6 +4,7 @@
 #include "candidates.hpp"
 #include "rate_limit.hpp"
 #include "retry.hpp"
+#include "split.hpp"
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/peer.hpp>
@@ -40,7 +41,13 @@
 {
     std::optional<config::account_view> account;
     std::optional<config::route_view> route;
+    /// False when the daemon has not read any configuration.
+    bool configured = true;
+    /// False when the configuration has no accounts, so that nobody could
+    /// authenticate for a route that does not exist.
+    bool has_accounts = true;
     std::uint32_t floor_slots = 0;
+    double floor_share = 0;
     std::string_view priority_name;
 };
 
@@ -75,6 +82,11 @@
     std::string priority_name;
     priority_index priority = 0;
     bool repeatable = true;
+    /// Runs under a claim: non-repeatable and not on an open route.
+    bool claimed = false;
+    /// Backend servers that it may reach, and those that it has reached.
+    std::uint32_t most_reached = config::default_attempts;
+    std::uint32_t reached = 0;
     time_point deadline;
     phase now_in = phase::running;
     bool answered = false;
@@ -94,6 +106,7 @@
 struct service_state
 {
     std::uint32_t floor_slots = 0;
+    double floor_share = 0;
     std::vector<members::candidate> candidates;
     /// Own attempts in flight by server; newer than any report.
     std::map<std::string, std::uint32_t, std::less<>> outstanding;
@@ -106,12 +119,15 @@
     daemon_ref self;
     std::string address;
     std::string data_centre;
+    /// Service of this VM's backend server, told to the servers.
+    std::string caller_service;
     std::mt19937_64 random;
     std::size_t most_in_flight = max_in_flight;
     std::unordered_map<request_id, request, request_id_hash> requests;
     std::map<std::string, service_state, std::less<>> services;
     timer_queue timers;
     rate_limiter rates;
+    split_positions splits;
     home_evidence evidence;
     /// Results that came after their request was finished.
     std::uint64_t dropped_results = 0;
@@ -121,6 +137,7 @@
 struct reply
 {
     request_id id;
+    std::string caller_id;
     error_kind kind = error_kind::none;
     std::string detail;
     work_result result;
--- a/src/routing/summary.cpp
+++ b/src/routing/summary.cpp
@@ -1,3 +1,4 @@
+#include "attempts.hpp"
 #include "decisions.hpp"
 
 namespace gooseberrycove::routing
@@ -11,10 +12,11 @@
         if (service.candidates.empty())
             continue;
         assessment const found =
-            assess(service.candidates, service.floor_slots, self.evidence, now);
+            assess(service, self.evidence, now);
         service_summary entry;
         entry.service = name;
-        entry.floor_slots = service.floor_slots;
+        entry.floor_slots = floor_of(service.candidates, service.floor_slots,
+                                     service.floor_share);
         entry.healthy_slots = found.capacity;
         entry.servers = static_cast<std::uint32_t>(service.candidates.size());
         for (standing const value : found.standings)
--- a/src/store/call.cpp
+++ b/src/store/call.cpp
@@ -19,6 +19,12 @@
             false};
 }
 
+/// This interface answers at once, so its users repeat the call.
+http_call encode_one(watch_row const& what)
+{
+    return encode_one(get_row{what.key});
+}
+
 http_call encode_one(scan_rows const& what)
 {
     return {"GET",
@@ -74,7 +80,8 @@
 {
     if (std::holds_alternative<get_object>(what))
         result.content = body;
-    else if (std::holds_alternative<get_row>(what))
+    else if (std::holds_alternative<get_row>(what) ||
+             std::holds_alternative<watch_row>(what))
         result.rows = {read_row(json::parse(body))};
     else if (std::holds_alternative<scan_rows>(what))
         result.rows = read_rows(json::parse(body).at("rows"));
@@ -132,9 +139,16 @@
     }
     catch (json::exception const&)
     {
-        return {number, status::unknown, {}, {}};
+        reply unreadable;
+        unreadable.number = number;
+        return unreadable;
     }
     return result;
 }
 
+protocol own_protocol()
+{
+    return {encode, decode};
+}
+
 } // namespace gooseberrycove::store
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -52,6 +52,7 @@
     std::shared_ptr<CURLM> multi;
     std::string base_url;
     std::string client;
+    protocol spoken;
     std::map<CURL*, std::unique_ptr<transfer>> running;
     /// The last call had no usable reply.
     bool failing = false;
@@ -104,12 +105,13 @@
 {
     auto one = std::make_unique<transfer>();
     one->asked = std::move(asked);
-    one->call = encode(one->asked.what);
+    one->call = loop.spoken.encode(one->asked.what);
     one->url = loop.base_url + one->call.target;
     one->handle.reset(curl_easy_init());
     CURL* const handle = one->handle.get();
     if (handle == nullptr)
-        return one->asked.deliver({one->asked.number, status::refused, {}, {}});
+        return one->asked.deliver(
+            {one->asked.number, status::refused, {}, {}, 0});
     set_options(*one, loop);
     curl_multi_add_handle(loop.multi.get(), handle);
     loop.running.emplace(handle, std::move(one));
@@ -126,7 +128,7 @@
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
     transfer_end const end{code == CURLE_OK, sent_bytes > 0,
                            static_cast<int>(http_status), one.body};
-    reply result = decode(one.asked.what, one.asked.number, end);
+    reply result = loop.spoken.decode(one.asked.what, one.asked.number, end);
     bool const failed =
         result.result == status::refused || result.result == status::unknown;
     log_change(loop, failed,
@@ -163,8 +165,9 @@
 } // namespace
 
 client::client(inbox& requests, std::string_view base_url,
-               std::string_view name)
+               std::string_view name, protocol spoken)
     : m_requests(requests), m_base_url(base_url), m_name(name),
+      m_protocol(std::move(spoken)),
       m_multi(curl_multi_init(), curl_multi_cleanup)
 {
     if (!m_multi)
@@ -180,7 +183,7 @@
 
 void client::run()
 {
-    loop_state loop{m_multi, m_base_url, m_name, {}, false};
+    loop_state loop{m_multi, m_base_url, m_name, m_protocol, {}, false};
     bool open = true;
     while (open || !loop.running.empty())
     {
@@ -195,9 +198,10 @@
     }
 }
 
-void run(inbox& requests, std::string_view base_url, std::string_view client)
+void run(inbox& requests, std::string_view base_url, std::string_view client,
+         protocol const& spoken)
 {
-    gooseberrycove::store::client(requests, base_url, client).run();
+    gooseberrycove::store::client(requests, base_url, client, spoken).run();
 }
 
 } // namespace gooseberrycove::store
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -28,7 +28,7 @@
 }
 
 constexpr int error_kind_count =
-    static_cast<int>(error_kind::wrong_protocol) + 1;
+    static_cast<int>(error_kind::no_configuration) + 1;
 
 gen::Daemon put(daemon_ref value)
 {
@@ -71,6 +71,25 @@
             static_cast<std::uint64_t>(in.id_low)};
 }
 
+std::vector<gen::HeaderField> put(std::vector<header_field> const& fields)
+{
+    std::vector<gen::HeaderField> out(fields.size());
+    for (std::size_t i = 0; i < fields.size(); ++i)
+    {
+        out[i].name = fields[i].name;
+        out[i].value = fields[i].value;
+    }
+    return out;
+}
+
+std::vector<header_field> get(std::vector<gen::HeaderField> const& fields)
+{
+    std::vector<header_field> out;
+    for (gen::HeaderField const& field : fields)
+        out.push_back({field.name, field.value});
+    return out;
+}
+
 gen::Work put(work const& value, time_point now)
 {
     gen::Work out;
@@ -94,6 +113,9 @@
     out.origin_address = value.origin_address;
     out.other_homes = value.other_homes;
     out.home = put(value.home);
+    out.caller_id = value.caller_id;
+    out.headers = put(value.headers);
+    out.caller_service = value.caller_service;
     return out;
 }
 
@@ -123,6 +145,9 @@
     out.origin_address = in.origin_address;
     out.other_homes = in.other_homes;
     out.home = get(in.home);
+    out.caller_id = in.caller_id;
+    out.headers = get(in.headers);
+    out.caller_service = in.caller_service;
     return out;
 }
 
@@ -203,6 +228,7 @@
     out.service_time_us = value.service_time.count();
     out.statuses = put_all<gen::ServerStatus>(value.statuses);
     out.home = put(value.home);
+    out.headers = put(value.headers);
     return out;
 }
 
@@ -221,6 +247,7 @@
     out.service_time = duration(in.service_time_us);
     out.statuses = get_all<server_status>(in.statuses);
     out.home = get(in.home);
+    out.headers = get(in.headers);
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -238,6 +238,118 @@
 }
 
 
+HeaderField::~HeaderField() noexcept {
+}
+
+
+void HeaderField::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HeaderField::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const HeaderField& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HeaderField::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HeaderField::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HeaderField");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HeaderField &a, HeaderField &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+HeaderField::HeaderField(const HeaderField& other4) {
+  name = other4.name;
+  value = other4.value;
+  __isset = other4.__isset;
+}
+HeaderField& HeaderField::operator=(const HeaderField& other5) {
+  name = other5.name;
+  value = other5.value;
+  __isset = other5.__isset;
+  return *this;
+}
+void HeaderField::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HeaderField(";
+  out << "name=" << to_string(name);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
 Work::~Work() noexcept {
 }
 
@@ -325,6 +437,18 @@
 void Work::__set_home(const Daemon& val) {
   this->home = val;
 }
+
+void Work::__set_caller_id(const std::string& val) {
+  this->caller_id = val;
+}
+
+void Work::__set_headers(const std::vector<HeaderField> & val) {
+  this->headers = val;
+}
+
+void Work::__set_caller_service(const std::string& val) {
+  this->caller_service = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -521,6 +645,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_id);
+          this->__isset.caller_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->headers.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
+            {
+              xfer += this->headers[_i10].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_service);
+          this->__isset.caller_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -622,6 +782,26 @@
   xfer += this->home.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("caller_id", ::apache::thrift::protocol::T_STRING, 22);
+  xfer += oprot->writeString(this->caller_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HeaderField> ::const_iterator _iter11;
+    for (_iter11 = this->headers.begin(); _iter11 != this->headers.end(); ++_iter11)
+    {
+      xfer += (*_iter11).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_service", ::apache::thrift::protocol::T_STRING, 24);
+  xfer += oprot->writeString(this->caller_service);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -650,56 +830,65 @@
   swap(a.origin_address, b.origin_address);
   swap(a.other_homes, b.other_homes);
   swap(a.home, b.home);
+  swap(a.caller_id, b.caller_id);
+  swap(a.headers, b.headers);
+  swap(a.caller_service, b.caller_service);
   swap(a.__isset, b.__isset);
 }
 
-Work::Work(const Work& other4) {
-  id_high = other4.id_high;
-  id_low = other4.id_low;
-  attempt = other4.attempt;
-  account = other4.account;
-  service_name = other4.service_name;
-  route = other4.route;
-  priority = other4.priority;
-  repeatable = other4.repeatable;
-  method = other4.method;
-  target = other4.target;
-  content_type = other4.content_type;
-  body = other4.body;
-  idempotency_key = other4.idempotency_key;
-  traceparent = other4.traceparent;
-  remaining_us = other4.remaining_us;
-  claim = other4.claim;
-  server = other4.server;
-  origin = other4.origin;
-  origin_address = other4.origin_address;
-  other_homes = other4.other_homes;
-  home = other4.home;
-  __isset = other4.__isset;
-}
-Work& Work::operator=(const Work& other5) {
-  id_high = other5.id_high;
-  id_low = other5.id_low;
-  attempt = other5.attempt;
-  account = other5.account;
-  service_name = other5.service_name;
-  route = other5.route;
-  priority = other5.priority;
-  repeatable = other5.repeatable;
-  method = other5.method;
-  target = other5.target;
-  content_type = other5.content_type;
-  body = other5.body;
-  idempotency_key = other5.idempotency_key;
-  traceparent = other5.traceparent;
-  remaining_us = other5.remaining_us;
-  claim = other5.claim;
-  server = other5.server;
-  origin = other5.origin;
-  origin_address = other5.origin_address;
-  other_homes = other5.other_homes;
-  home = other5.home;
-  __isset = other5.__isset;
+Work::Work(const Work& other12) {
+  id_high = other12.id_high;
+  id_low = other12.id_low;
+  attempt = other12.attempt;
+  account = other12.account;
+  service_name = other12.service_name;
+  route = other12.route;
+  priority = other12.priority;
+  repeatable = other12.repeatable;
+  method = other12.method;
+  target = other12.target;
+  content_type = other12.content_type;
+  body = other12.body;
+  idempotency_key = other12.idempotency_key;
+  traceparent = other12.traceparent;
+  remaining_us = other12.remaining_us;
+  claim = other12.claim;
+  server = other12.server;
+  origin = other12.origin;
+  origin_address = other12.origin_address;
+  other_homes = other12.other_homes;
+  home = other12.home;
+  caller_id = other12.caller_id;
+  headers = other12.headers;
+  caller_service = other12.caller_service;
+  __isset = other12.__isset;
+}
+Work& Work::operator=(const Work& other13) {
+  id_high = other13.id_high;
+  id_low = other13.id_low;
+  attempt = other13.attempt;
+  account = other13.account;
+  service_name = other13.service_name;
+  route = other13.route;
+  priority = other13.priority;
+  repeatable = other13.repeatable;
+  method = other13.method;
+  target = other13.target;
+  content_type = other13.content_type;
+  body = other13.body;
+  idempotency_key = other13.idempotency_key;
+  traceparent = other13.traceparent;
+  remaining_us = other13.remaining_us;
+  claim = other13.claim;
+  server = other13.server;
+  origin = other13.origin;
+  origin_address = other13.origin_address;
+  other_homes = other13.other_homes;
+  home = other13.home;
+  caller_id = other13.caller_id;
+  headers = other13.headers;
+  caller_service = other13.caller_service;
+  __isset = other13.__isset;
   return *this;
 }
 void Work::printTo(std::ostream& out) const {
@@ -726,6 +915,9 @@
   out << ", " << "origin_address=" << to_string(origin_address);
   out << ", " << "other_homes=" << to_string(other_homes);
   out << ", " << "home=" << to_string(home);
+  out << ", " << "caller_id=" << to_string(caller_id);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "caller_service=" << to_string(caller_service);
   out << ")";
 }
 
@@ -975,33 +1167,33 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerStatus::ServerStatus(const ServerStatus& other6) {
-  server = other6.server;
-  service_name = other6.service_name;
-  slots = other6.slots;
-  in_flight = other6.in_flight;
-  queued = other6.queued;
-  health = other6.health;
-  score = other6.score;
-  samples = other6.samples;
-  failures = other6.failures;
-  mean_log_latency = other6.mean_log_latency;
-  sequence = other6.sequence;
-  __isset = other6.__isset;
-}
-ServerStatus& ServerStatus::operator=(const ServerStatus& other7) {
-  server = other7.server;
-  service_name = other7.service_name;
-  slots = other7.slots;
-  in_flight = other7.in_flight;
-  queued = other7.queued;
-  health = other7.health;
-  score = other7.score;
-  samples = other7.samples;
-  failures = other7.failures;
-  mean_log_latency = other7.mean_log_latency;
-  sequence = other7.sequence;
-  __isset = other7.__isset;
+ServerStatus::ServerStatus(const ServerStatus& other14) {
+  server = other14.server;
+  service_name = other14.service_name;
+  slots = other14.slots;
+  in_flight = other14.in_flight;
+  queued = other14.queued;
+  health = other14.health;
+  score = other14.score;
+  samples = other14.samples;
+  failures = other14.failures;
+  mean_log_latency = other14.mean_log_latency;
+  sequence = other14.sequence;
+  __isset = other14.__isset;
+}
+ServerStatus& ServerStatus::operator=(const ServerStatus& other15) {
+  server = other15.server;
+  service_name = other15.service_name;
+  slots = other15.slots;
+  in_flight = other15.in_flight;
+  queued = other15.queued;
+  health = other15.health;
+  score = other15.score;
+  samples = other15.samples;
+  failures = other15.failures;
+  mean_log_latency = other15.mean_log_latency;
+  sequence = other15.sequence;
+  __isset = other15.__isset;
   return *this;
 }
 void ServerStatus::printTo(std::ostream& out) const {
@@ -1077,6 +1269,10 @@
 void WorkResult::__set_home(const Daemon& val) {
   this->home = val;
 }
+
+void WorkResult::__set_headers(const std::vector<HeaderField> & val) {
+  this->headers = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkResult& obj)
 {
   obj.printTo(out);
@@ -1197,14 +1393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->statuses.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->statuses.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->statuses[_i12].read(iprot);
+              xfer += this->statuses[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1221,6 +1417,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->headers.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += this->headers[_i25].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1285,10 +1501,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter13;
-    for (_iter13 = this->statuses.begin(); _iter13 != this->statuses.end(); ++_iter13)
+    std::vector<ServerStatus> ::const_iterator _iter26;
+    for (_iter26 = this->statuses.begin(); _iter26 != this->statuses.end(); ++_iter26)
     {
-      xfer += (*_iter13).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1298,6 +1514,18 @@
   xfer += this->home.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HeaderField> ::const_iterator _iter27;
+    for (_iter27 = this->headers.begin(); _iter27 != this->headers.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1318,40 +1546,43 @@
   swap(a.service_time_us, b.service_time_us);
   swap(a.statuses, b.statuses);
   swap(a.home, b.home);
+  swap(a.headers, b.headers);
   swap(a.__isset, b.__isset);
 }
 
-WorkResult::WorkResult(const WorkResult& other14) {
-  id_high = other14.id_high;
-  id_low = other14.id_low;
-  attempt = other14.attempt;
-  kind = other14.kind;
-  outcome = other14.outcome;
-  status = other14.status;
-  content_type = other14.content_type;
-  body = other14.body;
-  server = other14.server;
-  detail = other14.detail;
-  service_time_us = other14.service_time_us;
-  statuses = other14.statuses;
-  home = other14.home;
-  __isset = other14.__isset;
-}
-WorkResult& WorkResult::operator=(const WorkResult& other15) {
-  id_high = other15.id_high;
-  id_low = other15.id_low;
-  attempt = other15.attempt;
-  kind = other15.kind;
-  outcome = other15.outcome;
-  status = other15.status;
-  content_type = other15.content_type;
-  body = other15.body;
-  server = other15.server;
-  detail = other15.detail;
-  service_time_us = other15.service_time_us;
-  statuses = other15.statuses;
-  home = other15.home;
-  __isset = other15.__isset;
+WorkResult::WorkResult(const WorkResult& other28) {
+  id_high = other28.id_high;
+  id_low = other28.id_low;
+  attempt = other28.attempt;
+  kind = other28.kind;
+  outcome = other28.outcome;
+  status = other28.status;
+  content_type = other28.content_type;
+  body = other28.body;
+  server = other28.server;
+  detail = other28.detail;
+  service_time_us = other28.service_time_us;
+  statuses = other28.statuses;
+  home = other28.home;
+  headers = other28.headers;
+  __isset = other28.__isset;
+}
+WorkResult& WorkResult::operator=(const WorkResult& other29) {
+  id_high = other29.id_high;
+  id_low = other29.id_low;
+  attempt = other29.attempt;
+  kind = other29.kind;
+  outcome = other29.outcome;
+  status = other29.status;
+  content_type = other29.content_type;
+  body = other29.body;
+  server = other29.server;
+  detail = other29.detail;
+  service_time_us = other29.service_time_us;
+  statuses = other29.statuses;
+  home = other29.home;
+  headers = other29.headers;
+  __isset = other29.__isset;
   return *this;
 }
 void WorkResult::printTo(std::ostream& out) const {
@@ -1370,6 +1601,7 @@
   out << ", " << "service_time_us=" << to_string(service_time_us);
   out << ", " << "statuses=" << to_string(statuses);
   out << ", " << "home=" << to_string(home);
+  out << ", " << "headers=" << to_string(headers);
   out << ")";
 }
 
@@ -1500,19 +1732,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other16) noexcept {
-  id_high = other16.id_high;
-  id_low = other16.id_low;
-  attempt = other16.attempt;
-  origin = other16.origin;
-  __isset = other16.__isset;
+Cancel::Cancel(const Cancel& other30) noexcept {
+  id_high = other30.id_high;
+  id_low = other30.id_low;
+  attempt = other30.attempt;
+  origin = other30.origin;
+  __isset = other30.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other17) noexcept {
-  id_high = other17.id_high;
-  id_low = other17.id_low;
-  attempt = other17.attempt;
-  origin = other17.origin;
-  __isset = other17.__isset;
+Cancel& Cancel::operator=(const Cancel& other31) noexcept {
+  id_high = other31.id_high;
+  id_low = other31.id_low;
+  attempt = other31.attempt;
+  origin = other31.origin;
+  __isset = other31.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -1652,19 +1884,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Fence::Fence(const Fence& other18) {
-  claim = other18.claim;
-  home = other18.home;
-  sender = other18.sender;
-  sender_address = other18.sender_address;
-  __isset = other18.__isset;
+Fence::Fence(const Fence& other32) {
+  claim = other32.claim;
+  home = other32.home;
+  sender = other32.sender;
+  sender_address = other32.sender_address;
+  __isset = other32.__isset;
 }
-Fence& Fence::operator=(const Fence& other19) {
-  claim = other19.claim;
-  home = other19.home;
-  sender = other19.sender;
-  sender_address = other19.sender_address;
-  __isset = other19.__isset;
+Fence& Fence::operator=(const Fence& other33) {
+  claim = other33.claim;
+  home = other33.home;
+  sender = other33.sender;
+  sender_address = other33.sender_address;
+  __isset = other33.__isset;
   return *this;
 }
 void Fence::printTo(std::ostream& out) const {
@@ -1804,19 +2036,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceAnswer::FenceAnswer(const FenceAnswer& other20) {
-  claim = other20.claim;
-  home = other20.home;
-  state = other20.state;
-  result = other20.result;
-  __isset = other20.__isset;
+FenceAnswer::FenceAnswer(const FenceAnswer& other34) {
+  claim = other34.claim;
+  home = other34.home;
+  state = other34.state;
+  result = other34.result;
+  __isset = other34.__isset;
 }
-FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other21) {
-  claim = other21.claim;
-  home = other21.home;
-  state = other21.state;
-  result = other21.result;
-  __isset = other21.__isset;
+FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other35) {
+  claim = other35.claim;
+  home = other35.home;
+  state = other35.state;
+  result = other35.result;
+  __isset = other35.__isset;
   return *this;
 }
 void FenceAnswer::printTo(std::ostream& out) const {
@@ -1922,15 +2154,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other22) {
-  sender_address = other22.sender_address;
-  after = other22.after;
-  __isset = other22.__isset;
+Pull::Pull(const Pull& other36) {
+  sender_address = other36.sender_address;
+  after = other36.after;
+  __isset = other36.__isset;
 }
-Pull& Pull::operator=(const Pull& other23) {
-  sender_address = other23.sender_address;
-  after = other23.after;
-  __isset = other23.__isset;
+Pull& Pull::operator=(const Pull& other37) {
+  sender_address = other37.sender_address;
+  after = other37.after;
+  __isset = other37.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -2068,19 +2300,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Delta::Delta(const Delta& other24) {
-  version = other24.version;
-  patch_id = other24.patch_id;
-  author = other24.author;
-  patch = other24.patch;
-  __isset = other24.__isset;
+Delta::Delta(const Delta& other38) {
+  version = other38.version;
+  patch_id = other38.patch_id;
+  author = other38.author;
+  patch = other38.patch;
+  __isset = other38.__isset;
 }
-Delta& Delta::operator=(const Delta& other25) {
-  version = other25.version;
-  patch_id = other25.patch_id;
-  author = other25.author;
-  patch = other25.patch;
-  __isset = other25.__isset;
+Delta& Delta::operator=(const Delta& other39) {
+  version = other39.version;
+  patch_id = other39.patch_id;
+  author = other39.author;
+  patch = other39.patch;
+  __isset = other39.__isset;
   return *this;
 }
 void Delta::printTo(std::ostream& out) const {
@@ -2169,14 +2401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->entries.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->entries.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->entries[_i30].read(iprot);
+              xfer += this->entries[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2217,10 +2449,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<Delta> ::const_iterator _iter31;
-    for (_iter31 = this->entries.begin(); _iter31 != this->entries.end(); ++_iter31)
+    std::vector<Delta> ::const_iterator _iter45;
+    for (_iter45 = this->entries.begin(); _iter45 != this->entries.end(); ++_iter45)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2240,19 +2472,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Deltas::Deltas(const Deltas& other32) {
-  sender_address = other32.sender_address;
-  snapshot_version = other32.snapshot_version;
-  snapshot = other32.snapshot;
-  entries = other32.entries;
-  __isset = other32.__isset;
+Deltas::Deltas(const Deltas& other46) {
+  sender_address = other46.sender_address;
+  snapshot_version = other46.snapshot_version;
+  snapshot = other46.snapshot;
+  entries = other46.entries;
+  __isset = other46.__isset;
 }
-Deltas& Deltas::operator=(const Deltas& other33) {
-  sender_address = other33.sender_address;
-  snapshot_version = other33.snapshot_version;
-  snapshot = other33.snapshot;
-  entries = other33.entries;
-  __isset = other33.__isset;
+Deltas& Deltas::operator=(const Deltas& other47) {
+  sender_address = other47.sender_address;
+  snapshot_version = other47.snapshot_version;
+  snapshot = other47.snapshot;
+  entries = other47.entries;
+  __isset = other47.__isset;
   return *this;
 }
 void Deltas::printTo(std::ostream& out) const {
@@ -2358,15 +2590,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerVersion::PeerVersion(const PeerVersion& other34) {
-  address = other34.address;
-  version = other34.version;
-  __isset = other34.__isset;
+PeerVersion::PeerVersion(const PeerVersion& other48) {
+  address = other48.address;
+  version = other48.version;
+  __isset = other48.__isset;
 }
-PeerVersion& PeerVersion::operator=(const PeerVersion& other35) {
-  address = other35.address;
-  version = other35.version;
-  __isset = other35.__isset;
+PeerVersion& PeerVersion::operator=(const PeerVersion& other49) {
+  address = other49.address;
+  version = other49.version;
+  __isset = other49.__isset;
   return *this;
 }
 void PeerVersion::printTo(std::ostream& out) const {
@@ -2572,27 +2804,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRecord::PeerRecord(const PeerRecord& other36) {
-  daemon = other36.daemon;
-  name = other36.name;
-  data_centre = other36.data_centre;
-  address = other36.address;
-  admin_address = other36.admin_address;
-  state = other36.state;
-  refutation = other36.refutation;
-  config_version = other36.config_version;
-  __isset = other36.__isset;
-}
-PeerRecord& PeerRecord::operator=(const PeerRecord& other37) {
-  daemon = other37.daemon;
-  name = other37.name;
-  data_centre = other37.data_centre;
-  address = other37.address;
-  admin_address = other37.admin_address;
-  state = other37.state;
-  refutation = other37.refutation;
-  config_version = other37.config_version;
-  __isset = other37.__isset;
+PeerRecord::PeerRecord(const PeerRecord& other50) {
+  daemon = other50.daemon;
+  name = other50.name;
+  data_centre = other50.data_centre;
+  address = other50.address;
+  admin_address = other50.admin_address;
+  state = other50.state;
+  refutation = other50.refutation;
+  config_version = other50.config_version;
+  __isset = other50.__isset;
+}
+PeerRecord& PeerRecord::operator=(const PeerRecord& other51) {
+  daemon = other51.daemon;
+  name = other51.name;
+  data_centre = other51.data_centre;
+  address = other51.address;
+  admin_address = other51.admin_address;
+  state = other51.state;
+  refutation = other51.refutation;
+  config_version = other51.config_version;
+  __isset = other51.__isset;
   return *this;
 }
 void PeerRecord::printTo(std::ostream& out) const {
@@ -2821,29 +3053,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other38) {
-  server = other38.server;
-  service_name = other38.service_name;
-  slots = other38.slots;
-  state = other38.state;
-  health = other38.health;
-  score = other38.score;
-  home = other38.home;
-  sequence = other38.sequence;
-  drains = other38.drains;
-  __isset = other38.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other39) {
-  server = other39.server;
-  service_name = other39.service_name;
-  slots = other39.slots;
-  state = other39.state;
-  health = other39.health;
-  score = other39.score;
-  home = other39.home;
-  sequence = other39.sequence;
-  drains = other39.drains;
-  __isset = other39.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other52) {
+  server = other52.server;
+  service_name = other52.service_name;
+  slots = other52.slots;
+  state = other52.state;
+  health = other52.health;
+  score = other52.score;
+  home = other52.home;
+  sequence = other52.sequence;
+  drains = other52.drains;
+  __isset = other52.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other53) {
+  server = other53.server;
+  service_name = other53.service_name;
+  slots = other53.slots;
+  state = other53.state;
+  health = other53.health;
+  score = other53.score;
+  home = other53.home;
+  sequence = other53.sequence;
+  drains = other53.drains;
+  __isset = other53.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -2957,14 +3189,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->peers.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->peers.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->peers[_i44].read(iprot);
+              xfer += this->peers[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2977,14 +3209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->servers.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->servers.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->servers[_i49].read(iprot);
+              xfer += this->servers[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2997,14 +3229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->buckets.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->buckets.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readI32(this->buckets[_i54]);
+              xfer += iprot->readI32(this->buckets[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3049,10 +3281,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter55;
-    for (_iter55 = this->peers.begin(); _iter55 != this->peers.end(); ++_iter55)
+    std::vector<PeerRecord> ::const_iterator _iter69;
+    for (_iter69 = this->peers.begin(); _iter69 != this->peers.end(); ++_iter69)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3061,10 +3293,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter56;
-    for (_iter56 = this->servers.begin(); _iter56 != this->servers.end(); ++_iter56)
+    std::vector<ServerRecord> ::const_iterator _iter70;
+    for (_iter70 = this->servers.begin(); _iter70 != this->servers.end(); ++_iter70)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3073,10 +3305,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter57;
-    for (_iter57 = this->buckets.begin(); _iter57 != this->buckets.end(); ++_iter57)
+    std::vector<int32_t> ::const_iterator _iter71;
+    for (_iter71 = this->buckets.begin(); _iter71 != this->buckets.end(); ++_iter71)
     {
-      xfer += oprot->writeI32((*_iter57));
+      xfer += oprot->writeI32((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3099,25 +3331,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Sync::Sync(const Sync& other58) {
-  sender = other58.sender;
-  sender_address = other58.sender_address;
-  reply_wanted = other58.reply_wanted;
-  digest = other58.digest;
-  peers = other58.peers;
-  servers = other58.servers;
-  buckets = other58.buckets;
-  __isset = other58.__isset;
-}
-Sync& Sync::operator=(const Sync& other59) {
-  sender = other59.sender;
-  sender_address = other59.sender_address;
-  reply_wanted = other59.reply_wanted;
-  digest = other59.digest;
-  peers = other59.peers;
-  servers = other59.servers;
-  buckets = other59.buckets;
-  __isset = other59.__isset;
+Sync::Sync(const Sync& other72) {
+  sender = other72.sender;
+  sender_address = other72.sender_address;
+  reply_wanted = other72.reply_wanted;
+  digest = other72.digest;
+  peers = other72.peers;
+  servers = other72.servers;
+  buckets = other72.buckets;
+  __isset = other72.__isset;
+}
+Sync& Sync::operator=(const Sync& other73) {
+  sender = other73.sender;
+  sender_address = other73.sender_address;
+  reply_wanted = other73.reply_wanted;
+  digest = other73.digest;
+  peers = other73.peers;
+  servers = other73.servers;
+  buckets = other73.buckets;
+  __isset = other73.__isset;
   return *this;
 }
 void Sync::printTo(std::ostream& out) const {
@@ -3253,14 +3485,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->peers.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->peers.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->peers[_i64].read(iprot);
+              xfer += this->peers[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3273,14 +3505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->servers.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->servers.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->servers[_i69].read(iprot);
+              xfer += this->servers[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3293,14 +3525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->statuses.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->statuses.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->statuses[_i74].read(iprot);
+              xfer += this->statuses[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3353,10 +3585,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter75;
-    for (_iter75 = this->peers.begin(); _iter75 != this->peers.end(); ++_iter75)
+    std::vector<PeerRecord> ::const_iterator _iter89;
+    for (_iter89 = this->peers.begin(); _iter89 != this->peers.end(); ++_iter89)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3365,10 +3597,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter76;
-    for (_iter76 = this->servers.begin(); _iter76 != this->servers.end(); ++_iter76)
+    std::vector<ServerRecord> ::const_iterator _iter90;
+    for (_iter90 = this->servers.begin(); _iter90 != this->servers.end(); ++_iter90)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3377,10 +3609,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter77;
-    for (_iter77 = this->statuses.begin(); _iter77 != this->statuses.end(); ++_iter77)
+    std::vector<ServerStatus> ::const_iterator _iter91;
+    for (_iter91 = this->statuses.begin(); _iter91 != this->statuses.end(); ++_iter91)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3405,29 +3637,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Packet::Packet(const Packet& other78) {
-  kind = other78.kind;
-  sender = other78.sender;
-  sender_address = other78.sender_address;
-  number = other78.number;
-  probe_address = other78.probe_address;
-  config_version = other78.config_version;
-  peers = other78.peers;
-  servers = other78.servers;
-  statuses = other78.statuses;
-  __isset = other78.__isset;
-}
-Packet& Packet::operator=(const Packet& other79) {
-  kind = other79.kind;
-  sender = other79.sender;
-  sender_address = other79.sender_address;
-  number = other79.number;
-  probe_address = other79.probe_address;
-  config_version = other79.config_version;
-  peers = other79.peers;
-  servers = other79.servers;
-  statuses = other79.statuses;
-  __isset = other79.__isset;
+Packet::Packet(const Packet& other92) {
+  kind = other92.kind;
+  sender = other92.sender;
+  sender_address = other92.sender_address;
+  number = other92.number;
+  probe_address = other92.probe_address;
+  config_version = other92.config_version;
+  peers = other92.peers;
+  servers = other92.servers;
+  statuses = other92.statuses;
+  __isset = other92.__isset;
+}
+Packet& Packet::operator=(const Packet& other93) {
+  kind = other93.kind;
+  sender = other93.sender;
+  sender_address = other93.sender_address;
+  number = other93.number;
+  probe_address = other93.probe_address;
+  config_version = other93.config_version;
+  peers = other93.peers;
+  servers = other93.servers;
+  statuses = other93.statuses;
+  __isset = other93.__isset;
   return *this;
 }
 void Packet::printTo(std::ostream& out) const {
@@ -3711,33 +3943,33 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other80) {
-  sender = other80.sender;
-  work = other80.work;
-  work_result = other80.work_result;
-  cancel = other80.cancel;
-  fence = other80.fence;
-  fence_answer = other80.fence_answer;
-  pull = other80.pull;
-  deltas = other80.deltas;
-  peer_version = other80.peer_version;
-  sync = other80.sync;
-  packet = other80.packet;
-  __isset = other80.__isset;
-}
-Message& Message::operator=(const Message& other81) {
-  sender = other81.sender;
-  work = other81.work;
-  work_result = other81.work_result;
-  cancel = other81.cancel;
-  fence = other81.fence;
-  fence_answer = other81.fence_answer;
-  pull = other81.pull;
-  deltas = other81.deltas;
-  peer_version = other81.peer_version;
-  sync = other81.sync;
-  packet = other81.packet;
-  __isset = other81.__isset;
+Message::Message(const Message& other94) {
+  sender = other94.sender;
+  work = other94.work;
+  work_result = other94.work_result;
+  cancel = other94.cancel;
+  fence = other94.fence;
+  fence_answer = other94.fence_answer;
+  pull = other94.pull;
+  deltas = other94.deltas;
+  peer_version = other94.peer_version;
+  sync = other94.sync;
+  packet = other94.packet;
+  __isset = other94.__isset;
+}
+Message& Message::operator=(const Message& other95) {
+  sender = other95.sender;
+  work = other95.work;
+  work_result = other95.work_result;
+  cancel = other95.cancel;
+  fence = other95.fence;
+  fence_answer = other95.fence_answer;
+  pull = other95.pull;
+  deltas = other95.deltas;
+  peer_version = other95.peer_version;
+  sync = other95.sync;
+  packet = other95.packet;
+  __isset = other95.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -25,6 +25,8 @@
 
 class Claim;
 
+class HeaderField;
+
 class Work;
 
 class ServerStatus;
@@ -155,8 +157,58 @@
 
 std::ostream& operator<<(std::ostream& out, const Claim& obj);
 
+typedef struct _HeaderField__isset {
+  _HeaderField__isset() : name(false), value(false) {}
+  bool name :1;
+  bool value :1;
+} _HeaderField__isset;
+
+class HeaderField : public virtual ::apache::thrift::TBase {
+ public:
+
+  HeaderField(const HeaderField&);
+  HeaderField& operator=(const HeaderField&);
+  HeaderField() noexcept
+              : name(),
+                value() {
+  }
+
+  virtual ~HeaderField() noexcept;
+  std::string name;
+  std::string value;
+
+  _HeaderField__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const HeaderField & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const HeaderField &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HeaderField & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HeaderField &a, HeaderField &b);
+
+std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
+
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -178,6 +230,9 @@
   bool origin_address :1;
   bool other_homes :1;
   bool home :1;
+  bool caller_id :1;
+  bool headers :1;
+  bool caller_service :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -203,7 +258,9 @@
          remaining_us(0),
          server(),
          origin_address(),
-         other_homes(0) {
+         other_homes(0),
+         caller_id(),
+         caller_service() {
   }
 
   virtual ~Work() noexcept;
@@ -228,6 +285,9 @@
   std::string origin_address;
   bool other_homes;
   Daemon home;
+  std::string caller_id;
+  std::vector<HeaderField>  headers;
+  std::string caller_service;
 
   _Work__isset __isset;
 
@@ -273,6 +333,12 @@
 
   void __set_home(const Daemon& val);
 
+  void __set_caller_id(const std::string& val);
+
+  void __set_headers(const std::vector<HeaderField> & val);
+
+  void __set_caller_service(const std::string& val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -317,6 +383,12 @@
       return false;
     if (!(home == rhs.home))
       return false;
+    if (!(caller_id == rhs.caller_id))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(caller_service == rhs.caller_service))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
@@ -449,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj);
 
 typedef struct _WorkResult__isset {
-  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false) {}
+  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -463,6 +535,7 @@
   bool service_time_us :1;
   bool statuses :1;
   bool home :1;
+  bool headers :1;
 } _WorkResult__isset;
 
 class WorkResult : public virtual ::apache::thrift::TBase {
@@ -498,6 +571,7 @@
   int64_t service_time_us;
   std::vector<ServerStatus>  statuses;
   Daemon home;
+  std::vector<HeaderField>  headers;
 
   _WorkResult__isset __isset;
 
@@ -527,6 +601,8 @@
 
   void __set_home(const Daemon& val);
 
+  void __set_headers(const std::vector<HeaderField> & val);
+
   bool operator == (const WorkResult & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -555,6 +631,8 @@
       return false;
     if (!(home == rhs.home))
       return false;
+    if (!(headers == rhs.headers))
+      return false;
     return true;
   }
   bool operator != (const WorkResult &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -12,6 +12,11 @@
   2: i64 epoch
 }
 
+struct HeaderField {
+  1: string name
+  2: string value
+}
+
 struct Work {
   1: i64 id_high
   2: i64 id_low
@@ -35,6 +40,9 @@
   19: string origin_address
   20: bool other_homes
   21: Daemon home
+  22: string caller_id
+  23: list<HeaderField> headers
+  24: string caller_service
 }
 
 struct ServerStatus {
@@ -65,6 +73,7 @@
   11: i64 service_time_us
   12: list<ServerStatus> statuses
   13: Daemon home
+  14: list<HeaderField> headers
 }
 
 struct Cancel {
