--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -79,6 +79,66 @@
         {ended.server, ended.what.service, *what, done.latency, now});
 }
 
+/// A failure that takes less than this share of the usual time is one of the
+/// server itself: nothing was tried.
+constexpr double fast_share = 0.25;
+
+/// What a result says about whether the server fails at present.
+std::optional<observation> observe(dispatch::finished const& done,
+                                   service_estimate const& estimate)
+{
+    using dispatch::result_class;
+    auto const usual = static_cast<double>(expected_time(estimate).count());
+    switch (done.what)
+    {
+    case result_class::answered:
+        if (done.status < 500)
+            return observation::success;
+        return static_cast<double>(done.latency.count()) < fast_share * usual
+                   ? observation::fast_failure
+                   : observation::late_failure;
+    case result_class::refused_not_run:
+        return observation::refused;
+    case result_class::connect_failed:
+        // Without latency nothing was attempted.
+        if (done.latency.count() == 0)
+            return std::nullopt;
+        return observation::lost;
+    case result_class::cut:
+        return observation::lost;
+    case result_class::timed_out:
+        // A short deadline says nothing about the server.
+        if (done.latency < quantile_time(estimate, p95_sigmas))
+            return std::nullopt;
+        return observation::overdue;
+    case result_class::cancelled:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Gives back queued work that must not fail and can still go elsewhere.
+void return_doubtful(state& self, service_state& service,
+                     homed_state const& server, time_point now, actions& out)
+{
+    eligible const avoids_it = [&](entry const& item)
+    {
+        return item.what.server == server.name && item.what.other_homes &&
+               !item.what.repeatable;
+    };
+    refuse_matching(self, service, avoids_it, error_kind::no_server,
+                    "server_doubtful", now, out);
+}
+
+void take_doubt(state& self, service_state& service, homed_state& server,
+                observation what, time_point now, actions& out)
+{
+    double const before = doubt_at(server.failing, now);
+    take_observation(server.failing, what, now);
+    if (before < doubt_limit && server.failing.probability >= doubt_limit)
+        return_doubtful(self, service, server, now, out);
+}
+
 void learn(service_state& service, homed_state& server, running const& ended,
            dispatch::finished const& done, time_point now)
 {
@@ -146,6 +206,9 @@
 
 constexpr duration idle_check{1'000'000};
 
+/// Samples after which the usual time of a priority is known.
+constexpr double min_overdue_samples = 20;
+
 } // namespace
 
 void on_finished(state& self, dispatch::finished&& done, time_point now,
@@ -161,8 +224,11 @@
     free_slot(server, ended, done.ticket);
     charge_end(service.shares, ended.what.priority, ended.charged,
                done.latency);
-    emit_sample(ended, done, service.priorities[ended.what.priority].estimate,
-                now, out);
+    service_estimate const& usual =
+        service.priorities[ended.what.priority].estimate;
+    emit_sample(ended, done, usual, now, out);
+    if (auto const seen = observe(done, usual))
+        take_doubt(self, service, server, *seen, now, out);
     learn(service, server, ended, done, now);
     work_result result = result_of(self, ended, std::move(done));
     if (!ended.what.claim.id.empty())
@@ -220,6 +286,44 @@
 namespace
 {
 
+/// Work that has run this many times longer than the 99th percentile is taken
+/// as a sign that the server does not answer, before its deadline shows it.
+constexpr int overdue_factor = 2;
+constexpr double overdue_sigmas = 2.33;
+constexpr duration least_overdue = std::chrono::milliseconds(100);
+
+/// Takes overdue work as evidence. Returns the time at which the next piece of
+/// work is overdue.
+time_point check_overdue(state& self, time_point now, actions& out)
+{
+    time_point next = now + idle_check;
+    for (auto& [name, server] : self.servers)
+    {
+        if (server.active.empty())
+            continue;
+        service_state& service = self.services.at(server.service);
+        for (active_run& run : server.active)
+        {
+            service_estimate const& usual =
+                service.priorities[run.priority].estimate;
+            if (run.overdue || usual.samples < min_overdue_samples)
+                continue;
+            time_point const due =
+                run.started +
+                std::max(least_overdue,
+                         overdue_factor * quantile_time(usual, overdue_sigmas));
+            if (due > now)
+            {
+                next = std::min(next, due);
+                continue;
+            }
+            run.overdue = true;
+            take_doubt(self, service, server, observation::overdue, now, out);
+        }
+    }
+    return next;
+}
+
 /// Refuses late entries and uses slots that a ramp or an opened reserve
 /// frees without a message. Returns the entries that remain.
 std::size_t check_queues(state& self, time_point now, actions& out)
@@ -250,10 +354,12 @@
         self.next_queue_check = now + (queued > 0 ? queue_check : idle_check);
         forget_claims(self.claims, now);
     }
+    time_point next = std::min(self.next_queue_check,
+                               check_overdue(self, now, out));
     report_loads(self, now, out);
     if (has_changed_load(self))
-        return std::min(self.next_queue_check, now + load_interval);
-    return self.next_queue_check;
+        next = std::min(next, now + load_interval);
+    return next;
 }
 
 } // namespace gooseberrycove::admission
--- /dev/null
+++ b/src/admission/doubt.hpp
@@ -0,0 +1,43 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_DOUBT_HPP
+#define GOOSEBERRYCOVE_ADMISSION_DOUBT_HPP
+
+#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/work.hpp>
+
+namespace gooseberrycove::admission
+{
+
+/// Probability that a server fails most of its work at present: a filter over
+/// two states, sound and failing, with the results of the server's work as
+/// evidence. It answers within one or two results, where the sequential test
+/// of health takes the many that an ejection needs. Doubt ejects nobody: it
+/// only moves work that must not fail to servers in less doubt.
+struct doubt
+{
+    double probability = 0.02;
+    time_point at;
+};
+
+/// What one result says about the server.
+enum class observation : std::uint8_t
+{
+    success,
+    fast_failure, ///< far sooner than work takes: nothing was tried
+    late_failure, ///< after work; a call of the server's own may have failed
+    lost,         ///< no answer, or one that broke off
+    refused,      ///< refused although a slot was free
+    overdue       ///< no answer yet, far beyond the usual time
+};
+
+/// Moves the probability to \p now: without evidence it returns to the share
+/// of time for which servers fail.
+void pass_time(doubt& of, time_point now);
+
+void take_observation(doubt& of, observation what, time_point now);
+
+/// The probability at \p now.
+double doubt_at(doubt const& of, time_point now);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -49,7 +49,8 @@
                                });
 }
 
-refusal refuse_by_server(homed_state const& server, work const& what)
+refusal refuse_by_server(homed_state const& server, work const& what,
+                         time_point now)
 {
     if (server.state == members::server_state::draining)
         return {error_kind::draining, "server_draining"};
@@ -58,6 +59,11 @@
     if (server.health.health == health_state::probation &&
         server.in_flight + server.queued > 0)
         return {error_kind::overloaded, "probation_busy"};
+    bool const doubtful = doubt_at(server.failing, now) >= doubt_limit;
+    if (doubtful && what.other_homes && !what.repeatable)
+        return {error_kind::no_server, "server_doubtful"};
+    if (doubtful && what.other_homes && server.in_flight + server.queued > 0)
+        return {error_kind::overloaded, "doubtful_busy"};
     return {};
 }
 
@@ -88,7 +94,7 @@
     auto const found = self.servers.find(name);
     if (found == self.servers.end() || found->second.service != what.service)
         return {error_kind::no_server, "not_homed_here"};
-    refusal const refused = refuse_by_server(found->second, what);
+    refusal const refused = refuse_by_server(found->second, what, now);
     if (refused.kind != error_kind::none)
         return refused;
     if (!takes_in_time(service, found->second, what, now))
@@ -206,6 +212,9 @@
 
 void on_work(state& self, work&& what, time_point now, actions& out)
 {
+    // The answer tells the doubts as they are now.
+    for (auto& [name, server] : self.servers)
+        pass_time(server.failing, now);
     bool const claimed = !what.claim.id.empty();
     // A claim that ran here must never be answered "not run", whatever else
     // stands against the attempt.
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -29,6 +29,7 @@
     status.slots = static_cast<std::uint32_t>(server.limit.limit);
     status.in_flight = server.in_flight;
     status.queued = server.queued;
+    status.doubt = server.failing.probability;
     return status;
 }
 
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -90,6 +90,7 @@
         server.warmup = what.warmup;
         server.health = {};
         server.limit = {};
+        server.failing = {};
     }
     server.name = what.server;
     server.service = what.service;
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_ADMISSION_STATE_HPP
 #define GOOSEBERRYCOVE_ADMISSION_STATE_HPP
 
+#include "doubt.hpp"
 #include "estimate.hpp"
 #include "fence.hpp"
 #include "limit.hpp"
@@ -41,6 +42,8 @@
     std::uint64_t ticket = 0;
     priority_index priority = 0;
     time_point started;
+    /// It has counted as evidence that the server does not answer.
+    bool overdue = false;
 };
 
 /// A backend server homed here.
@@ -54,6 +57,7 @@
     server_status health;
     std::uint64_t incarnation = 0;
     adaptive_limit limit;
+    doubt failing;
     time_point announced;
     /// Time that the server itself expects to stay slow, from `announced`; the
     /// service's warm-up holds when it is 0.
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -70,6 +70,15 @@
 
 std::string_view to_string(health_state value);
 
+/// From this probability of a failing server on, work that must not run twice
+/// goes elsewhere where it can.
+inline constexpr double doubt_limit = 0.35;
+
+/// What is left of a doubt after a time without evidence: it fades towards the
+/// share of time for which servers fail. At the users' sites a fault lasts a
+/// few seconds and comes back within half a minute.
+double faded_doubt(double probability, duration passed);
+
 struct server_status
 {
     std::string server;
@@ -86,6 +95,8 @@
     double mean_log_latency = 0;
     /// Rises with each report of the same home incarnation.
     std::uint64_t sequence = 0;
+    /// Probability that the server fails most of its work at present.
+    double doubt = 0;
 };
 
 /// Result of one attempt.
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -52,14 +52,14 @@
 target next_target(state& self, service_state const& service,
                    request const& what, time_point now)
 {
-    assessment const found =
-        assess(service, self.evidence, now);
+    assessment const found = assess(service, self.evidence, now);
     if (what.claimed)
         return next_claimed(service, what, found.standings);
     std::vector<daemon_ref> const tried = tried_homes(what);
     choice const chosen =
         choose({service.candidates, found.standings, service.outstanding, tried,
-                self.data_centre, what.repeatable, tried.empty()},
+                self.data_centre, what.repeatable,
+                tried.empty() && what.most_reached > 1},
                self.random);
     return {chosen, chosen.who ? chosen.who->home_address : std::string()};
 }
@@ -123,7 +123,9 @@
 {
     std::uint32_t const floor = floor_of(
         service.candidates, service.floor_slots, service.floor_share);
-    return assess(service.candidates, floor, evidence, now);
+    assessment found = assess(service.candidates, floor, evidence, now);
+    apply_doubts(service.candidates, service.doubts, now, found.standings);
+    return found;
 }
 
 /// Whether another home than the one of the last attempt is left to try.
@@ -139,8 +141,7 @@
         return std::any_of(what.claim.homes.begin(), what.claim.homes.end(),
                            [&](claims::claim_home const& home)
                            { return untried(home.daemon); });
-    assessment const found =
-        assess(service, self.evidence, now);
+    assessment const found = assess(service, self.evidence, now);
     for (std::size_t i = 0; i < found.standings.size(); ++i)
     {
         if (found.standings[i] == standing::healthy &&
@@ -176,8 +177,7 @@
 claimable_homes(state& self, request const& what, time_point now)
 {
     service_state const& service = service_of(self, what.service);
-    assessment const found =
-        assess(service, self.evidence, now);
+    assessment const found = assess(service, self.evidence, now);
     std::vector<claims::claim_home> homes;
     std::vector<daemon_ref> named;
     while (homes.size() < max_homes)
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -62,7 +62,7 @@
     if (who.health == health_state::probation && !from.repeatable)
         return false;
     if (from.standings[index] == standing::probation &&
-        (who.in_flight > 0 || load_of(who, from.outstanding) > 0))
+        load_of(who, from.outstanding) > 0)
         return false;
     return std::find(from.excluded_homes.begin(), from.excluded_homes.end(),
                      who.home) == from.excluded_homes.end();
@@ -96,6 +96,12 @@
                                       : to_string(value);
 }
 
+/// A test takes one request at a time.
+bool busy(selection const& from, std::size_t index)
+{
+    return load_of(from.candidates[index], from.outstanding) > 0;
+}
+
 /// Splits the eligible candidates of one standing by data centre.
 void collect(selection const& from, standing wanted,
              std::vector<std::size_t>& local, std::vector<std::size_t>& other)
@@ -146,6 +152,8 @@
     {
     case standing::healthy:
         return "healthy";
+    case standing::doubtful:
+        return "doubtful";
     case standing::probation:
         return "probation";
     case standing::kept_by_floor:
@@ -233,6 +241,21 @@
                     static_cast<std::uint32_t>(std::ceil(share * usable)));
 }
 
+void apply_doubts(std::span<members::candidate const> candidates,
+                  doubt_map const& doubts, time_point now,
+                  std::vector<standing>& standings)
+{
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        auto const told = doubts.find(candidates[i].server);
+        if (told == doubts.end() || standings[i] != standing::healthy)
+            continue;
+        duration const age = now - told->second.at;
+        if (faded_doubt(told->second.probability, age) >= doubt_limit)
+            standings[i] = standing::doubtful;
+    }
+}
+
 double load_of(members::candidate const& who,
                outstanding_map const& outstanding)
 {
@@ -246,19 +269,24 @@
 {
     std::vector<std::size_t> local;
     std::vector<std::size_t> other;
-    if (from.first && from.repeatable && draw(trickle_share, random) == 0)
+    if (from.may_test && from.repeatable && draw(trickle_share, random) == 0)
     {
-        collect(from, standing::probation, local, other);
-        if (!local.empty() || !other.empty())
+        for (standing const tested : {standing::doubtful, standing::probation})
         {
-            choice result =
-                pick(from, standing::probation, local, other, random);
-            result.reason = "probation_trickle";
+            collect(from, tested, local, other);
+            std::erase_if(local, [&](std::size_t i) { return busy(from, i); });
+            std::erase_if(other, [&](std::size_t i) { return busy(from, i); });
+            if (local.empty() && other.empty())
+                continue;
+            choice result = pick(from, tested, local, other, random);
+            result.reason = tested == standing::doubtful ? "doubt_test"
+                                                         : "probation_trickle";
             return result;
         }
     }
-    for (standing const wanted : {standing::healthy, standing::probation,
-                                  standing::kept_by_floor, standing::skipped})
+    for (standing const wanted : {standing::healthy, standing::doubtful,
+                                  standing::probation, standing::kept_by_floor,
+                                  standing::skipped})
     {
         collect(from, wanted, local, other);
         if (!local.empty() || !other.empty())
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -20,6 +20,7 @@
 enum class standing : std::uint8_t
 {
     healthy,
+    doubtful, ///< its last results say that it may be failing
     probation,
     kept_by_floor, ///< its ejection would take the service below its floor
     skipped,       ///< its home did not answer this daemon
@@ -83,6 +84,19 @@
 double load_of(members::candidate const& who,
                outstanding_map const& outstanding);
 
+/// Doubts as homes told them, by server.
+struct told_doubt
+{
+    double probability = 0;
+    time_point at;
+};
+using doubt_map = std::map<std::string, told_doubt, std::less<>>;
+
+/// Moves healthy candidates in doubt behind the others.
+void apply_doubts(std::span<members::candidate const> candidates,
+                  doubt_map const& doubts, time_point now,
+                  std::vector<standing>& standings);
+
 struct choice
 {
     members::candidate const* who = nullptr;
@@ -99,8 +113,9 @@
     std::span<daemon_ref const> excluded_homes;
     std::string_view data_centre;
     bool repeatable = true;
-    /// A first attempt may test a server in probation.
-    bool first = true;
+    /// An attempt that may be followed by another one may test a server that
+    /// is in doubt or in probation.
+    bool may_test = true;
 };
 
 /// Power of two choices within the best standing, own data centre first.
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -255,7 +255,15 @@
 
 void on_view(state& self, members::service_view const& view)
 {
-    service_of(self, view.service).candidates = view.candidates;
+    service_state& service = service_of(self, view.service);
+    service.candidates = view.candidates;
+    std::erase_if(service.doubts,
+                  [&](auto const& told)
+                  {
+                      return std::ranges::none_of(
+                          view.candidates, [&](members::candidate const& who)
+                          { return who.server == told.first; });
+                  });
 }
 
 } // namespace gooseberrycove::routing
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -10,13 +10,14 @@
 namespace
 {
 
-void take_statuses(state& self, work_result const& result)
+void take_statuses(state& self, work_result const& result, time_point now)
 {
     for (server_status const& status : result.statuses)
     {
         auto const found = self.services.find(status.service);
         if (found == self.services.end())
             continue;
+        found->second.doubts[status.server] = {status.doubt, now};
         for (members::candidate& who : found->second.candidates)
         {
             if (who.server != status.server || who.home != result.home)
@@ -85,7 +86,8 @@
     auto const open =
         std::count_if(what.attempts.begin(), what.attempts.end(),
                       [](attempt const& which) { return which.open; });
-    if (open != 1 || what.attempts.size() >= max_homes)
+    if (open != 1 || what.attempts.size() >= max_homes ||
+        what.reached + 1 >= what.most_reached)
         return;
     retry_budget& budget = service_of(self, what.service).budget;
     if (!(hedge ? take_hedge(budget, now) : take_retry(budget, now)))
@@ -146,7 +148,7 @@
 
 void on_result(state& self, work_result&& result, time_point now, actions& out)
 {
-    take_statuses(self, result);
+    take_statuses(self, result, now);
     if (result.home.id != 0)
         note_answer(self.evidence, result.home.id);
     auto const found = self.requests.find(result.id);
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -110,6 +110,7 @@
     std::vector<members::candidate> candidates;
     /// Own attempts in flight by server; newer than any report.
     std::map<std::string, std::uint32_t, std::less<>> outstanding;
+    doubt_map doubts;
     retry_budget budget;
     latency_histogram latency;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -165,6 +165,7 @@
     out.failures = value.failures;
     out.mean_log_latency = value.mean_log_latency;
     out.sequence = static_cast<std::int64_t>(value.sequence);
+    out.doubt = value.doubt;
     return out;
 }
 
@@ -182,6 +183,7 @@
     out.failures = in.failures;
     out.mean_log_latency = in.mean_log_latency;
     out.sequence = static_cast<std::uint64_t>(in.sequence);
+    out.doubt = in.doubt;
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -969,6 +969,10 @@
 void ServerStatus::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void ServerStatus::__set_doubt(const double val) {
+  this->doubt = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj)
 {
   obj.printTo(out);
@@ -1085,6 +1089,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->doubt);
+          this->__isset.doubt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1146,6 +1158,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("doubt", ::apache::thrift::protocol::T_DOUBLE, 12);
+  xfer += oprot->writeDouble(this->doubt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1164,6 +1180,7 @@
   swap(a.failures, b.failures);
   swap(a.mean_log_latency, b.mean_log_latency);
   swap(a.sequence, b.sequence);
+  swap(a.doubt, b.doubt);
   swap(a.__isset, b.__isset);
 }
 
@@ -1179,6 +1196,7 @@
   failures = other14.failures;
   mean_log_latency = other14.mean_log_latency;
   sequence = other14.sequence;
+  doubt = other14.doubt;
   __isset = other14.__isset;
 }
 ServerStatus& ServerStatus::operator=(const ServerStatus& other15) {
@@ -1193,6 +1211,7 @@
   failures = other15.failures;
   mean_log_latency = other15.mean_log_latency;
   sequence = other15.sequence;
+  doubt = other15.doubt;
   __isset = other15.__isset;
   return *this;
 }
@@ -1210,6 +1229,7 @@
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "mean_log_latency=" << to_string(mean_log_latency);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "doubt=" << to_string(doubt);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -408,7 +408,7 @@
 std::ostream& operator<<(std::ostream& out, const Work& obj);
 
 typedef struct _ServerStatus__isset {
-  _ServerStatus__isset() : server(false), service_name(false), slots(false), in_flight(false), queued(false), health(false), score(false), samples(false), failures(false), mean_log_latency(false), sequence(false) {}
+  _ServerStatus__isset() : server(false), service_name(false), slots(false), in_flight(false), queued(false), health(false), score(false), samples(false), failures(false), mean_log_latency(false), sequence(false), doubt(false) {}
   bool server :1;
   bool service_name :1;
   bool slots :1;
@@ -420,6 +420,7 @@
   bool failures :1;
   bool mean_log_latency :1;
   bool sequence :1;
+  bool doubt :1;
 } _ServerStatus__isset;
 
 class ServerStatus : public virtual ::apache::thrift::TBase {
@@ -438,7 +439,8 @@
                  samples(0),
                  failures(0),
                  mean_log_latency(0),
-                 sequence(0) {
+                 sequence(0),
+                 doubt(0) {
   }
 
   virtual ~ServerStatus() noexcept;
@@ -453,6 +455,7 @@
   double failures;
   double mean_log_latency;
   int64_t sequence;
+  double doubt;
 
   _ServerStatus__isset __isset;
 
@@ -478,6 +481,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_doubt(const double val);
+
   bool operator == (const ServerStatus & rhs) const
   {
     if (!(server == rhs.server))
@@ -502,6 +507,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(doubt == rhs.doubt))
+      return false;
     return true;
   }
   bool operator != (const ServerStatus &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -57,6 +57,7 @@
   9: double failures
   10: double mean_log_latency
   11: i64 sequence
+  12: double doubt
 }
 
 struct WorkResult {
