--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -222,8 +222,8 @@
 
 void admin_loop::post_announce(http::exchange_ptr const& exchange)
 {
-    announce(exchange,
-             read_announcement(exchange->body(), last_part(exchange->target())));
+    announce(exchange, read_announcement(exchange->body(),
+                                         last_part(exchange->target())));
 }
 
 void admin_loop::post_withdraw(http::exchange_ptr const& exchange)
--- a/src/admin/documents.cpp
+++ b/src/admin/documents.cpp
@@ -125,7 +125,8 @@
     out.content_type = "application/problem+json";
     out.body = problem_document(kind, detail, "");
     if (row.retry_after_s > 0)
-        out.headers.push_back({"Retry-After", std::to_string(row.retry_after_s)});
+        out.headers.push_back(
+            {"Retry-After", std::to_string(row.retry_after_s)});
     return out;
 }
 
@@ -251,8 +252,7 @@
     members::announcement out;
     if (!server.empty() && !(from.contains("slots") && from.contains("state")))
         refuse("", "an object with slots and state");
-    out.server =
-        server.empty() ? read_name(from, "name") : std::string(server);
+    out.server = server.empty() ? read_name(from, "name") : std::string(server);
     out.service = read_name(from, "service");
     out.address = read_name(from, "address");
     if (!is_address(out.address))
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -117,15 +117,12 @@
     return std::nullopt;
 }
 
-/// Gives back queued work that must not fail and can still go elsewhere.
+/// Gives back queued work that can still go elsewhere.
 void return_doubtful(state& self, service_state& service,
                      homed_state const& server, time_point now, actions& out)
 {
     eligible const avoids_it = [&](entry const& item)
-    {
-        return item.what.server == server.name && item.what.other_homes &&
-               !item.what.repeatable;
-    };
+    { return item.what.server == server.name && item.what.other_homes; };
     refuse_matching(self, service, avoids_it, error_kind::no_server,
                     "server_doubtful", now, out);
 }
@@ -354,8 +351,8 @@
         self.next_queue_check = now + (queued > 0 ? queue_check : idle_check);
         forget_claims(self.claims, now);
     }
-    time_point next = std::min(self.next_queue_check,
-                               check_overdue(self, now, out));
+    time_point next =
+        std::min(self.next_queue_check, check_overdue(self, now, out));
     report_loads(self, now, out);
     if (has_changed_load(self))
         next = std::min(next, now + load_interval);
--- a/src/admission/doubt.cpp
+++ b/src/admission/doubt.cpp
@@ -50,8 +50,8 @@
 void take_observation(doubt& of, observation what, time_point now)
 {
     pass_time(of, now);
-    double const odds = of.probability / (1 - of.probability) *
-                        std::exp(weight_of(what));
+    double const odds =
+        of.probability / (1 - of.probability) * std::exp(weight_of(what));
     of.probability = std::clamp(odds / (1 + odds), least, most);
 }
 
--- /dev/null
+++ b/src/admission/doubt_test.cpp
@@ -0,0 +1,47 @@
+#include "doubt.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::admission;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{1000s};
+
+double after(std::initializer_list<observation> seen)
+{
+    doubt of;
+    of.at = start;
+    time_point now = start;
+    for (observation const one : seen)
+        take_observation(of, one, now += 100ms);
+    return doubt_at(of, now);
+}
+
+} // namespace
+
+TEST_CASE("one failure without any work puts a server in doubt")
+{
+    using enum observation;
+    // Guards against a run of non-repeatable work that fails at one server
+    // while a test with a low rate of false alarms still collects samples.
+    CHECK(after({success, success, success, fast_failure}) >= doubt_limit);
+    CHECK(after({success, success, lost}) >= doubt_limit);
+    // A failure of one of the server's own calls says little about it.
+    CHECK(after({success, late_failure, success, late_failure}) < doubt_limit);
+    CHECK(after({fast_failure, success, success}) < doubt_limit);
+    CHECK(after({fast_failure, fast_failure, success}) >= doubt_limit);
+}
+
+TEST_CASE("without evidence a doubt returns to the usual one")
+{
+    doubt of;
+    of.at = start;
+    take_observation(of, observation::fast_failure, start);
+    CHECK(doubt_at(of, start + 10s) < doubt_limit);
+    CHECK(doubt_at(of, start + 60s) == Approx(usual_doubt).margin(0.001));
+    CHECK(doubt_at(of, start - 1s) == Approx(of.probability));
+}
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -43,12 +43,17 @@
            has_control_character(what.caller_id) ||
            has_control_character(what.caller_service) ||
            std::ranges::any_of(what.headers,
-                               [](header_field const& field) {
+                               [](header_field const& field)
+                               {
                                    return has_blank_or_control(field.name) ||
                                           has_control_character(field.value);
                                });
 }
 
+/// A doubt that has grown by this much since routing chose the server is worth
+/// another choice.
+constexpr double doubt_news = 0.2;
+
 refusal refuse_by_server(homed_state const& server, work const& what,
                          time_point now)
 {
@@ -59,11 +64,10 @@
     if (server.health.health == health_state::probation &&
         server.in_flight + server.queued > 0)
         return {error_kind::overloaded, "probation_busy"};
-    bool const doubtful = doubt_at(server.failing, now) >= doubt_limit;
-    if (doubtful && what.other_homes && !what.repeatable)
+    double const doubt = doubt_at(server.failing, now);
+    if (what.other_homes && doubt >= doubt_limit &&
+        doubt > what.known_doubt + doubt_news)
         return {error_kind::no_server, "server_doubtful"};
-    if (doubtful && what.other_homes && server.in_flight + server.queued > 0)
-        return {error_kind::overloaded, "doubtful_busy"};
     return {};
 }
 
--- a/src/capacity/config_slopes.cpp
+++ b/src/capacity/config_slopes.cpp
@@ -132,8 +132,9 @@
                           {
                               int const number = (i * 7919) % known;
                               if (!tables.match(
-                                      "GET", "", fmt::format("/area-{}/item-{}/x",
-                                                         number % 97, number)))
+                                      "GET", "",
+                                      fmt::format("/area-{}/item-{}/x",
+                                                  number % 97, number)))
                                   throw std::runtime_error("route not found");
                           })});
     }
--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -88,7 +88,8 @@
          "/accounts/kim/key_hash: allowed: 32 lower-case hexadecimal digits\n"
          "/accounts/kim/burst: must be at least 1 when rate is set\n"},
         {R"({"services":{"a":{"floor_slots":1.5,"speed":1}}})",
-         "/services/a/speed: unknown, allowed: floor_slots priorities "
+         "/services/a/speed: unknown, allowed: floor_slots floor_share "
+         "priorities probe_path "
          "reserved_slots warmup_ms\n"
          "/services/a/floor_slots: allowed: an integer from 0 to 10000000\n"},
         {R"({"services":{"a":{"priorities":{"high":{"min_share":0.95}}}}})",
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -399,9 +399,9 @@
     reader in{from, path, faults};
     route result;
     result.name = name;
-    if (!check_fields(in, {"attempts", "host", "service", "split", "method",
-                           "open", "path", "priority", "repeatable",
-                           "timeout_ms"}))
+    if (!check_fields(in,
+                      {"attempts", "host", "service", "split", "method", "open",
+                       "path", "priority", "repeatable", "timeout_ms"}))
         return std::nullopt;
     read_services(in, result);
     result.method = read_text(in, "method");
--- a/src/config/follow.cpp
+++ b/src/config/follow.cpp
@@ -28,10 +28,12 @@
 /// Daemons that failed together do not come back together.
 duration retry_wait(state& duty)
 {
-    duration const wait = std::min(
-        longest_retry, first_retry * (1 << std::min(duty.document_failures, 4U)));
+    duration const wait =
+        std::min(longest_retry,
+                 first_retry * (1 << std::min(duty.document_failures, 4U)));
     auto const half = static_cast<std::uint64_t>(wait.count() / 2);
-    return duration(static_cast<duration::rep>(half + next_random(duty) % half));
+    return duration(
+        static_cast<duration::rep>(half + next_random(duty) % half));
 }
 
 void refuse_document(std::uint64_t revision, std::string_view path,
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -241,9 +241,8 @@
 
 bool tables::has_accounts() const
 {
-    return std::ranges::any_of(
-        m_data->accounts,
-        [](auto const& shard) { return shard && !shard->entries.empty(); });
+    return std::ranges::any_of(m_data->accounts, [](auto const& shard)
+                               { return shard && !shard->entries.empty(); });
 }
 
 service const* tables::find_service(std::string_view name) const
--- a/src/core/header.cpp
+++ b/src/core/header.cpp
@@ -13,10 +13,17 @@
 
 /// RFC 9110, section 7.6.1, and what each hop sets by itself.
 constexpr std::array<std::string_view, 11> connection_headers{
-    "Connection",          "Content-Length", "Expect",
-    "Keep-Alive",          "Proxy-Connection", "Proxy-Authenticate",
-    "Proxy-Authorization", "TE",             "Trailer",
-    "Transfer-Encoding",   "Upgrade"};
+    "Connection",
+    "Content-Length",
+    "Expect",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade"};
 
 bool contains(std::span<std::string_view const> names, std::string_view name)
 {
--- a/src/core/work.cpp
+++ b/src/core/work.cpp
@@ -9,9 +9,8 @@
 namespace
 {
 
-/// Share of time for which a server fails, and the time in which what is known
-/// of it goes out of date: faults of 4.5 s, 30 s apart.
-constexpr double usual_doubt = 0.13;
+/// Time in which what is known of a server goes out of date: faults of 4.5 s,
+/// 30 s apart, which is also the reason for usual_doubt.
 constexpr double fading_s = 1 / (1 / 4.5 + 1 / 30.0);
 
 } // namespace
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,8 +9,8 @@
 #include "health/health_thread.hpp"
 #include "members/members_thread.hpp"
 #include "peer/peer_thread.hpp"
-#include "routing/routing_thread.hpp"
 #include "platform/row_store.hpp"
+#include "routing/routing_thread.hpp"
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/store.hpp>
@@ -132,12 +132,12 @@
                                                    daemon_ref self)
 {
     std::string const& address = from.text("daemon", "peer");
-    to_front = std::make_unique<front::wiring>(front::wiring{
-        from.text("daemon", "listen"),
-        {names_of(from), from.number("daemon", "max_body_bytes")},
-        &counts,
-        &routing,
-        &callers_in_flight});
+    to_front = std::make_unique<front::wiring>(
+        front::wiring{from.text("daemon", "listen"),
+                      {names_of(from), from.number("daemon", "max_body_bytes")},
+                      &counts,
+                      &routing,
+                      &callers_in_flight});
     to_routing = std::make_unique<routing::wiring>(
         routing::wiring{&front, &admission, &peer, &claims, self, address,
                         from.text("daemon", "data_centre"),
@@ -151,8 +151,7 @@
     dispatch::server_dialect dialect;
     dialect.names = names_of(from);
     dialect.max_answer = from.number("daemon", "max_body_bytes");
-    dialect.undelimited_answers =
-        from.boolean("daemon", "undelimited_answers");
+    dialect.undelimited_answers = from.boolean("daemon", "undelimited_answers");
     to_dispatch = std::make_unique<dispatch::wiring>(
         dispatch::wiring{&admission, &health, std::move(dialect)});
     to_peer = std::make_unique<peer::wiring>(peer::wiring{
@@ -178,11 +177,10 @@
     to_config = std::make_unique<config::wiring>(
         config::wiring{routing, admission, members, peer, store, record.address,
                        uses_rows(from), ready, &counts});
-    to_admin = std::make_unique<admin::wiring>(
-        admin::wiring{record.admin_address,
-                      from.addresses("daemon", "also_admin"), name, &admin_keys,
-                      &announce_keys, &counts, &members, &config, &routing,
-                      &ready, &draining});
+    to_admin = std::make_unique<admin::wiring>(admin::wiring{
+        record.admin_address, from.addresses("daemon", "also_admin"), name,
+        &admin_keys, &announce_keys, &counts, &members, &config, &routing,
+        &ready, &draining});
 }
 
 daemon_process::daemon_process(std::unique_ptr<implementation> made)
@@ -212,8 +210,7 @@
             });
     };
     begin("store",
-          [&own]
-          {
+          [&own] {
               store::run(own.store, own.platform, own.name,
                          own.platform_protocol);
           });
--- a/src/daemon/daemon_settings_test.cpp
+++ b/src/daemon/daemon_settings_test.cpp
@@ -42,8 +42,8 @@
     {
         faults = fault.what();
     }
-    for (char const* key : {"name", "data_centre", "listen", "admin", "peer",
-                            "platform"})
+    for (char const* key :
+         {"name", "data_centre", "listen", "admin", "peer", "platform"})
         CHECK(faults.find(std::string("daemon.") + key + ": required") !=
               faults.npos);
 }
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -21,7 +21,7 @@
     constexpr std::string_view chunked = "chunked";
     return codings.size() >= chunked.size() &&
            is_same_header(codings.substr(codings.size() - chunked.size()),
-                                chunked);
+                          chunked);
 }
 
 bool has_no_body(transfer_facts const& facts, answer_head const& head)
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -135,9 +135,8 @@
 {
     if (job.what.deadline > now)
     {
-        add_transfer(self,
-                     make_transfer(take_handle(self), std::move(job),
-                                   out.dialect, now));
+        add_transfer(self, make_transfer(take_handle(self), std::move(job),
+                                         out.dialect, now));
         return;
     }
     finished result;
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -84,9 +84,9 @@
         // a semicolon.
         add_header(list, field.value.empty() ? field.name + ";"
                                              : field.name + ": " + field.value);
-    bool const has_agent = std::ranges::any_of(
-        what.headers, [](header_field const& field)
-        { return is_same_header(field.name, "Accept"); });
+    bool const has_agent =
+        std::ranges::any_of(what.headers, [](header_field const& field)
+                            { return is_same_header(field.name, "Accept"); });
     // Without a value libcurl leaves out its own default.
     if (!has_agent)
         add_header(list, "Accept:");
@@ -218,8 +218,8 @@
     if (code != CURLE_URL_MALFORMAT)
         result.latency = now - done.started;
     if (done.too_large)
-        result.detail = fmt::format("answer exceeds {} bytes",
-                                    done.dialect->max_answer);
+        result.detail =
+            fmt::format("answer exceeds {} bytes", done.dialect->max_answer);
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
     else if (result.what == result_class::cut)
@@ -229,11 +229,10 @@
     {
         result.status = done.head.status;
         result.content_type = std::move(done.head.content_type);
-        result.headers =
-            forwarded(done.head.headers,
-                      std::array<std::string_view, 3>{
-                          "Content-Type", "X-Outcome",
-                          done.dialect->names.request_id});
+        result.headers = forwarded(
+            done.head.headers,
+            std::array<std::string_view, 3>{"Content-Type", "X-Outcome",
+                                            done.dialect->names.request_id});
         result.body = std::move(done.body);
     }
     return result;
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -24,8 +24,7 @@
     if (parsed.ec != std::errc() || parsed.ptr != end || value < 1 ||
         value > max_deadline_ms)
         throw error(error_kind::bad_request,
-                    std::string(name) +
-                        ": allowed: 1 to 3600000 milliseconds");
+                    std::string(name) + ": allowed: 1 to 3600000 milliseconds");
     return std::chrono::milliseconds(value);
 }
 
@@ -56,9 +55,9 @@
         throw error(error_kind::bad_request,
                     names.request_id + ": longer than 1024 bytes");
     if (from.body().size() > how.max_body)
-        throw error(error_kind::too_large,
-                    "the body is larger than " + std::to_string(how.max_body) +
-                        " bytes");
+        throw error(error_kind::too_large, "the body is larger than " +
+                                               std::to_string(how.max_body) +
+                                               " bytes");
     std::string_view const deadline = from.header(names.time_allowed);
     if (!deadline.empty())
         request.time_allowed = read_deadline(names.time_allowed, deadline);
@@ -72,11 +71,10 @@
     request.host = from.header("Host");
     request.content_type = from.header("Content-Type");
     request.headers = forwarded(
-        from.headers(),
-        std::array<std::string_view, 7>{names.request_id, names.time_allowed,
-                                        names.expected_server,
-                                        names.caller_service, "Content-Type",
-                                        "Idempotency-Key", "traceparent"});
+        from.headers(), std::array<std::string_view, 7>{
+                            names.request_id, names.time_allowed,
+                            names.expected_server, names.caller_service,
+                            "Content-Type", "Idempotency-Key", "traceparent"});
     request.body = from.body();
     request.idempotency_key = key;
     request.traceparent = from.header("traceparent");
--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -68,8 +68,9 @@
     {
         std::vector<header_field> fields;
         m_request->header().for_each_field(
-            [&](restinio::http_header_field_t const& field)
-            { fields.push_back({field.name(), field.value()}); });
+            [&](restinio::http_header_field_t const& field) {
+                fields.push_back({field.name(), field.value()});
+            });
         return fields;
     }
 
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -75,18 +75,17 @@
     std::string content;
 };
 
-using operation =
-    std::variant<get_row, watch_row, scan_rows, transaction, get_object,
-                 put_object>;
+using operation = std::variant<get_row, watch_row, scan_rows, transaction,
+                               get_object, put_object>;
 
 enum class status
 {
     ok,
     condition_failed, ///< nothing was written; rows holds the failed rows
     not_found,
-    refused, ///< down or over rate; nothing was written
+    refused,      ///< down or over rate; nothing was written
     history_lost, ///< a watch cannot go on from the revision it named
-    unknown  ///< no reply: a write may or may not have taken effect
+    unknown       ///< no reply: a write may or may not have taken effect
 };
 
 struct reply
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -51,6 +51,9 @@
     /// Whether routing has another home to try. Such work is refused rather
     /// than queued when it would miss its priority's target here.
     bool other_homes = false;
+    /// Doubt about the server that routing has allowed for; the home refuses
+    /// the work when its own is clearly greater.
+    double known_doubt = 0;
     /// Run of the home that the work is meant for. A restarted home has
     /// forgotten its fences, so claimed work for its earlier run is not run.
     daemon_ref home;
@@ -74,6 +77,10 @@
 /// goes elsewhere where it can.
 inline constexpr double doubt_limit = 0.35;
 
+/// Share of time for which servers fail: the doubt about a server of which
+/// nothing is known.
+inline constexpr double usual_doubt = 0.13;
+
 /// What is left of a doubt after a time without evidence: it fades towards the
 /// share of time for which servers fail. At the users' sites a fault lasts a
 /// few seconds and comes back within half a minute.
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -142,8 +142,7 @@
 void note_departure(state& s, announcement const& what, time_point now)
 {
     std::erase_if(s.departures,
-                  [&](departed const& gone)
-                  {
+                  [&](departed const& gone) {
                       return gone.server == what.server ||
                              now - gone.since >= late_limit;
                   });
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -59,7 +59,7 @@
     choice const chosen =
         choose({service.candidates, found.standings, service.outstanding, tried,
                 self.data_centre, what.repeatable,
-                tried.empty() && what.most_reached > 1},
+                tried.empty() && what.most_reached > 1, found.doubts},
                self.random);
     return {chosen, chosen.who ? chosen.who->home_address : std::string()};
 }
@@ -121,10 +121,11 @@
 assessment assess(service_state const& service, home_evidence const& evidence,
                   time_point now)
 {
-    std::uint32_t const floor = floor_of(
-        service.candidates, service.floor_slots, service.floor_share);
+    std::uint32_t const floor =
+        floor_of(service.candidates, service.floor_slots, service.floor_share);
     assessment found = assess(service.candidates, floor, evidence, now);
-    apply_doubts(service.candidates, service.doubts, now, found.standings);
+    found.doubts =
+        apply_doubts(service.candidates, service.doubts, now, found.standings);
     return found;
 }
 
@@ -168,6 +169,7 @@
     ++service.outstanding[who.server];
     out.log.push_back(routed_line(what, why, reason, to));
     work made = make_work(self, what, what.attempts.back());
+    made.known_doubt = to.chosen.doubt;
     made.other_homes = has_other_home(self, service, what, now);
     out.sends.push_back({to.address, who.home == self.self, std::move(made)});
     return true;
@@ -184,7 +186,7 @@
     {
         choice const next =
             choose({service.candidates, found.standings, service.outstanding,
-                    named, self.data_centre, false, named.empty()},
+                    named, self.data_centre, false, false, found.doubts},
                    self.random);
         if (!next.who)
             break;
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-/// Load at which the own data centre no longer goes first: above it the work
-/// would queue, which costs more than the way to another data centre.
-constexpr double local_load_limit = 1.0;
-
 /// One in this many repeatable requests tests a server in probation. About 20
 /// samples decide the test, and its failures cost a retry each.
 constexpr std::uint64_t trickle_share = 8;
@@ -73,44 +69,107 @@
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 }
 
-/// The less loaded of two distinct random candidates.
-std::size_t pick_of_two(selection const& from,
-                        std::span<std::size_t const> among,
-                        std::mt19937_64& random)
+/// A test takes one request at a time.
+bool busy(selection const& from, std::size_t index)
+{
+    return load_of(from.candidates[index], from.outstanding) > 0;
+}
+
+/// Costs are in units of a server's load: 1 is all of its slots, so that work
+/// above it waits for about one service time.
+constexpr double other_data_centre_cost = 0.75;
+constexpr double kept_by_floor_cost = 1.5;
+constexpr double skipped_cost = 3;
+constexpr double probation_cost = 4;
+/// Of a server that certainly fails. Work that must not run twice has only
+/// this one attempt, so it rather waits for a server in less doubt.
+constexpr double doubt_cost = 3;
+constexpr double final_doubt_cost = 6;
+/// Costs that differ by less are taken as equal, because loads are old by some
+/// milliseconds and many daemons would choose the same server.
+constexpr double cost_noise = 0.25;
+/// Candidates of the own and of the other data centres that are compared.
+constexpr std::size_t most_compared = 4;
+
+double standing_cost(standing value)
+{
+    switch (value)
+    {
+    case standing::healthy:
+    case standing::doubtful:
+        return 0;
+    case standing::kept_by_floor:
+        return kept_by_floor_cost;
+    case standing::skipped:
+        return skipped_cost;
+    default:
+        return probation_cost;
+    }
+}
+
+double cost_of(selection const& from, std::size_t index)
 {
-    std::size_t const first = draw(among.size(), random);
-    if (among.size() == 1)
-        return among[first];
-    std::size_t second = draw(among.size() - 1, random);
-    if (second >= first)
-        ++second;
-    double const one = load_of(from.candidates[among[first]], from.outstanding);
-    double const two =
-        load_of(from.candidates[among[second]], from.outstanding);
-    return one <= two ? among[first] : among[second];
+    members::candidate const& who = from.candidates[index];
+    double cost =
+        load_of(who, from.outstanding) + standing_cost(from.standings[index]);
+    if (who.home_data_centre != from.data_centre)
+        cost += other_data_centre_cost;
+    if (index < from.doubts.size())
+        cost += from.doubts[index] *
+                (from.repeatable ? doubt_cost : final_doubt_cost);
+    return cost;
 }
 
 std::string_view reason_of(standing value)
 {
-    return value == standing::healthy ? "least_loaded_of_two"
-                                      : to_string(value);
+    return value == standing::healthy ? "least_cost" : to_string(value);
 }
 
-/// A test takes one request at a time.
-bool busy(selection const& from, std::size_t index)
+/// Moves a random choice of at most \p count of the indices to the front and
+/// drops the others.
+void sample(std::vector<std::size_t>& among, std::size_t count,
+            std::mt19937_64& random)
 {
-    return load_of(from.candidates[index], from.outstanding) > 0;
+    std::size_t const kept = std::min(count, among.size());
+    for (std::size_t i = 0; i < kept; ++i)
+        std::swap(among[i], among[i + draw(among.size() - i, random)]);
+    among.resize(kept);
 }
 
-/// Splits the eligible candidates of one standing by data centre.
-void collect(selection const& from, standing wanted,
+/// The cheapest of a few random candidates; `who` is null without any.
+choice cheapest(selection const& from, std::vector<std::size_t> local,
+                std::vector<std::size_t> other, std::mt19937_64& random)
+{
+    sample(local, most_compared, random);
+    sample(other, most_compared, random);
+    local.insert(local.end(), other.begin(), other.end());
+    std::uniform_real_distribution<double> noise(0, cost_noise);
+    choice result{nullptr, "no_candidate", from.candidates.size()};
+    double least = 0;
+    for (std::size_t const index : local)
+    {
+        double const cost = cost_of(from, index) + noise(random);
+        if (result.who != nullptr && cost >= least)
+            continue;
+        least = cost;
+        result.who = &from.candidates[index];
+        result.reason = reason_of(from.standings[index]);
+        result.passed_over = from.candidates.size() - 1;
+        result.doubt = index < from.doubts.size() ? from.doubts[index] : 0;
+    }
+    return result;
+}
+
+/// Splits the eligible candidates that \p wanted selects by data centre.
+template <class Wanted>
+void collect(selection const& from, Wanted wanted,
              std::vector<std::size_t>& local, std::vector<std::size_t>& other)
 {
     local.clear();
     other.clear();
     for (std::size_t i = 0; i < from.candidates.size(); ++i)
     {
-        if (from.standings[i] != wanted || !eligible(from, i))
+        if (!eligible(from, i) || !wanted(i))
             continue;
         bool const near =
             from.candidates[i].home_data_centre == from.data_centre;
@@ -118,32 +177,6 @@
     }
 }
 
-choice pick(selection const& from, standing wanted,
-            std::span<std::size_t const> local,
-            std::span<std::size_t const> other, std::mt19937_64& random)
-{
-    choice result{nullptr, reason_of(wanted), from.candidates.size() - 1};
-    auto const load = [&](std::size_t index)
-    { return load_of(from.candidates[index], from.outstanding); };
-    if (local.empty())
-    {
-        result.who = &from.candidates[pick_of_two(from, other, random)];
-        return result;
-    }
-    std::size_t index = pick_of_two(from, local, random);
-    if (load(index) > local_load_limit && !other.empty())
-    {
-        std::size_t const far = pick_of_two(from, other, random);
-        if (load(far) < load(index))
-        {
-            index = far;
-            result.reason = "data_centre_loaded";
-        }
-    }
-    result.who = &from.candidates[index];
-    return result;
-}
-
 } // namespace
 
 std::string_view to_string(standing value)
@@ -241,19 +274,24 @@
                     static_cast<std::uint32_t>(std::ceil(share * usable)));
 }
 
-void apply_doubts(std::span<members::candidate const> candidates,
-                  doubt_map const& doubts, time_point now,
-                  std::vector<standing>& standings)
+std::vector<double> apply_doubts(std::span<members::candidate const> candidates,
+                                 doubt_map const& doubts, time_point now,
+                                 std::vector<standing>& standings)
 {
+    std::vector<double> result;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         auto const told = doubts.find(candidates[i].server);
-        if (told == doubts.end() || standings[i] != standing::healthy)
-            continue;
-        duration const age = now - told->second.at;
-        if (faded_doubt(told->second.probability, age) >= doubt_limit)
+        duration const age =
+            told == doubts.end() ? duration(0) : now - told->second.at;
+        double const doubt = told == doubts.end()
+                                 ? usual_doubt
+                                 : faded_doubt(told->second.probability, age);
+        result.push_back(doubt);
+        if (standings[i] == standing::healthy && doubt >= doubt_limit)
             standings[i] = standing::doubtful;
     }
+    return result;
 }
 
 double load_of(members::candidate const& who,
@@ -269,30 +307,31 @@
 {
     std::vector<std::size_t> local;
     std::vector<std::size_t> other;
-    if (from.may_test && from.repeatable && draw(trickle_share, random) == 0)
-    {
-        for (standing const tested : {standing::doubtful, standing::probation})
-        {
-            collect(from, tested, local, other);
-            std::erase_if(local, [&](std::size_t i) { return busy(from, i); });
-            std::erase_if(other, [&](std::size_t i) { return busy(from, i); });
-            if (local.empty() && other.empty())
-                continue;
-            choice result = pick(from, tested, local, other, random);
-            result.reason = tested == standing::doubtful ? "doubt_test"
-                                                         : "probation_trickle";
-            return result;
-        }
-    }
-    for (standing const wanted : {standing::healthy, standing::doubtful,
-                                  standing::probation, standing::kept_by_floor,
-                                  standing::skipped})
+    bool const test =
+        from.may_test && from.repeatable && draw(trickle_share, random) == 0;
+    for (standing const tested : {standing::doubtful, standing::probation})
     {
-        collect(from, wanted, local, other);
-        if (!local.empty() || !other.empty())
-            return pick(from, wanted, local, other, random);
+        if (!test)
+            break;
+        collect(
+            from,
+            [&](std::size_t i)
+            { return from.standings[i] == tested && !busy(from, i); },
+            local, other);
+        choice result = cheapest(from, local, other, random);
+        if (result.who == nullptr)
+            continue;
+        result.reason =
+            tested == standing::doubtful ? "doubt_test" : "probation_trickle";
+        // The home expects to be tested.
+        result.doubt = 1;
+        return result;
     }
-    return {nullptr, "no_candidate", from.candidates.size()};
+    collect(
+        from,
+        [&](std::size_t i) { return from.standings[i] <= standing::skipped; },
+        local, other);
+    return cheapest(from, local, other, random);
 }
 
 } // namespace gooseberrycove::routing
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -62,6 +62,8 @@
     std::vector<standing> standings;
     /// Slots that stay in use: healthy ones and those kept by the floor.
     std::uint32_t capacity = 0;
+    /// By candidate; see apply_doubts().
+    std::vector<double> doubts = {};
 };
 
 /// Honours ejections from the worst to the least bad while the remaining
@@ -92,10 +94,11 @@
 };
 using doubt_map = std::map<std::string, told_doubt, std::less<>>;
 
-/// Moves healthy candidates in doubt behind the others.
-void apply_doubts(std::span<members::candidate const> candidates,
-                  doubt_map const& doubts, time_point now,
-                  std::vector<standing>& standings);
+/// The present doubt about each candidate. Healthy ones in doubt get that
+/// standing.
+std::vector<double> apply_doubts(std::span<members::candidate const> candidates,
+                                 doubt_map const& doubts, time_point now,
+                                 std::vector<standing>& standings);
 
 struct choice
 {
@@ -103,6 +106,8 @@
     std::string_view reason;
     /// Candidates that were not eligible or less preferred.
     std::size_t passed_over = 0;
+    /// Doubt about the server that the choice has allowed for.
+    double doubt = 0;
 };
 
 struct selection
@@ -116,10 +121,13 @@
     /// An attempt that may be followed by another one may test a server that
     /// is in doubt or in probation.
     bool may_test = true;
+    /// By candidate; empty when nothing is known.
+    std::span<double const> doubts = {};
 };
 
-/// Power of two choices within the best standing, own data centre first.
-/// `who` is null when no candidate is eligible.
+/// The cheapest of a few random candidates: its load, with costs for a doubtful
+/// standing and for another data centre. `who` is null when no candidate is
+/// eligible.
 choice choose(selection const& from, std::mt19937_64& random);
 
 } // namespace gooseberrycove::routing
--- a/src/routing/candidates_test.cpp
+++ b/src/routing/candidates_test.cpp
@@ -44,7 +44,7 @@
 {
     std::string text;
     for (standing const value : standings)
-        text += "hpksedu"[static_cast<int>(value)];
+        text += "h?pksedu"[static_cast<int>(value)];
     return text;
 }
 
@@ -125,6 +125,49 @@
         CHECK(choose(from, random).who->home_data_centre.empty());
 }
 
+TEST_CASE("a server in doubt is avoided until the others would queue")
+{
+    // Guards against work that must not run twice going to a server that has
+    // just failed, and against all work queueing at the only one without doubt.
+    home_evidence evidence;
+    auto candidates = servers("hh", evidence);
+    std::vector<standing> standings(2, standing::healthy);
+    doubt_map const told{{"a", {0.9, start}}, {"b", {0.01, start}}};
+    auto const doubts = apply_doubts(candidates, told, start, standings);
+    CHECK(standings_text(standings) == "?h");
+    std::mt19937_64 random(1);
+    auto const chosen = [&](bool repeatable, std::uint32_t load)
+    {
+        candidates[1].in_flight = load;
+        return choose({candidates,
+                       standings,
+                       {},
+                       {},
+                       "",
+                       repeatable,
+                       false,
+                       doubts},
+                      random)
+            .who->server;
+    };
+    CHECK(chosen(false, 4) == "b");
+    CHECK(chosen(true, 4) == "b");
+    CHECK(chosen(true, 16) == "a");
+    CHECK(chosen(false, 16) == "b");
+    CHECK(chosen(false, 28) == "a");
+}
+
+TEST_CASE("a doubt fades when nothing is heard of the server")
+{
+    home_evidence evidence;
+    auto const candidates = servers("h", evidence);
+    doubt_map const told{{"a", {0.9, start}}};
+    std::vector<standing> standings(1, standing::healthy);
+    CHECK(apply_doubts(candidates, told, start + 1s, standings)[0] > 0.6);
+    CHECK(apply_doubts(candidates, told, start + 30s, standings)[0] ==
+          Approx(usual_doubt).margin(0.01));
+}
+
 TEST_CASE("retries and hedges stay within their budgets")
 {
     retry_budget budget;
--- a/src/routing/claim_queries.cpp
+++ b/src/routing/claim_queries.cpp
@@ -56,8 +56,11 @@
     refusal const reason = check_account(self, from, config, now);
     if (reason.kind != error_kind::none)
     {
-        out.replies.push_back(
-            {from.id, from.caller_id, reason.kind, std::string(reason.detail), {}});
+        out.replies.push_back({from.id,
+                               from.caller_id,
+                               reason.kind,
+                               std::string(reason.detail),
+                               {}});
         return;
     }
     std::string const account(config.account->name);
@@ -65,11 +68,9 @@
     std::string_view const path = uri::path_of(from.target);
     if (path == mint_path)
     {
-        out.claim_messages.push_back(
-            claims::mint_request{account,
-                                 [id, caller = from.caller_id,
-                                  deliver](std::string&& key)
-                                 { deliver(minted_reply(id, caller, key)); }});
+        out.claim_messages.push_back(claims::mint_request{
+            account, [id, caller = from.caller_id, deliver](std::string&& key)
+            { deliver(minted_reply(id, caller, key)); }});
         return;
     }
     out.claim_messages.push_back(claims::state_request{
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -47,9 +47,8 @@
         .field("attempts", static_cast<unsigned>(what.attempts.size()));
     out.log.push_back(std::move(line));
     out.replies.push_back({what.from.id, what.from.caller_id, kind,
-                           std::string(detail),
-                           std::move(result), what.priority_name,
-                           what.from.received});
+                           std::string(detail), std::move(result),
+                           what.priority_name, what.from.received});
 }
 
 void end_claim(request const& what, work_result const& result, bool not_run,
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -63,7 +63,7 @@
     what.reached += arrived || known != outcome::not_run ? 1 : 0;
     std::string_view const reason = answer_of(result.kind).name;
     keep_failure(what, std::move(result));
-    if (what.now_in == phase::running && 
+    if (what.now_in == phase::running &&
         may_move_on(self, what, known, arrived, now) &&
         start_attempt(self, what, event::request_retried, reason, now, out))
         return;
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -223,12 +223,12 @@
     }
     void operator()(explain_request const& wanted) const
     {
-        wanted.deliver(explain(self,
-                               look_up(self, tables,
-                                       {wanted.account, wanted.method,
-                                        wanted.host,
-                                        uri::path_of(wanted.path)}),
-                               now));
+        wanted.deliver(
+            explain(self,
+                    look_up(self, tables,
+                            {wanted.account, wanted.method, wanted.host,
+                             uri::path_of(wanted.path)}),
+                    now));
     }
     void operator()(services_request const& wanted) const
     {
--- a/src/routing/summary.cpp
+++ b/src/routing/summary.cpp
@@ -11,8 +11,7 @@
     {
         if (service.candidates.empty())
             continue;
-        assessment const found =
-            assess(service, self.evidence, now);
+        assessment const found = assess(service, self.evidence, now);
         service_summary entry;
         entry.service = name;
         entry.floor_slots = floor_of(service.candidates, service.floor_slots,
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -116,6 +116,7 @@
     out.caller_id = value.caller_id;
     out.headers = put(value.headers);
     out.caller_service = value.caller_service;
+    out.known_doubt = value.known_doubt;
     return out;
 }
 
@@ -148,6 +149,7 @@
     out.caller_id = in.caller_id;
     out.headers = get(in.headers);
     out.caller_service = in.caller_service;
+    out.known_doubt = in.known_doubt;
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -449,6 +449,10 @@
 void Work::__set_caller_service(const std::string& val) {
   this->caller_service = val;
 }
+
+void Work::__set_known_doubt(const double val) {
+  this->known_doubt = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -681,6 +685,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->known_doubt);
+          this->__isset.known_doubt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -802,6 +814,10 @@
   xfer += oprot->writeString(this->caller_service);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("known_doubt", ::apache::thrift::protocol::T_DOUBLE, 25);
+  xfer += oprot->writeDouble(this->known_doubt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -833,6 +849,7 @@
   swap(a.caller_id, b.caller_id);
   swap(a.headers, b.headers);
   swap(a.caller_service, b.caller_service);
+  swap(a.known_doubt, b.known_doubt);
   swap(a.__isset, b.__isset);
 }
 
@@ -861,6 +878,7 @@
   caller_id = other12.caller_id;
   headers = other12.headers;
   caller_service = other12.caller_service;
+  known_doubt = other12.known_doubt;
   __isset = other12.__isset;
 }
 Work& Work::operator=(const Work& other13) {
@@ -888,6 +906,7 @@
   caller_id = other13.caller_id;
   headers = other13.headers;
   caller_service = other13.caller_service;
+  known_doubt = other13.known_doubt;
   __isset = other13.__isset;
   return *this;
 }
@@ -918,6 +937,7 @@
   out << ", " << "caller_id=" << to_string(caller_id);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "caller_service=" << to_string(caller_service);
+  out << ", " << "known_doubt=" << to_string(known_doubt);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -208,7 +208,7 @@
 std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
 
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -233,6 +233,7 @@
   bool caller_id :1;
   bool headers :1;
   bool caller_service :1;
+  bool known_doubt :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -260,7 +261,8 @@
          origin_address(),
          other_homes(0),
          caller_id(),
-         caller_service() {
+         caller_service(),
+         known_doubt(0) {
   }
 
   virtual ~Work() noexcept;
@@ -288,6 +290,7 @@
   std::string caller_id;
   std::vector<HeaderField>  headers;
   std::string caller_service;
+  double known_doubt;
 
   _Work__isset __isset;
 
@@ -339,6 +342,8 @@
 
   void __set_caller_service(const std::string& val);
 
+  void __set_known_doubt(const double val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -389,6 +394,8 @@
       return false;
     if (!(caller_service == rhs.caller_service))
       return false;
+    if (!(known_doubt == rhs.known_doubt))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -43,6 +43,7 @@
   22: string caller_id
   23: list<HeaderField> headers
   24: string caller_service
+  25: double known_doubt
 }
 
 struct ServerStatus {
