--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -144,6 +144,8 @@
         on_shed(server.limit);
     bool const answered =
         done.what == dispatch::result_class::answered && done.status < 500;
+    if (answered)
+        on_answer(server.limit);
     if (answered)
         on_latency(server.limit, ended.what.priority, done.latency,
                    ended.concurrency, service.queued > 0, now);
@@ -244,6 +246,8 @@
     for (auto& [name, service] : self.services)
         refuse_matching(self, service, matches, error_kind::cancelled,
                         "caller_gone", now, out);
+    if (which.queued_only)
+        return;
     for (auto const& [ticket, begun] : self.in_flight)
     {
         if (is_attempt(begun.what, which) && begun.what.repeatable)
--- a/src/admission/limit.cpp
+++ b/src/admission/limit.cpp
@@ -23,6 +23,9 @@
 constexpr double tolerance = 0.1;
 constexpr double decrease_factor = 0.8;
 
+/// Slots that an answer gives back after refusals.
+constexpr double shed_recovery = 0.5;
+
 /// A server of 4 slots with 5 requests takes 1.25 times as long (log 0.22).
 /// Above the declared slots a doubt is enough to go back.
 constexpr double attempt_tolerance = 0.08;
@@ -139,9 +142,20 @@
 
 void on_shed(adaptive_limit& limit)
 {
+    limit.before_sheds = std::max(limit.before_sheds, limit.limit);
     decrease(limit);
 }
 
+void on_answer(adaptive_limit& limit)
+{
+    if (limit.limit >= limit.before_sheds)
+    {
+        limit.before_sheds = 0;
+        return;
+    }
+    limit.limit = std::min(limit.before_sheds, limit.limit + shed_recovery);
+}
+
 std::uint32_t usable_slots(adaptive_limit const& limit, time_point announced,
                            duration warmup, time_point now)
 {
--- a/src/admission/limit.hpp
+++ b/src/admission/limit.hpp
@@ -18,6 +18,8 @@
     /// 0 until set_declared().
     std::uint32_t declared = 0;
     double limit = 1;
+    /// Limit before the first of the refusals that have lowered it.
+    double before_sheds = 0;
     /// Moving mean of log latency at low concurrency, for each priority.
     std::array<double, max_priorities> low_log{};
     std::array<double, max_priorities> low_samples{};
@@ -46,6 +48,11 @@
 /// The server refused work as overloaded.
 void on_shed(adaptive_limit& limit);
 
+/// The server answered work. What refusals took from the limit comes back
+/// within a few answers: a server that fails for some seconds refuses as well,
+/// and the gradient needs 64 samples for each step up.
+void on_answer(adaptive_limit& limit);
+
 /// Slots that may be used: the limit, and a linear ramp from 1 to the declared
 /// slots during \p warmup after \p announced.
 std::uint32_t usable_slots(adaptive_limit const& limit, time_point announced,
--- a/src/admission/limit_test.cpp
+++ b/src/admission/limit_test.cpp
@@ -81,3 +81,19 @@
     CHECK(limit.limit >= server.lowest);
     CHECK(limit.limit <= server.highest);
 }
+
+TEST_CASE("slots come back within a few answers after refusals")
+{
+    // Guards against a server that stays at one slot for minutes because it
+    // refused everything for a few seconds.
+    adaptive_limit limit;
+    set_declared(limit, 4);
+    for (int i = 0; i < 20; ++i)
+        on_shed(limit);
+    CHECK(limit.limit == 1);
+    for (int i = 0; i < 6; ++i)
+        on_answer(limit);
+    CHECK(limit.limit == 4);
+    on_answer(limit);
+    CHECK(limit.limit == 4);
+}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,6 +28,9 @@
 /// Control messages that may wait for a duty.
 constexpr std::size_t control_ring_capacity = 8192;
 constexpr std::chrono::milliseconds drain_poll{20};
+/// Time before the end of a shutdown at which work that still waits at its
+/// home is taken back; enough for the way there and back.
+constexpr std::chrono::milliseconds withdrawal_time{1000};
 /// Two empty looks this far apart cover a message that is between two rings.
 constexpr int empty_looks_needed = 5;
 
@@ -245,8 +248,14 @@
     std::this_thread::sleep_until(notice_end);
     own.front.try_push(front::stop_taking{});
     int empty_looks = 0;
+    bool waiting = true;
     while (empty_looks < empty_looks_needed && clock_now() < limit)
     {
+        if (waiting && clock_now() >= limit - withdrawal_time)
+        {
+            own.routing.try_push(routing::stop_waiting{});
+            waiting = false;
+        }
         std::this_thread::sleep_for(drain_poll);
         bool const empty =
             own.callers_in_flight.load() == 0 && own.work_in_flight.load() == 0;
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -37,11 +37,12 @@
     return out;
 }
 
-setting fraction(char const* key, char const* value, char const* help)
+setting real(char const* key, char const* value, double maximum,
+             char const* help)
 {
     setting out = optional(key, setting_type::real, value, help);
     out.minimum = 0;
-    out.maximum = 1;
+    out.maximum = maximum;
     return out;
 }
 
@@ -86,16 +87,16 @@
              "without it announcements need no key"),
     optional("seeds", setting_type::addresses, "",
              "peer addresses of daemons to join, ip:port separated by blanks"),
-    bounded("drain_seconds", "30", 0, 3600,
-            "seconds that a shutdown waits for requests in flight"),
+    real("drain_seconds", "30", 3600,
+         "seconds that a shutdown waits for requests in flight"),
     bounded("drain_notice_ms", "0", 0, 60'000,
             "milliseconds of a shutdown in which requests are still taken and "
             "passed to other daemons"),
     bounded("max_body_bytes", "1048576", 1024, 64 << 20,
             "largest body of a request or an answer in bytes"),
-    fraction("floor_share", "0",
-             "share of a service's slots that ejection leaves in use, where "
-             "the configuration comes from a platform that does not say"),
+    real("floor_share", "0", 1,
+         "share of a service's slots that ejection leaves in use, where "
+         "the configuration comes from a platform that does not say"),
     optional("undelimited_answers", setting_type::boolean, "false",
              "whether an answer of a backend server may have no length and "
              "end with its connection"),
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -92,8 +92,8 @@
         });
     wait_for_end(signals, *process);
     log_info(event_line(event::process_draining));
-    auto const limit =
-        std::chrono::seconds(values.number("daemon", "drain_seconds"));
+    auto const limit = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(values.real("daemon", "drain_seconds")));
     std::chrono::milliseconds const notice(
         values.number("daemon", "drain_notice_ms"));
     time_point const now = clock_now();
--- a/src/include/gooseberrycove/admission.hpp
+++ b/src/include/gooseberrycove/admission.hpp
@@ -20,6 +20,8 @@
     request_id id;
     std::uint32_t attempt = 0;
     daemon_ref origin;
+    /// Leaves running work alone.
+    bool queued_only = false;
 };
 
 /// Stops taking new work; running and queued work is finished.
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -45,6 +45,12 @@
     request_id id;
 };
 
+/// This daemon ends soon. Requests that no server has begun are refused, and
+/// further ones too.
+struct stop_waiting
+{
+};
+
 /// Why each candidate would or would not be chosen, for the operator.
 struct explanation
 {
@@ -93,7 +99,7 @@
     std::variant<std::monostate, caller_request, caller_gone, work_result,
                  claims::claim_result, claims::claim_released,
                  members::service_view_ptr, config::in_force, explain_request,
-                 services_request>;
+                 services_request, stop_waiting>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::routing
--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -33,6 +33,10 @@
 void on_claim_released(state& self, claims::claim_released const& released,
                        time_point now, actions& out);
 
+/// Takes back attempts that wait at their homes, so that their callers get a
+/// true refusal before this daemon ends.
+void on_stop_waiting(state& self, actions& out);
+
 /// Replaces the candidates of one service.
 void on_view(state& self, members::service_view const& view);
 
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -124,7 +124,9 @@
         set_timer(self, what, std::max(what.deadline, now) + release_time);
         return;
     }
-    error_kind const kind = kind_for(result.kind, result.result);
+    error_kind const kind = self.stopping && not_run
+                                ? error_kind::draining
+                                : kind_for(result.kind, result.result);
     std::string const detail = result.detail;
     reply_once(what, kind, detail, std::move(result), out);
     erase_request(self, what.from.id);
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -19,6 +19,8 @@
     using enum error_kind;
     if (self.requests.size() >= self.most_in_flight)
         return {overloaded, "too many requests in flight at this daemon"};
+    if (self.stopping)
+        return {draining, "shutting down"};
     if (!config.configured)
         return {no_configuration, "no configuration was read yet"};
     if (config.route && config.route->open)
@@ -253,6 +255,23 @@
     erase_request(self, gone.id);
 }
 
+void on_stop_waiting(state& self, actions& out)
+{
+    self.stopping = true;
+    for (auto const& [id, what] : self.requests)
+    {
+        if (what.claimed || what.answered)
+            continue;
+        for (attempt const& which : what.attempts)
+        {
+            if (which.open)
+                out.sends.push_back(
+                    {which.home_address, which.home == self.self,
+                     admission::cancel{id, which.number, self.self, true}});
+        }
+    }
+}
+
 void on_view(state& self, members::service_view const& view)
 {
     service_state& service = service_of(self, view.service);
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -42,7 +42,7 @@
 bool may_move_on(state& self, request& what, outcome result, bool arrived,
                  time_point now)
 {
-    if (what.answered || has_open_attempt(what))
+    if (what.answered || has_open_attempt(what) || self.stopping)
         return false;
     if (result == outcome::not_run && !arrived)
         return true;
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -430,3 +430,139 @@
         CHECK((repeatable || out.claim_messages.size() == 2));
     }
 }
+
+namespace
+{
+
+looked_up open_route(bool repeatable, std::uint32_t attempts = 3)
+{
+    looked_up config = config_for(repeatable);
+    config.account.reset();
+    config.route->open = true;
+    config.route->attempts = attempts;
+    return config;
+}
+
+caller_request anonymous(std::uint64_t number)
+{
+    caller_request from = request_number(number);
+    from.caller_id = "caller-" + std::to_string(number);
+    from.credentials.clear();
+    from.idempotency_key.clear();
+    return from;
+}
+
+} // namespace
+
+TEST_CASE("an open route needs no account and sends unsafe work only once")
+{
+    state self = make_state();
+    actions out;
+    on_caller_request(self, anonymous(1), open_route(false), start, out);
+    REQUIRE(out.sends.size() == 1);
+    CHECK(out.claim_messages.empty());
+    CHECK(last_work(out).caller_id == "caller-1");
+    work const sent = last_work(out);
+    SECTION("not run at the home: another home gets it")
+    {
+        on_result(self,
+                  result_of(sent, sent.home, error_kind::overloaded,
+                            outcome::not_run),
+                  start, out);
+        CHECK(out.sends.size() == 2);
+        CHECK(out.replies.empty());
+    }
+    SECTION("unknown: never sent again, and not called unrun")
+    {
+        on_result(self,
+                  result_of(sent, sent.home, error_kind::answer_cut,
+                            outcome::unknown),
+                  start, out);
+        CHECK(out.sends.size() == 1);
+        REQUIRE(out.replies.size() == 1);
+        CHECK(answer_of(out.replies[0].kind).result == outcome::unknown);
+    }
+    SECTION("the caller leaves: its attempt is withdrawn")
+    {
+        on_caller_gone(self, {sent.id}, start, out);
+        CHECK(std::holds_alternative<admission::cancel>(out.sends.back().what));
+        CHECK(self.requests.empty());
+    }
+}
+
+TEST_CASE("a route of one attempt reaches one backend server")
+{
+    // Guards against hedges and retries beyond the operator's limit.
+    state self = make_state();
+    for (int i = 0; i < 40; ++i)
+        add_latency(self.services["orders"].latency, 10ms);
+    actions out;
+    on_caller_request(self, anonymous(1), open_route(true, 1), start, out);
+    on_tick(self, start + 700ms, out);
+    CHECK(out.sends.size() == 1);
+    work const sent = last_work(out);
+    work_result failed =
+        result_of(sent, sent.home, error_kind::none, outcome::ran, 500);
+    failed.service_time = 1ms;
+    on_result(self, std::move(failed), start + 800ms, out);
+    CHECK(out.sends.size() == 1);
+    CHECK(out.replies.size() == 1);
+}
+
+TEST_CASE("a repeat after a server's own refusal draws on the retry budget")
+{
+    // Guards against floods of repeats when every server of a service sheds.
+    state self = make_state();
+    int sends = 0;
+    for (std::uint64_t i = 1; i <= 20; ++i)
+    {
+        actions out;
+        on_caller_request(self, anonymous(i), open_route(true), start, out);
+        while (!out.sends.empty())
+        {
+            ++sends;
+            work const sent = last_work(out);
+            out.sends.clear();
+            work_result shed = result_of(
+                sent, sent.home, error_kind::overloaded, outcome::not_run);
+            shed.service_time = 1ms;
+            on_result(self, std::move(shed), start, out);
+        }
+    }
+    CHECK(sends <= 20 + 3);
+}
+
+TEST_CASE("at a shutdown waiting requests get a refusal that is true")
+{
+    // Guards against a connection that ends without an answer because the
+    // request still waited in a queue when the process ended.
+    state self = make_state();
+    actions out;
+    on_caller_request(self, anonymous(1), open_route(false), start, out);
+    work const sent = last_work(out);
+    on_stop_waiting(self, out);
+    auto const& withdrawn = std::get<admission::cancel>(out.sends.back().what);
+    CHECK(withdrawn.queued_only);
+    on_result(
+        self,
+        result_of(sent, sent.home, error_kind::cancelled, outcome::not_run),
+        start, out);
+    REQUIRE(out.replies.size() == 1);
+    CHECK(out.replies[0].kind == error_kind::draining);
+    on_caller_request(self, anonymous(2), open_route(false), start, out);
+    CHECK(out.replies.back().kind == error_kind::draining);
+}
+
+TEST_CASE("without a configuration requests are refused and not called unknown")
+{
+    state self = make_state();
+    actions out;
+    looked_up none;
+    none.configured = false;
+    on_caller_request(self, anonymous(1), none, start, out);
+    CHECK(out.replies.back().kind == error_kind::no_configuration);
+    looked_up no_accounts;
+    no_accounts.has_accounts = false;
+    on_caller_request(self, anonymous(2), no_accounts, start, out);
+    CHECK(out.replies.back().kind == error_kind::no_route);
+}
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -230,6 +230,7 @@
                              uri::path_of(wanted.path)}),
                     now));
     }
+    void operator()(stop_waiting const&) const { on_stop_waiting(self, out); }
     void operator()(services_request const& wanted) const
     {
         wanted.deliver(summarize(self, now));
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -130,6 +130,8 @@
     rate_limiter rates;
     split_positions splits;
     home_evidence evidence;
+    /// See stop_waiting.
+    bool stopping = false;
     /// Results that came after their request was finished.
     std::uint64_t dropped_results = 0;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -353,6 +353,7 @@
         put_id(value.id, field);
         field.attempt = static_cast<std::int32_t>(value.attempt);
         field.origin = put(value.origin);
+        field.queued_only = value.queued_only;
         out.__set_cancel(field);
     }
 
@@ -476,7 +477,7 @@
         return get(in.work_result);
     if (in.__isset.cancel)
         return admission::cancel{get_id(in.cancel), to_count(in.cancel.attempt),
-                                 get(in.cancel.origin)};
+                                 get(in.cancel.origin), in.cancel.queued_only};
     if (in.__isset.fence)
         return claims::fence{get(in.fence.claim), get(in.fence.home),
                              get(in.fence.sender), in.fence.sender_address};
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -1665,6 +1665,10 @@
 void Cancel::__set_origin(const Daemon& val) {
   this->origin = val;
 }
+
+void Cancel::__set_queued_only(const bool val) {
+  this->queued_only = val;
+}
 std::ostream& operator<<(std::ostream& out, const Cancel& obj)
 {
   obj.printTo(out);
@@ -1725,6 +1729,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->queued_only);
+          this->__isset.queued_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1758,6 +1770,10 @@
   xfer += this->origin.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("queued_only", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->queued_only);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1769,6 +1785,7 @@
   swap(a.id_low, b.id_low);
   swap(a.attempt, b.attempt);
   swap(a.origin, b.origin);
+  swap(a.queued_only, b.queued_only);
   swap(a.__isset, b.__isset);
 }
 
@@ -1777,6 +1794,7 @@
   id_low = other30.id_low;
   attempt = other30.attempt;
   origin = other30.origin;
+  queued_only = other30.queued_only;
   __isset = other30.__isset;
 }
 Cancel& Cancel::operator=(const Cancel& other31) noexcept {
@@ -1784,6 +1802,7 @@
   id_low = other31.id_low;
   attempt = other31.attempt;
   origin = other31.origin;
+  queued_only = other31.queued_only;
   __isset = other31.__isset;
   return *this;
 }
@@ -1794,6 +1813,7 @@
   out << ", " << "id_low=" << to_string(id_low);
   out << ", " << "attempt=" << to_string(attempt);
   out << ", " << "origin=" << to_string(origin);
+  out << ", " << "queued_only=" << to_string(queued_only);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -666,11 +666,12 @@
 std::ostream& operator<<(std::ostream& out, const WorkResult& obj);
 
 typedef struct _Cancel__isset {
-  _Cancel__isset() : id_high(false), id_low(false), attempt(false), origin(false) {}
+  _Cancel__isset() : id_high(false), id_low(false), attempt(false), origin(false), queued_only(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
   bool origin :1;
+  bool queued_only :1;
 } _Cancel__isset;
 
 class Cancel : public virtual ::apache::thrift::TBase {
@@ -681,7 +682,8 @@
   Cancel() noexcept
          : id_high(0),
            id_low(0),
-           attempt(0) {
+           attempt(0),
+           queued_only(0) {
   }
 
   virtual ~Cancel() noexcept;
@@ -689,6 +691,7 @@
   int64_t id_low;
   int32_t attempt;
   Daemon origin;
+  bool queued_only;
 
   _Cancel__isset __isset;
 
@@ -700,6 +703,8 @@
 
   void __set_origin(const Daemon& val);
 
+  void __set_queued_only(const bool val);
+
   bool operator == (const Cancel & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -710,6 +715,8 @@
       return false;
     if (!(origin == rhs.origin))
       return false;
+    if (!(queued_only == rhs.queued_only))
+      return false;
     return true;
   }
   bool operator != (const Cancel &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -83,6 +83,7 @@
   2: i64 id_low
   3: i32 attempt
   4: Daemon origin
+  5: bool queued_only
 }
 
 struct Fence {
