--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -27,6 +27,9 @@
     policy.reserved_slots = service.reserved_slots;
     policy.warmup = service.warmup;
     policy.probe_path = service.probe_path;
+    if (service.repeat_limit)
+        policy.repeats = repeat_limit{service.repeat_limit->share,
+                                      service.repeat_limit->slack};
     auto const priorities = tables.priorities();
     for (config::priority_share const& share : service.shares)
     {
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -194,6 +194,11 @@
     auto const found = self.services.find(what.service);
     if (found == self.services.end())
         return {error_kind::no_server, "not_homed_here"};
+    service_state const& service = found->second;
+    if (what.repeat && service.policy.repeats &&
+        !may_repeat(service.arrivals, *service.policy.repeats, what.servers,
+                    now))
+        return {error_kind::overloaded, "repeat_limit"};
     return what.server.empty()
                ? check_any_server(self, found->second, what, now)
                : check_server(self, found->second, what.server, what, now);
--- /dev/null
+++ b/src/admission/repeats.hpp
@@ -0,0 +1,42 @@
+#ifndef GOOSEBERRYCOVE_ADMISSION_REPEATS_HPP
+#define GOOSEBERRYCOVE_ADMISSION_REPEATS_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace gooseberrycove::admission
+{
+
+/// Requests that arrived at the servers of a service here, by second.
+struct arrival_counts
+{
+    struct slice
+    {
+        std::int64_t second = -1;
+        std::uint32_t first = 0;
+        std::uint32_t repeats = 0;
+    };
+    std::array<slice, 10> slices{};
+};
+
+/// What a service allows in any 10 s over all of its homes.
+struct repeat_limit
+{
+    /// Share of the first arrivals, and a number besides.
+    double share = 0;
+    double slack = 0;
+};
+
+void count_arrival(arrival_counts& counts, bool repeat, time_point now);
+
+/// Whether this home may let another repeat arrive. It keeps to its part of
+/// the limit, so that the homes together keep it without asking each other.
+/// \param homes  of the service, at least 1
+bool may_repeat(arrival_counts const& counts, repeat_limit const& limit,
+                std::uint32_t homes, time_point now);
+
+} // namespace gooseberrycove::admission
+
+#endif
--- /dev/null
+++ b/src/admission/repeats_test.cpp
@@ -0,0 +1,33 @@
+#include "repeats.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::admission;
+using namespace std::chrono_literals;
+
+TEST_CASE("homes together keep the limit of repeats in every window")
+{
+    // Guards against a limit that each daemon keeps for itself and the fleet
+    // does not: 9 homes, 90 requests in 10 s, every one of them repeated.
+    repeat_limit const limit{0.2, 62};
+    std::array<arrival_counts, 9> homes;
+    int repeats = 0;
+    time_point const start{1000s};
+    for (int i = 0; i < 90; ++i)
+    {
+        time_point const now = start + i * 100ms;
+        arrival_counts& home = homes[static_cast<std::size_t>(i) % 9];
+        count_arrival(home, false, now);
+        for (int again = 0; again < 3; ++again)
+        {
+            if (!may_repeat(home, limit, 9, now))
+                break;
+            count_arrival(home, true, now);
+            ++repeats;
+        }
+    }
+    CHECK(repeats <= 0.2 * 90 + 62);
+    CHECK(repeats >= 0.5 * (0.2 * 90 + 62));
+    CHECK(may_repeat(homes[0], limit, 9, start + 30s));
+}
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -6,12 +6,14 @@
 #include "fence.hpp"
 #include "limit.hpp"
 #include "queue.hpp"
+#include "repeats.hpp"
 #include "share.hpp"
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/event.hpp>
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,7 @@
     std::uint32_t reserved_slots = 1;
     duration warmup{0};
     std::string probe_path = "/healthz";
+    std::optional<repeat_limit> repeats;
     std::array<priority_policy, max_priorities> priorities{};
 };
 
@@ -84,6 +87,7 @@
     std::array<priority_state, max_priorities> priorities{};
     std::vector<std::string> servers;
     share_credit shares;
+    arrival_counts arrivals;
     std::size_t queued = 0;
 };
 
--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -90,7 +90,7 @@
         {R"({"services":{"a":{"floor_slots":1.5,"speed":1}}})",
          "/services/a/speed: unknown, allowed: floor_slots floor_share "
          "priorities probe_path "
-         "reserved_slots warmup_ms\n"
+         "repeat_limit reserved_slots warmup_ms\n"
          "/services/a/floor_slots: allowed: an integer from 0 to 10000000\n"},
         {R"({"services":{"a":{"priorities":{"high":{"min_share":0.95}}}}})",
          "/services/a/priorities: the sum of min_share must not exceed 1\n"},
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -222,6 +222,21 @@
               { return left.priority < right.priority; });
 }
 
+void read_repeat_limit(reader& in, service& result)
+{
+    json const* const found = in.find("repeat_limit", false);
+    if (found == nullptr)
+        return;
+    std::string const path = pointer_to(in.path, "repeat_limit");
+    reader one{*found, path, in.faults};
+    if (!check_fields(one, {"share", "slack"}))
+        return;
+    service::repeats limit;
+    read_number(one, "share", {0, 10, false}, true, limit.share);
+    read_number(one, "slack", {0, 1e6, false}, true, limit.slack);
+    result.repeat_limit = limit;
+}
+
 void read_flag(reader& in, std::string_view key, bool required, bool& value)
 {
     json const* const flag = in.find(key, required);
@@ -311,6 +326,9 @@
     service const defaults;
     if (one.floor_share != defaults.floor_share)
         result["floor_share"] = one.floor_share;
+    if (one.repeat_limit)
+        result["repeat_limit"] = {{"share", one.repeat_limit->share},
+                                  {"slack", one.repeat_limit->slack}};
     if (one.probe_path != defaults.probe_path)
         result["probe_path"] = one.probe_path;
     return result;
@@ -372,13 +390,15 @@
     reader in{from, path, faults};
     service result;
     result.name = name;
-    if (!check_fields(in, {"floor_slots", "floor_share", "priorities",
-                           "probe_path", "reserved_slots", "warmup_ms"}))
+    if (!check_fields(in,
+                      {"floor_slots", "floor_share", "priorities", "probe_path",
+                       "repeat_limit", "reserved_slots", "warmup_ms"}))
         return std::nullopt;
     read_number(in, "floor_slots", {0, 1e7, true}, true, result.floor_slots);
     read_number(in, "reserved_slots", {0, 1e4, true}, false,
                 result.reserved_slots);
     read_number(in, "floor_share", {0, 1, false}, false, result.floor_share);
+    read_repeat_limit(in, result);
     read_time(in, "warmup_ms", 0, false, result.warmup);
     if (from.contains("probe_path"))
         result.probe_path = read_text(in, "probe_path");
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,7 +52,8 @@
     if (name != "rows")
         throw settings_error("daemon.platform_interface: '" + name +
                              "' is not allowed, allowed: own, rows");
-    return platform::row_store_protocol(from.real("daemon", "floor_share"));
+    return platform::row_store_protocol(
+        platform::read_bounds(from.text("daemon", "bounds")));
 }
 
 header_names names_of(settings const& from)
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -94,9 +94,9 @@
             "passed to other daemons"),
     bounded("max_body_bytes", "1048576", 1024, 64 << 20,
             "largest body of a request or an answer in bytes"),
-    real("floor_share", "0", 1,
-         "share of a service's slots that ejection leaves in use, where "
-         "the configuration comes from a platform that does not say"),
+    optional("bounds", setting_type::text, "",
+             "bounds that the platform's operators set for every service, as "
+             "name=value separated by commas"),
     optional("undelimited_answers", setting_type::boolean, "false",
              "whether an answer of a backend server may have no length and "
              "end with its connection"),
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -46,6 +46,15 @@
     double floor_share = 0;
     /// Time after an announcement in which latency is no evidence.
     duration warmup{0};
+    /// Limit of repeats that arrive at the service in any 10 s: a share of its
+    /// requests and a number besides. Kept by the homes; without it daemons
+    /// keep a budget of their own.
+    struct repeats
+    {
+        double share = 0;
+        double slack = 0;
+    };
+    std::optional<repeats> repeat_limit;
     /// Path of the probe endpoint of the service's backend servers.
     std::string probe_path = "/healthz";
     /// Priorities that the service accepts.
--- a/src/include/gooseberrycove/peer.hpp
+++ b/src/include/gooseberrycove/peer.hpp
@@ -8,19 +8,27 @@
 #include <gooseberrycove/ring.hpp>
 #include <gooseberrycove/work.hpp>
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
 namespace gooseberrycove::peer
 {
 
+/// Asks whether a connection carries frames there and back, or answers that.
+struct path_check
+{
+    std::uint64_t number = 0;
+    bool answer = false;
+};
+
 /// Everything that daemons tell each other. A packet goes as a datagram, the
 /// rest over a stream.
 using payload =
     std::variant<std::monostate, work, work_result, admission::cancel,
                  claims::fence, claims::fence_answer, config::pull,
                  config::deltas, config::peer_version, members::sync,
-                 members::packet>;
+                 members::packet, path_check>;
 
 struct outgoing
 {
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -51,6 +51,10 @@
     /// Whether routing has another home to try. Such work is refused rather
     /// than queued when it would miss its priority's target here.
     bool other_homes = false;
+    /// The request may have reached another server before.
+    bool repeat = false;
+    /// Servers of the service that routing knows.
+    std::uint32_t servers = 1;
     /// Doubt about the server that routing has allowed for; the home refuses
     /// the work when its own is clearly greater.
     double known_doubt = 0;
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -76,6 +76,8 @@
     {
         offer(*to.members, std::move(value), to, "members");
     }
+    /// The peer thread answers checks itself.
+    void operator()(path_check const&) {}
     void operator()(members::packet&& value)
     {
         offer(*to.members, std::move(value), to, "members");
@@ -109,7 +111,8 @@
 {
     return std::holds_alternative<work>(what) ||
            std::holds_alternative<work_result>(what) ||
-           std::holds_alternative<admission::cancel>(what);
+           std::holds_alternative<admission::cancel>(what) ||
+           std::holds_alternative<path_check>(what);
 }
 
 std::string_view reply_address(payload const& what)
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "connection.hpp"
 #include "delivery.hpp"
+#include "path.hpp"
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/settings.hpp>
 #include <gooseberrycove/wire.hpp>
@@ -13,6 +14,7 @@
 
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 namespace gooseberrycove::peer
 {
@@ -39,6 +41,14 @@
     std::uint64_t tag = 0;
     std::uint32_t attempt = 0;
     std::string address;
+    time_point sent;
+};
+
+/// A connection's path and the work that waits for its proof.
+struct checked_path
+{
+    path state;
+    std::vector<outgoing> waiting;
 };
 
 using attempt_key = std::pair<request_id, std::uint32_t>;
@@ -67,9 +77,17 @@
     void send(outgoing const& what);
     void send_datagram(std::string_view address, std::string const& frame);
     void send_stream(outgoing const& what, std::string_view frame);
+    void send_work(outgoing const& what);
+    void write_work(connection& stream, outgoing const& what);
+    void give_back_waiting(checked_path& of);
+    void watch_checks(time_point from);
+    void end_late_checks();
+    void on_check(connection& from, path_check const& what);
+    std::string encode(payload const& what);
     connection& connection_to(std::string const& address);
     std::shared_ptr<connection> make_connection(tcp::socket socket);
     void on_frame(connection* from, std::string_view frame);
+    void on_result(connection* from, work_result const& result);
     void on_end(connection& ended, std::uint64_t last_written);
     void give_back(sent_work const& lost, request_id id, bool sent);
     void sweep();
@@ -81,6 +99,10 @@
     tcp::acceptor m_acceptor{m_context};
     udp::socket m_datagrams{m_context};
     asio::steady_timer m_sweep_timer{m_context};
+    asio::steady_timer m_check_timer{m_context};
+    bool m_checks_watched = false;
+    std::uint64_t m_last_check = 0;
+    std::unordered_map<connection*, checked_path> m_paths;
     std::vector<char> m_datagram = std::vector<char>(max_datagram);
     udp::endpoint m_datagram_sender;
     std::unordered_set<std::shared_ptr<connection>> m_connections;
@@ -166,13 +188,20 @@
         finish();
 }
 
+std::string peer_loop::encode(payload const& what)
+{
+    std::string frame =
+        wire::encode(m_to.keys->current(), m_to.self, what, clock_now());
+    m_to.counts->count_peer_bytes(
+        direction::out, carries_work(what) ? "work" : "control", frame.size());
+    return frame;
+}
+
 void peer_loop::send(outgoing const& what)
 {
-    std::string const frame =
-        wire::encode(m_to.keys->current(), m_to.self, what.what, clock_now());
-    m_to.counts->count_peer_bytes(direction::out,
-                                  carries_work(what.what) ? "work" : "control",
-                                  frame.size());
+    if (std::holds_alternative<work>(what.what))
+        return send_work(what);
+    std::string const frame = encode(what.what);
     if (std::holds_alternative<members::packet>(what.what))
         return send_datagram(what.address, frame);
     send_stream(what, frame);
@@ -192,34 +221,118 @@
 
 void peer_loop::send_stream(outgoing const& what, std::string_view frame)
 {
-    auto const* const carried = std::get_if<work>(&what.what);
-    sent_work record{nullptr, 0, 0, what.address};
-    if (carried)
-        record.attempt = carried->attempt;
+    if (is_address(what.address))
+        connection_to(what.address).send(frame);
+}
+
+void peer_loop::send_work(outgoing const& what)
+{
+    work const& carried = std::get<work>(what.what);
     if (!is_address(what.address))
+        return give_back({nullptr, 0, carried.attempt, what.address, {}},
+                         carried.id, false);
+    time_point const now = clock_now();
+    connection& stream = connection_to(what.address);
+    checked_path& way = m_paths[&stream];
+    switch (on_outgoing_work(way.state, m_last_check + 1, now))
     {
-        if (carried)
-            give_back(record, carried->id, false);
+    case path_step::send:
+        return write_work(stream, what);
+    case path_step::check:
+        way.waiting.push_back(what);
+        stream.send(encode(path_check{++m_last_check, false}));
+        return watch_checks(now);
+    case path_step::wait:
+        way.waiting.push_back(what);
         return;
+    case path_step::give_back:
+        return give_back({nullptr, 0, carried.attempt, what.address, {}},
+                         carried.id, false);
+    case path_step::reconnect:
+        // The old connection stays open for the answers that it may bring.
+        m_by_address.erase(what.address);
+        return send_work(what);
     }
-    connection& stream = connection_to(what.address);
+}
+
+void peer_loop::write_work(connection& stream, outgoing const& what)
+{
+    work const& carried = std::get<work>(what.what);
+    sent_work record{nullptr, 0, carried.attempt, what.address, clock_now()};
+    attempt_key const key{carried.id, carried.attempt};
     // The entry exists before the frame can fail, so that a failure inside
     // send() finds it.
-    if (carried)
-        m_sent[{carried->id, carried->attempt}] = record;
-    std::uint64_t const tag = stream.send(frame);
-    if (!carried)
-        return;
-    attempt_key const key{carried->id, carried->attempt};
+    m_sent[key] = record;
+    std::uint64_t const tag = stream.send(encode(what.what));
     if (tag == 0)
     {
         m_sent.erase(key);
-        return give_back(record, carried->id, false);
+        return give_back(record, carried.id, false);
     }
     m_sent[key].carrier = &stream;
     m_sent[key].tag = tag;
 }
 
+void peer_loop::give_back_waiting(checked_path& of)
+{
+    std::vector<outgoing> const waiting = std::exchange(of.waiting, {});
+    for (outgoing const& what : waiting)
+    {
+        work const& carried = std::get<work>(what.what);
+        give_back({nullptr, 0, carried.attempt, what.address, {}}, carried.id,
+                  false);
+    }
+}
+
+/// Looks at the checks when one sent at \p from is late.
+void peer_loop::watch_checks(time_point from)
+{
+    if (m_checks_watched)
+        return;
+    m_checks_watched = true;
+    m_check_timer.expires_at(from + check_limit);
+    m_check_timer.async_wait(
+        [this](asio::error_code failure)
+        {
+            m_checks_watched = false;
+            if (!failure && !m_finishing)
+                end_late_checks();
+        });
+}
+
+void peer_loop::end_late_checks()
+{
+    time_point const now = clock_now();
+    time_point oldest = time_point::max();
+    for (auto& [stream, way] : m_paths)
+    {
+        if (way.waiting.empty())
+            continue;
+        if (is_late(way.state, now))
+            give_back_waiting(way);
+        else
+            oldest = std::min(oldest, way.state.asked);
+    }
+    if (oldest != time_point::max())
+        watch_checks(oldest);
+}
+
+void peer_loop::on_check(connection& from, path_check const& what)
+{
+    if (!what.answer)
+    {
+        from.send(encode(path_check{what.number, true}));
+        return;
+    }
+    checked_path& way = m_paths[&from];
+    on_check_answer(way.state, what.number);
+    if (way.state.check != 0)
+        return;
+    std::vector<outgoing> const waiting = std::exchange(way.waiting, {});
+    for (outgoing const& item : waiting)
+        write_work(from, item);
+}
+
 connection& peer_loop::connection_to(std::string const& address)
 {
     auto const known = m_by_address.find(address);
@@ -267,13 +380,20 @@
             direction::in, carries_work(decoded.what) ? "work" : "control",
             frame.size());
         if (auto const* result = std::get_if<work_result>(&decoded.what))
-            m_sent.erase({result->id, result->attempt});
+            on_result(from, *result);
         std::string_view const reply = reply_address(decoded.what);
-        if (from && from->address.empty() && !reply.empty())
+        if (from && !reply.empty())
         {
-            // Answers go back on the stream that brought the request.
+            // Answers go back on the stream that brought the last request:
+            // the peer may have replaced an earlier one that went silent.
             from->address = reply;
-            m_by_address.try_emplace(from->address, from);
+            m_by_address[from->address] = from;
+        }
+        if (auto const* check = std::get_if<path_check>(&decoded.what))
+        {
+            if (from)
+                on_check(*from, *check);
+            return;
         }
         auto const refusal = deliver(std::move(decoded.what), m_to);
         if (refusal)
@@ -290,8 +410,24 @@
     }
 }
 
+void peer_loop::on_result(connection* from, work_result const& result)
+{
+    auto const sent = m_sent.find({result.id, result.attempt});
+    if (sent == m_sent.end())
+        return;
+    if (from != nullptr && sent->second.carrier == from)
+        on_proof(m_paths[from].state, sent->second.sent);
+    m_sent.erase(sent);
+}
+
 void peer_loop::on_end(connection& ended, std::uint64_t last_written)
 {
+    auto const way = m_paths.find(&ended);
+    if (way != m_paths.end())
+    {
+        give_back_waiting(way->second);
+        m_paths.erase(way);
+    }
     auto const known = m_by_address.find(ended.address);
     if (known != m_by_address.end() && known->second == &ended)
         m_by_address.erase(known);
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -22,6 +22,14 @@
     std::string address;
 };
 
+/// Attempts that certainly reached no server.
+std::size_t unreached(request const& what)
+{
+    std::size_t const open = static_cast<std::size_t>(
+        std::ranges::count_if(what.attempts, &attempt::open));
+    return what.attempts.size() - open - what.reached;
+}
+
 /// The next home that the claim names and that still has a usable server.
 target next_claimed(service_state const& service, request const& what,
                     std::span<standing const> standings)
@@ -170,6 +178,9 @@
     out.log.push_back(routed_line(what, why, reason, to));
     work made = make_work(self, what, what.attempts.back());
     made.known_doubt = to.chosen.doubt;
+    made.repeat =
+        what.reached > 0 || what.attempts.size() > 1 + unreached(what);
+    made.servers = static_cast<std::uint32_t>(service.candidates.size());
     made.other_homes = has_other_home(self, service, what, now);
     out.sends.push_back({to.address, who.home == self.self, std::move(made)});
     return true;
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -175,6 +175,7 @@
     service_state& service = service_of(self, made.service);
     service.floor_slots = config.floor_slots;
     service.floor_share = config.floor_share;
+    service.homes_limit_repeats = config.homes_limit_repeats;
     count_request(service.budget, now);
     request& what = self.requests.emplace(id, std::move(made)).first->second;
     if (what.claimed)
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -30,6 +30,13 @@
     }
 }
 
+/// Homes that limit repeats know what has arrived; then this daemon's own
+/// budget, which only knows its own callers, is not asked.
+bool may_repeat(service_state& service, time_point now)
+{
+    return service.homes_limit_repeats || take_retry(service.budget, now);
+}
+
 bool is_good(work_result const& result)
 {
     return result.kind == error_kind::none && result.result == outcome::ran &&
@@ -48,11 +55,11 @@
         return true;
     if (result == outcome::not_run)
         return what.attempts.size() < max_homes && now < what.deadline &&
-               take_retry(service_of(self, what.service).budget, now);
+               may_repeat(service_of(self, what.service), now);
     if (!what.repeatable || what.attempts.size() >= max_homes ||
         now >= what.deadline)
         return false;
-    return take_retry(service_of(self, what.service).budget, now);
+    return may_repeat(service_of(self, what.service), now);
 }
 
 void on_failure(state& self, request& what, work_result&& result,
@@ -89,8 +96,8 @@
     if (open != 1 || what.attempts.size() >= max_homes ||
         what.reached + 1 >= what.most_reached)
         return;
-    retry_budget& budget = service_of(self, what.service).budget;
-    if (!(hedge ? take_hedge(budget, now) : take_retry(budget, now)))
+    service_state& service = service_of(self, what.service);
+    if (!(hedge ? take_hedge(service.budget, now) : may_repeat(service, now)))
         return;
     start_attempt(self, what,
                   hedge ? event::request_hedged : event::request_retried,
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -149,6 +149,7 @@
     {
         found.floor_slots = service->floor_slots;
         found.floor_share = service->floor_share;
+        found.homes_limit_repeats = service->repeat_limit.has_value();
     }
     auto const priorities = tables->priorities();
     if (found.route->priority < priorities.size())
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -48,6 +48,8 @@
     bool has_accounts = true;
     std::uint32_t floor_slots = 0;
     double floor_share = 0;
+    /// The homes of the service limit repeats.
+    bool homes_limit_repeats = false;
     std::string_view priority_name;
 };
 
@@ -107,6 +109,7 @@
 {
     std::uint32_t floor_slots = 0;
     double floor_share = 0;
+    bool homes_limit_repeats = false;
     std::vector<members::candidate> candidates;
     /// Own attempts in flight by server; newer than any report.
     std::map<std::string, std::uint32_t, std::less<>> outstanding;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -117,6 +117,8 @@
     out.headers = put(value.headers);
     out.caller_service = value.caller_service;
     out.known_doubt = value.known_doubt;
+    out.repeat = value.repeat;
+    out.servers = static_cast<std::int32_t>(value.servers);
     return out;
 }
 
@@ -150,6 +152,8 @@
     out.headers = get(in.headers);
     out.caller_service = in.caller_service;
     out.known_doubt = in.known_doubt;
+    out.repeat = in.repeat;
+    out.servers = to_count(in.servers);
     return out;
 }
 
@@ -417,6 +421,14 @@
         out.__set_sync(field);
     }
 
+    void operator()(peer::path_check const& value) const
+    {
+        gen::PathCheck field;
+        field.number = static_cast<std::int64_t>(value.number);
+        field.answer = value.answer;
+        out.__set_path_check(field);
+    }
+
     void operator()(members::packet const& value) const
     {
         gen::Packet field;
@@ -475,6 +487,10 @@
         return get(in.work, now);
     if (in.__isset.work_result)
         return get(in.work_result);
+    if (in.__isset.path_check)
+        return peer::path_check{
+            static_cast<std::uint64_t>(in.path_check.number),
+            in.path_check.answer};
     if (in.__isset.cancel)
         return admission::cancel{get_id(in.cancel), to_count(in.cancel.attempt),
                                  get(in.cancel.origin), in.cancel.queued_only};
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -453,6 +453,14 @@
 void Work::__set_known_doubt(const double val) {
   this->known_doubt = val;
 }
+
+void Work::__set_repeat(const bool val) {
+  this->repeat = val;
+}
+
+void Work::__set_servers(const int32_t val) {
+  this->servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -693,6 +701,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeat);
+          this->__isset.repeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -818,6 +842,14 @@
   xfer += oprot->writeDouble(this->known_doubt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeat", ::apache::thrift::protocol::T_BOOL, 26);
+  xfer += oprot->writeBool(this->repeat);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 27);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -850,6 +882,8 @@
   swap(a.headers, b.headers);
   swap(a.caller_service, b.caller_service);
   swap(a.known_doubt, b.known_doubt);
+  swap(a.repeat, b.repeat);
+  swap(a.servers, b.servers);
   swap(a.__isset, b.__isset);
 }
 
@@ -879,6 +913,8 @@
   headers = other12.headers;
   caller_service = other12.caller_service;
   known_doubt = other12.known_doubt;
+  repeat = other12.repeat;
+  servers = other12.servers;
   __isset = other12.__isset;
 }
 Work& Work::operator=(const Work& other13) {
@@ -907,6 +943,8 @@
   headers = other13.headers;
   caller_service = other13.caller_service;
   known_doubt = other13.known_doubt;
+  repeat = other13.repeat;
+  servers = other13.servers;
   __isset = other13.__isset;
   return *this;
 }
@@ -938,6 +976,8 @@
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "caller_service=" << to_string(caller_service);
   out << ", " << "known_doubt=" << to_string(known_doubt);
+  out << ", " << "repeat=" << to_string(repeat);
+  out << ", " << "servers=" << to_string(servers);
   out << ")";
 }
 
@@ -3738,6 +3778,118 @@
 }
 
 
+PathCheck::~PathCheck() noexcept {
+}
+
+
+void PathCheck::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void PathCheck::__set_answer(const bool val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const PathCheck& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PathCheck::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PathCheck::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PathCheck");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PathCheck &a, PathCheck &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+PathCheck::PathCheck(const PathCheck& other94) noexcept {
+  number = other94.number;
+  answer = other94.answer;
+  __isset = other94.__isset;
+}
+PathCheck& PathCheck::operator=(const PathCheck& other95) noexcept {
+  number = other95.number;
+  answer = other95.answer;
+  __isset = other95.__isset;
+  return *this;
+}
+void PathCheck::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PathCheck(";
+  out << "number=" << to_string(number);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -3795,6 +3947,11 @@
   this->packet = val;
 __isset.packet = true;
 }
+
+void Message::__set_path_check(const PathCheck& val) {
+  this->path_check = val;
+__isset.path_check = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -3911,6 +4068,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->path_check.read(iprot);
+          this->__isset.path_check = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3982,6 +4147,11 @@
     xfer += this->packet.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.path_check) {
+    xfer += oprot->writeFieldBegin("path_check", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->path_check.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4000,36 +4170,39 @@
   swap(a.peer_version, b.peer_version);
   swap(a.sync, b.sync);
   swap(a.packet, b.packet);
+  swap(a.path_check, b.path_check);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other94) {
-  sender = other94.sender;
-  work = other94.work;
-  work_result = other94.work_result;
-  cancel = other94.cancel;
-  fence = other94.fence;
-  fence_answer = other94.fence_answer;
-  pull = other94.pull;
-  deltas = other94.deltas;
-  peer_version = other94.peer_version;
-  sync = other94.sync;
-  packet = other94.packet;
-  __isset = other94.__isset;
-}
-Message& Message::operator=(const Message& other95) {
-  sender = other95.sender;
-  work = other95.work;
-  work_result = other95.work_result;
-  cancel = other95.cancel;
-  fence = other95.fence;
-  fence_answer = other95.fence_answer;
-  pull = other95.pull;
-  deltas = other95.deltas;
-  peer_version = other95.peer_version;
-  sync = other95.sync;
-  packet = other95.packet;
-  __isset = other95.__isset;
+Message::Message(const Message& other96) {
+  sender = other96.sender;
+  work = other96.work;
+  work_result = other96.work_result;
+  cancel = other96.cancel;
+  fence = other96.fence;
+  fence_answer = other96.fence_answer;
+  pull = other96.pull;
+  deltas = other96.deltas;
+  peer_version = other96.peer_version;
+  sync = other96.sync;
+  packet = other96.packet;
+  path_check = other96.path_check;
+  __isset = other96.__isset;
+}
+Message& Message::operator=(const Message& other97) {
+  sender = other97.sender;
+  work = other97.work;
+  work_result = other97.work_result;
+  cancel = other97.cancel;
+  fence = other97.fence;
+  fence_answer = other97.fence_answer;
+  pull = other97.pull;
+  deltas = other97.deltas;
+  peer_version = other97.peer_version;
+  sync = other97.sync;
+  packet = other97.packet;
+  path_check = other97.path_check;
+  __isset = other97.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4046,6 +4219,7 @@
   out << ", " << "peer_version="; (__isset.peer_version ? (out << to_string(peer_version)) : (out << "<null>"));
   out << ", " << "sync="; (__isset.sync ? (out << to_string(sync)) : (out << "<null>"));
   out << ", " << "packet="; (__isset.packet ? (out << to_string(packet)) : (out << "<null>"));
+  out << ", " << "path_check="; (__isset.path_check ? (out << to_string(path_check)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -55,6 +55,8 @@
 
 class Packet;
 
+class PathCheck;
+
 class Message;
 
 typedef struct _Daemon__isset {
@@ -208,7 +210,7 @@
 std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
 
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false), repeat(false), servers(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -234,6 +236,8 @@
   bool headers :1;
   bool caller_service :1;
   bool known_doubt :1;
+  bool repeat :1;
+  bool servers :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -262,7 +266,9 @@
          other_homes(0),
          caller_id(),
          caller_service(),
-         known_doubt(0) {
+         known_doubt(0),
+         repeat(0),
+         servers(0) {
   }
 
   virtual ~Work() noexcept;
@@ -291,6 +297,8 @@
   std::vector<HeaderField>  headers;
   std::string caller_service;
   double known_doubt;
+  bool repeat;
+  int32_t servers;
 
   _Work__isset __isset;
 
@@ -344,6 +352,10 @@
 
   void __set_known_doubt(const double val);
 
+  void __set_repeat(const bool val);
+
+  void __set_servers(const int32_t val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -396,6 +408,10 @@
       return false;
     if (!(known_doubt == rhs.known_doubt))
       return false;
+    if (!(repeat == rhs.repeat))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
@@ -1449,8 +1465,58 @@
 
 std::ostream& operator<<(std::ostream& out, const Packet& obj);
 
+typedef struct _PathCheck__isset {
+  _PathCheck__isset() : number(false), answer(false) {}
+  bool number :1;
+  bool answer :1;
+} _PathCheck__isset;
+
+class PathCheck : public virtual ::apache::thrift::TBase {
+ public:
+
+  PathCheck(const PathCheck&) noexcept;
+  PathCheck& operator=(const PathCheck&) noexcept;
+  PathCheck() noexcept
+            : number(0),
+              answer(0) {
+  }
+
+  virtual ~PathCheck() noexcept;
+  int64_t number;
+  bool answer;
+
+  _PathCheck__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_answer(const bool val);
+
+  bool operator == (const PathCheck & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const PathCheck &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PathCheck & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PathCheck &a, PathCheck &b);
+
+std::ostream& operator<<(std::ostream& out, const PathCheck& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false) {}
+  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false), path_check(false) {}
   bool sender :1;
   bool work :1;
   bool work_result :1;
@@ -1462,6 +1528,7 @@
   bool peer_version :1;
   bool sync :1;
   bool packet :1;
+  bool path_check :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1484,6 +1551,7 @@
   PeerVersion peer_version;
   Sync sync;
   Packet packet;
+  PathCheck path_check;
 
   _Message__isset __isset;
 
@@ -1509,6 +1577,8 @@
 
   void __set_packet(const Packet& val);
 
+  void __set_path_check(const PathCheck& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1553,6 +1623,10 @@
       return false;
     else if (__isset.packet && !(packet == rhs.packet))
       return false;
+    if (__isset.path_check != rhs.__isset.path_check)
+      return false;
+    else if (__isset.path_check && !(path_check == rhs.path_check))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -44,6 +44,8 @@
   23: list<HeaderField> headers
   24: string caller_service
   25: double known_doubt
+  26: bool repeat
+  27: i32 servers
 }
 
 struct ServerStatus {
@@ -169,6 +171,11 @@
   9: list<ServerStatus> statuses
 }
 
+struct PathCheck {
+  1: i64 number
+  2: bool answer
+}
+
 // Exactly one of the fields from 2 on is set.
 struct Message {
   1: Daemon sender
@@ -182,4 +189,5 @@
   9: optional PeerVersion peer_version
   10: optional Sync sync
   11: optional Packet packet
+  12: optional PathCheck path_check
 }
