--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,8 +52,9 @@
     if (name != "rows")
         throw settings_error("daemon.platform_interface: '" + name +
                              "' is not allowed, allowed: own, rows");
-    return platform::row_store_protocol(
-        platform::read_bounds(from.text("daemon", "bounds")));
+    return platform::row_store_protocol({from.real("daemon", "floor_share"),
+                                         from.real("daemon", "repeat_share"),
+                                         from.real("daemon", "repeat_slack")});
 }
 
 header_names names_of(settings const& from)
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -94,9 +94,14 @@
             "passed to other daemons"),
     bounded("max_body_bytes", "1048576", 1024, 64 << 20,
             "largest body of a request or an answer in bytes"),
-    optional("bounds", setting_type::text, "",
-             "bounds that the platform's operators set for every service, as "
-             "name=value separated by commas"),
+    real("floor_share", "0", 1,
+         "share of a service's slots that ejection leaves in use, with "
+         "platform_interface rows"),
+    real("repeat_share", "0", 10,
+         "repeats in 10 s as a share of a service's requests, with "
+         "platform_interface rows"),
+    real("repeat_slack", "0", 1e6,
+         "repeats in 10 s beyond repeat_share, with platform_interface rows"),
     optional("undelimited_answers", setting_type::boolean, "false",
              "whether an answer of a backend server may have no length and "
              "end with its connection"),
