--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -325,6 +325,19 @@
     return next;
 }
 
+/// Work that has waited for this many times its target finds no slot here; its
+/// caller hears so while it still has time.
+constexpr int longest_wait_targets = 2;
+
+bool has_waited_long(service_state const& service, entry const& waiting,
+                     time_point now)
+{
+    duration const target =
+        service.policy.priorities[waiting.what.priority].target;
+    return target.count() > 0 && waiting.what.claim.id.empty() &&
+           now - waiting.entered >= longest_wait_targets * target;
+}
+
 /// Refuses late entries and uses slots that a ramp or an opened reserve
 /// frees without a message. Returns the entries that remain.
 std::size_t check_queues(state& self, time_point now, actions& out)
@@ -339,6 +352,10 @@
         { return misses_deadline(service, waiting.what, now); };
         refuse_matching(self, service, is_late, error_kind::deadline_unmet,
                         "deadline_in_queue", now, out);
+        eligible const waited_long = [&](entry const& waiting)
+        { return has_waited_long(service, waiting, now); };
+        refuse_matching(self, service, waited_long, error_kind::overloaded,
+                        "late_in_queue", now, out);
         start_queued(self, service, now, out);
         queued += service.queued;
     }
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -84,12 +84,20 @@
            urgent_risk(service, server, now) > spill_risk;
 }
 
-bool takes_in_time(service_state const& service, homed_state const& server,
-                   work const& what, time_point now)
+/// Queued entries of a server that can no longer meet their targets. A few of
+/// them use what the rest leaves; more would only wait for their deadlines,
+/// and their callers can do better elsewhere or later.
+std::size_t late_entries(service_state const& service, std::string_view server,
+                         time_point now)
 {
-    duration const wait =
-        expected_wait(service, server, what.priority, what.deadline, now);
-    return !misses_deadline(service, what, now + wait);
+    std::size_t count = 0;
+    for (priority_index i = 0; i < max_priorities; ++i)
+    {
+        for (entry const& waiting : service.priorities[i].queue.entries)
+            count += waiting.what.server == server &&
+                     !meets_target(service, i, waiting.entered, now);
+    }
+    return count;
 }
 
 refusal check_server(state const& self, service_state const& service,
@@ -101,8 +109,14 @@
     refusal const refused = refuse_by_server(found->second, what, now);
     if (refused.kind != error_kind::none)
         return refused;
-    if (!takes_in_time(service, found->second, what, now))
+    duration const wait = expected_wait(service, found->second, what.priority,
+                                        what.deadline, now);
+    if (misses_deadline(service, what, now + wait))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
+    if (!meets_target(service, what.priority, now, now + wait) &&
+        late_entries(service, name, now) >=
+            slots_of(found->second, service.policy, now))
+        return {error_kind::overloaded, "late_backlog"};
     if (should_spill(service, found->second, what, now))
         return {error_kind::overloaded, "target_at_entry"};
     return {};
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -127,8 +127,10 @@
 }
 
 /// Starts one piece of work of a priority at a server that has a slot for it.
+/// \param in_time  takes only work that can still meet its target
 bool start_one(state& self, service_state& service, homed_state& server,
-               priority_index priority, time_point now, actions& out)
+               priority_index priority, bool in_time, time_point now,
+               actions& out)
 {
     priority_state& from = service.priorities[priority];
     duration const expected = expected_time(from.estimate);
@@ -138,7 +140,8 @@
         bool const fits = item.what.server.empty()
                               ? unchosen
                               : item.what.server == server.name;
-        return fits && takes_work(server, item.what.repeatable);
+        return fits && takes_work(server, item.what.repeatable) &&
+               (!in_time || meets_target(service, priority, item.entered, now));
     };
     while (auto const position =
                select(from.queue, may_take, fair_slack_items * expected))
@@ -160,13 +163,18 @@
 bool start_next(state& self, service_state& service, homed_state& server,
                 time_point now, actions& out)
 {
-    for (priority_index const priority : order_of(service))
+    // A slot given to work that is late anyway makes other work late as well,
+    // so late work only gets what the rest leaves.
+    for (bool const in_time : {true, false})
     {
-        if (service.priorities[priority].queue.entries.empty() ||
-            !has_slot(service, server, priority, now))
-            continue;
-        if (start_one(self, service, server, priority, now, out))
-            return true;
+        for (priority_index const priority : order_of(service))
+        {
+            if (service.priorities[priority].queue.entries.empty() ||
+                !has_slot(service, server, priority, now))
+                continue;
+            if (start_one(self, service, server, priority, in_time, now, out))
+                return true;
+        }
     }
     return false;
 }
@@ -236,6 +244,16 @@
     return start >= what.deadline || start + needed > what.deadline;
 }
 
+bool meets_target(service_state const& service, priority_index priority,
+                  time_point entered, time_point start)
+{
+    duration const target = service.policy.priorities[priority].target;
+    if (target.count() == 0)
+        return true;
+    return start + expected_time(service.priorities[priority].estimate) <=
+           entered + target;
+}
+
 void start_queued(state& self, service_state& service, time_point now,
                   actions& out)
 {
--- a/src/admission/schedule.hpp
+++ b/src/admission/schedule.hpp
@@ -19,6 +19,11 @@
 /// Whether the server takes new work of this repeatability in its state.
 bool takes_work(homed_state const& server, bool repeatable);
 
+/// Whether work that entered at \p entered can still be answered within its
+/// priority's target when it starts at \p start.
+bool meets_target(service_state const& service, priority_index priority,
+                  time_point entered, time_point start);
+
 /// Starts queued work of a service while its servers have free slots.
 void start_queued(state& self, service_state& service, time_point now,
                   actions& out);
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -141,7 +141,7 @@
 bool has_other_home(state const& self, service_state const& service,
                     request const& what, time_point now)
 {
-    if (what.attempts.size() >= max_homes)
+    if (what.attempts.size() >= homes_allowed(what))
         return false;
     std::vector<daemon_ref> const tried = tried_homes(what);
     auto const untried = [&](daemon_ref const& home)
@@ -163,7 +163,7 @@
 bool start_attempt(state& self, request& what, event why,
                    std::string_view reason, time_point now, actions& out)
 {
-    if (what.attempts.size() >= max_homes ||
+    if (what.attempts.size() >= homes_allowed(what) ||
         what.reached >= what.most_reached || now >= what.deadline)
         return false;
     service_state& service = service_of(self, what.service);
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -54,9 +54,10 @@
     if (result == outcome::not_run && !arrived)
         return true;
     if (result == outcome::not_run)
-        return what.attempts.size() < max_homes && now < what.deadline &&
+        return what.attempts.size() < homes_allowed(what) &&
+               now < what.deadline &&
                may_repeat(service_of(self, what.service), now);
-    if (!what.repeatable || what.attempts.size() >= max_homes ||
+    if (!what.repeatable || what.attempts.size() >= homes_allowed(what) ||
         now >= what.deadline)
         return false;
     return may_repeat(service_of(self, what.service), now);
@@ -93,7 +94,7 @@
     auto const open =
         std::count_if(what.attempts.begin(), what.attempts.end(),
                       [](attempt const& which) { return which.open; });
-    if (open != 1 || what.attempts.size() >= max_homes ||
+    if (open != 1 || what.attempts.size() >= homes_allowed(what) ||
         what.reached + 1 >= what.most_reached)
         return;
     service_state& service = service_of(self, what.service);
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -23,6 +23,11 @@
 /// Homes that may be tried for one request.
 inline constexpr std::size_t max_homes = 3;
 
+/// The same for requests on open routes, which are never claimed. A home that
+/// refuses costs about 1 ms, and the last one tried takes the work even when
+/// its server is in doubt.
+inline constexpr std::size_t max_open_homes = 6;
+
 /// Time after the deadline in which a home's own report of the timeout can
 /// still arrive; it is more precise than the caller's `timed_out`.
 inline constexpr duration answer_grace = std::chrono::milliseconds(50);
@@ -104,6 +109,11 @@
     std::optional<timer_queue::iterator> timer;
 };
 
+inline std::size_t homes_allowed(request const& what)
+{
+    return what.account.empty() ? max_open_homes : max_homes;
+}
+
 /// What routing knows about one service.
 struct service_state
 {
