--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(LABEL)
 
-SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' | grep -v /gen-cpp/)
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'platform/*.cpp' 'platform/*.hpp' | grep -v /gen-cpp/)
 
 format:
 	clang-format -i $(SOURCES)
