--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -325,3 +325,64 @@
     on_packet(b.s, answer, b.now, b.out);
     CHECK(b.out.siblings.size() == 1);
 }
+
+namespace
+{
+
+announcement server_at(std::string const& server, std::uint64_t incarnation,
+                       std::uint64_t sequence,
+                       server_state how = server_state::serving)
+{
+    announcement what;
+    what.server = server;
+    what.service = "orders";
+    what.address = "127.0.0.1:9000";
+    what.slots = 4;
+    what.incarnation = incarnation;
+    what.sequence = sequence;
+    what.state = how;
+    return what;
+}
+
+/// Names of the servers that are homed here.
+std::vector<std::string> homed_names(state const& s)
+{
+    std::vector<std::string> names;
+    for (homed const& one : s.homes)
+        names.push_back(one.what.server);
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("late announcements are acknowledged and change nothing")
+{
+    // Guards against a partition that holds an announcement up until its
+    // sender has left, drained or been replaced.
+    using names = std::vector<std::string>;
+    bench b;
+    int acknowledged = 0;
+    auto const announce = [&](announcement const& what)
+    {
+        on_announced(b.s, {what, [&](duration) { ++acknowledged; }}, b.now,
+                     b.out);
+        for (auto const& reply : std::exchange(b.out.replies, {}))
+            reply();
+    };
+    announce(server_at("a", 100, 5));
+    announce(server_at("a", 100, 6, server_state::draining));
+    announce(server_at("a", 100, 4));
+    CHECK(b.s.homes[0].what.state == server_state::draining);
+    announce(server_at("b", 200, 1));
+    CHECK(homed_names(b.s) == names{"b"});
+    announce(server_at("a", 100, 7));
+    CHECK(homed_names(b.s) == names{"b"});
+    announce(server_at("b", 200, 2, server_state::gone));
+    announce(server_at("b", 200, 1));
+    CHECK(homed_names(b.s).empty());
+    announce(server_at("b", 201, 1));
+    CHECK(homed_names(b.s) == names{"b"});
+    announce(server_at("b", 200, 9, server_state::gone));
+    CHECK(homed_names(b.s) == names{"b"});
+    CHECK(acknowledged == 9);
+}
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -22,12 +22,12 @@
     std::string address;
 };
 
-/// Attempts that certainly reached no server.
-std::size_t unreached(request const& what)
+/// Whether the newest attempt follows one that reached a server or still may.
+bool is_repeat(request const& what)
 {
-    std::size_t const open = static_cast<std::size_t>(
+    auto const open = static_cast<std::size_t>(
         std::ranges::count_if(what.attempts, &attempt::open));
-    return what.attempts.size() - open - what.reached;
+    return open + what.reached > 1;
 }
 
 /// The next home that the claim names and that still has a usable server.
@@ -178,8 +178,7 @@
     out.log.push_back(routed_line(what, why, reason, to));
     work made = make_work(self, what, what.attempts.back());
     made.known_doubt = to.chosen.doubt;
-    made.repeat =
-        what.reached > 0 || what.attempts.size() > 1 + unreached(what);
+    made.repeat = is_repeat(what);
     made.servers = static_cast<std::uint32_t>(service.candidates.size());
     made.other_homes = has_other_home(self, service, what, now);
     out.sends.push_back({to.address, who.home == self.self, std::move(made)});
