--- a/src/config/follow_test.cpp
+++ b/src/config/follow_test.cpp
@@ -49,8 +49,7 @@
         got.result = result;
         got.revision = revision;
         if (!value.empty())
-            got.rows.push_back(
-                {std::string(document_key), revision, value});
+            got.rows.push_back({std::string(document_key), revision, value});
         out = {};
         on_store_reply(duty, got, now, out);
     }
@@ -72,7 +71,8 @@
     CHECK(f.duty.current->find_service("s")->floor_slots == 2);
 }
 
-TEST_CASE("a version never goes back, and an unreadable document changes nothing")
+TEST_CASE(
+    "a version never goes back, and an unreadable document changes nothing")
 {
     follower f;
     f.asked();
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -386,3 +386,29 @@
     CHECK(homed_names(b.s) == names{"b"});
     CHECK(acknowledged == 9);
 }
+
+TEST_CASE("a daemon without peers joins as soon as it has read the rows")
+{
+    // Guards against a fleet that restarts as a whole and refuses requests for
+    // another second, because the first attempt to join had no address yet.
+    state s = make_state(record_of(here), {}, 1, start);
+    actions out;
+    on_tick(s, start, out);
+    REQUIRE(out.store.size() == 1);
+    store::reply rows;
+    rows.number = out.store[0].number;
+    rows.result = store::status::ok;
+    rows.rows.push_back({"rendezvous/03", 7, record_of(other).address});
+    time_point const answered = start + duration(100'000);
+    on_store_reply(s, rows, answered, out);
+    out = {};
+    on_tick(s, answered, out);
+    auto const joins = std::ranges::count_if(
+        out.to_peers,
+        [](peer::outgoing const& item)
+        {
+            return std::holds_alternative<members::sync>(item.what) &&
+                   item.address == record_of(other).address;
+        });
+    CHECK(joins == 1);
+}
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -87,7 +87,7 @@
     out.store.push_back(std::move(call));
 }
 
-void on_store_reply(state& s, store::reply const& what, time_point,
+void on_store_reply(state& s, store::reply const& what, time_point now,
                     actions& out)
 {
     if (what.number != scan_number || what.result != store::status::ok)
@@ -95,6 +95,10 @@
     s.rendezvous.clear();
     for (store::row const& row : what.rows)
         s.rendezvous.push_back(row.value);
+    // After a loss of all daemons each second without peers is one without
+    // service.
+    if (live_count(s) == 0)
+        s.next_join = now;
     bool const listed =
         std::ranges::find(s.rendezvous, s.self.address) != s.rendezvous.end();
     if (s.rendezvous_writes && !listed)
