Leave repeats of requests to routing alone

Ruled out: the limit at the homes, which counts starts and saw one. The client now aborts at the second sending, as it did for other work, and routing repeats within the limits. The test fails on the code before.

--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -216,6 +216,19 @@
     CHECK(server.requests == 2);
 }
 
+TEST_CASE("repeatable work is not repeated by the client on its own")
+{
+    // Guards against up to six arrivals of one request at a server that has
+    // gone: only routing repeats, within the limits of route and service.
+    stand_in server;
+    fixture duty;
+    duty.send(server.address(), "/once");
+    CHECK(duty.wait().what == result_class::answered);
+    duty.send(server.address(), "/once");
+    CHECK(duty.wait().what == result_class::cut);
+    CHECK(server.requests == 2);
+}
+
 TEST_CASE("connections are kept and stay within the transfers in flight")
 {
     stand_in server;
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -42,13 +42,14 @@
 }
 
 /// Called before each sending of the request. libcurl silently repeats a
-/// request when a kept connection ends without an answer; work that must not
-/// run twice is aborted here instead.
+/// request when a kept connection ends without an answer, up to five times;
+/// it is aborted here instead. Whether work is repeated is for routing, which
+/// knows whether it may run twice and what the service allows.
 int before_send(void* context, char*, char*, int, int)
 {
     transfer& self = *static_cast<transfer*>(context);
     ++self.sends;
-    if (self.sends > 1 && !self.job.what.repeatable)
+    if (self.sends > 1)
         return CURL_PREREQFUNC_ABORT;
     return CURL_PREREQFUNC_OK;
 }
