--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -85,6 +85,7 @@
 std::vector<header_field> get(std::vector<gen::HeaderField> const& fields)
 {
     std::vector<header_field> out;
+    out.reserve(fields.size());
     for (gen::HeaderField const& field : fields)
         out.push_back({field.name, field.value});
     return out;
