Judge a server's result once, and share the count of open attempts

The count of open attempts stood three times, the giving back of unsent work three times, and may_move_on() repeated its last conditions. Behaviour is unchanged.

--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -40,45 +40,6 @@
 /// Deviations above the median of the log-normal fit for the 95th percentile.
 constexpr double p95_sigmas = 1.645;
 
-/// The evidence that a result gives about the server; none for some.
-std::optional<health::sample_class> evidence(dispatch::finished const& done,
-                                             service_estimate const& estimate)
-{
-    switch (done.what)
-    {
-    case dispatch::result_class::answered:
-        return done.status >= 500 ? health::sample_class::failure
-                                  : health::sample_class::success;
-    case dispatch::result_class::refused_not_run:
-        return health::sample_class::shed;
-    case dispatch::result_class::connect_failed:
-        // Without latency nothing was attempted.
-        if (done.latency.count() == 0)
-            return std::nullopt;
-        return health::sample_class::failure;
-    case dispatch::result_class::timed_out:
-        // A short deadline says nothing about the server.
-        if (done.latency < quantile_time(estimate, p95_sigmas))
-            return std::nullopt;
-        return health::sample_class::timeout;
-    case dispatch::result_class::cut:
-        return health::sample_class::failure;
-    case dispatch::result_class::cancelled:
-        break;
-    }
-    return std::nullopt;
-}
-
-void emit_sample(running const& ended, dispatch::finished const& done,
-                 service_estimate const& estimate, time_point now, actions& out)
-{
-    auto const what = evidence(done, estimate);
-    if (!what)
-        return;
-    out.samples.push_back(
-        {ended.server, ended.what.service, *what, done.latency, now});
-}
-
 /// A failure that takes less than this share of the usual time is one of the
 /// server itself: nothing was tried.
 constexpr double fast_share = 0.25;
@@ -117,6 +78,25 @@
     return std::nullopt;
 }
 
+/// The same for the sequential test of health.
+health::sample_class class_of(observation what)
+{
+    switch (what)
+    {
+    case observation::success:
+        return health::sample_class::success;
+    case observation::refused:
+        return health::sample_class::shed;
+    case observation::overdue:
+        return health::sample_class::timeout;
+    case observation::fast_failure:
+    case observation::late_failure:
+    case observation::lost:
+        break;
+    }
+    return health::sample_class::failure;
+}
+
 /// Gives back queued work that can still go elsewhere.
 void return_doubtful(state& self, service_state& service,
                      homed_state const& server, time_point now, actions& out)
@@ -145,10 +125,11 @@
     bool const answered =
         done.what == dispatch::result_class::answered && done.status < 500;
     if (answered)
+    {
         on_answer(server.limit);
-    if (answered)
         on_latency(server.limit, ended.what.priority, done.latency,
                    ended.concurrency, service.queued > 0, now);
+    }
     // A timed out request took at least this long; leaving it out would make
     // a slow service look fast.
     if (answered || done.what == dispatch::result_class::timed_out)
@@ -225,9 +206,12 @@
                done.latency);
     service_estimate const& usual =
         service.priorities[ended.what.priority].estimate;
-    emit_sample(ended, done, usual, now, out);
     if (auto const seen = observe(done, usual))
+    {
+        out.samples.push_back({ended.server, ended.what.service,
+                               class_of(*seen), done.latency, now});
         take_doubt(self, service, server, *seen, now, out);
+    }
     learn(service, server, ended, done, now);
     work_result result = result_of(self, ended, std::move(done));
     if (!ended.what.claim.id.empty())
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -79,6 +79,7 @@
     void send_stream(outgoing const& what, std::string_view frame);
     void send_work(outgoing const& what);
     void write_work(connection& stream, outgoing const& what);
+    void give_back_unsent(outgoing const& what);
     void give_back_waiting(checked_path& of);
     void watch_checks(time_point from);
     void end_late_checks();
@@ -227,10 +228,8 @@
 
 void peer_loop::send_work(outgoing const& what)
 {
-    work const& carried = std::get<work>(what.what);
     if (!is_address(what.address))
-        return give_back({nullptr, 0, carried.attempt, what.address, {}},
-                         carried.id, false);
+        return give_back_unsent(what);
     time_point const now = clock_now();
     connection& stream = connection_to(what.address);
     checked_path& way = m_paths[&stream];
@@ -246,8 +245,7 @@
         way.waiting.push_back(what);
         return;
     case path_step::give_back:
-        return give_back({nullptr, 0, carried.attempt, what.address, {}},
-                         carried.id, false);
+        return give_back_unsent(what);
     case path_step::reconnect:
         // The old connection stays open for the answers that it may bring.
         m_by_address.erase(what.address);
@@ -273,15 +271,18 @@
     m_sent[key].tag = tag;
 }
 
+void peer_loop::give_back_unsent(outgoing const& what)
+{
+    work const& carried = std::get<work>(what.what);
+    give_back({nullptr, 0, carried.attempt, what.address, {}}, carried.id,
+              false);
+}
+
 void peer_loop::give_back_waiting(checked_path& of)
 {
     std::vector<outgoing> const waiting = std::exchange(of.waiting, {});
     for (outgoing const& what : waiting)
-    {
-        work const& carried = std::get<work>(what.what);
-        give_back({nullptr, 0, carried.attempt, what.address, {}}, carried.id,
-                  false);
-    }
+        give_back_unsent(what);
 }
 
 /// Looks at the checks when one sent at \p from is late.
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -25,9 +25,7 @@
 /// Whether the newest attempt follows one that reached a server or still may.
 bool is_repeat(request const& what)
 {
-    auto const open = static_cast<std::size_t>(
-        std::ranges::count_if(what.attempts, &attempt::open));
-    return open + what.reached > 1;
+    return open_attempts(what) + what.reached > 1;
 }
 
 /// The next home that the claim names and that still has a usable server.
@@ -206,10 +204,15 @@
     return homes;
 }
 
+std::size_t open_attempts(request const& what)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(what.attempts, &attempt::open));
+}
+
 bool has_open_attempt(request const& what)
 {
-    return std::any_of(what.attempts.begin(), what.attempts.end(),
-                       [](attempt const& which) { return which.open; });
+    return open_attempts(what) > 0;
 }
 
 void close_attempt(state& self, request& what, attempt& which)
--- a/src/routing/attempts.hpp
+++ b/src/routing/attempts.hpp
@@ -21,6 +21,8 @@
 std::vector<claims::claim_home>
 claimable_homes(state& self, request const& what, time_point now);
 
+std::size_t open_attempts(request const& what);
+
 bool has_open_attempt(request const& what);
 
 /// Marks the attempt as finished and frees its place at the server.
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -53,14 +53,10 @@
         return false;
     if (result == outcome::not_run && !arrived)
         return true;
-    if (result == outcome::not_run)
-        return what.attempts.size() < homes_allowed(what) &&
-               now < what.deadline &&
-               may_repeat(service_of(self, what.service), now);
-    if (!what.repeatable || what.attempts.size() >= homes_allowed(what) ||
-        now >= what.deadline)
+    if (result != outcome::not_run && !what.repeatable)
         return false;
-    return may_repeat(service_of(self, what.service), now);
+    return what.attempts.size() < homes_allowed(what) && now < what.deadline &&
+           may_repeat(service_of(self, what.service), now);
 }
 
 void on_failure(state& self, request& what, work_result&& result,
@@ -91,10 +87,8 @@
 void add_attempt(state& self, request& what, bool hedge, time_point now,
                  actions& out)
 {
-    auto const open =
-        std::count_if(what.attempts.begin(), what.attempts.end(),
-                      [](attempt const& which) { return which.open; });
-    if (open != 1 || what.attempts.size() >= homes_allowed(what) ||
+    if (open_attempts(what) != 1 ||
+        what.attempts.size() >= homes_allowed(what) ||
         what.reached + 1 >= what.most_reached)
         return;
     service_state& service = service_of(self, what.service);
