Read the followed document at once when a peer tells a newer version

A daemon that hears of a newer version gives its watch 200 ms and then reads the row beside it. A watch that missed a change is dropped.

Ruled out: a shorter watch, which costs a store call each few seconds at every daemon while nothing changes.

--- a/src/config/follow.cpp
+++ b/src/config/follow.cpp
@@ -15,14 +15,17 @@
 constexpr duration first_retry = std::chrono::milliseconds(250);
 constexpr duration longest_retry = std::chrono::seconds(2);
 
-bool is_asking(state const& duty)
+bool is_asking(state const& duty, purpose why)
 {
-    return std::ranges::any_of(duty.calls,
-                               [](call const& one)
-                               {
-                                   return one.why == purpose::read_document ||
-                                          one.why == purpose::watch_document;
-                               });
+    return std::ranges::any_of(duty.calls, [why](call const& one)
+                               { return one.why == why; });
+}
+
+/// Whether a version that a peer has told is still missing after the time in
+/// which the watch should have brought it.
+bool is_read_due(state const& duty, time_point now)
+{
+    return duty.told_version > duty.current->version() && now >= duty.read_due;
 }
 
 /// Daemons that failed together do not come back together.
@@ -62,17 +65,40 @@
     on_risen(duty, now, out);
 }
 
+/// A watch that is still open although the row has changed after the revision
+/// from which it watches is silent; its late answer is dropped.
+void drop_silent_watch(state& duty, store::reply const& got)
+{
+    bool const has_changed =
+        std::ranges::any_of(got.rows, [&](store::row const& row)
+                            { return row.version > duty.document_revision; });
+    if (duty.document_revision > 0 && has_changed)
+        std::erase_if(duty.calls, [](call const& one)
+                      { return one.why == purpose::watch_document; });
+}
+
 } // namespace
 
+void on_newer_told(state& duty, std::uint64_t version, time_point now)
+{
+    if (version <= duty.told_version)
+        return;
+    duty.told_version = version;
+    duty.read_due = now + watch_head_start;
+}
+
 void tick_document(state& duty, time_point now, actions& out)
 {
-    if (now < duty.next_poll || is_asking(duty))
+    if (now < duty.next_poll || is_asking(duty, purpose::read_document))
         return;
     std::string key(document_key);
-    if (duty.document_revision == 0)
+    bool const due = is_read_due(duty, now);
+    if (due)
+        duty.read_due = now + longest_retry;
+    if (due || duty.document_revision == 0)
         add_call(duty, purpose::read_document, store::get_row{std::move(key)},
                  now, out);
-    else
+    else if (!is_asking(duty, purpose::watch_document))
         add_call(duty, purpose::watch_document,
                  store::watch_row{std::move(key), duty.document_revision,
                                   document_wait},
@@ -96,6 +122,7 @@
         return;
     }
     duty.document_failures = 0;
+    drop_silent_watch(duty, got);
     duty.document_revision = std::max(duty.document_revision, got.revision);
     // A store that does not tell its revision is asked again after a while.
     if (got.revision == 0)
--- a/src/config/follow.hpp
+++ b/src/config/follow.hpp
@@ -6,9 +6,13 @@
 namespace gooseberrycove::config
 {
 
-/// Reads and watches the document in the store, one call at a time.
+/// Reads and watches the document in the store, one call at a time. A read for
+/// a version that a peer has told goes beside a watch, which may be silent.
 void tick_document(state& duty, time_point now, actions& out);
 
+/// A peer has told a version newer than the one in force here.
+void on_newer_told(state& duty, std::uint64_t version, time_point now);
+
 void on_document_reply(state& duty, store::reply const& got, time_point now,
                        actions& out);
 
--- a/src/config/follow_test.cpp
+++ b/src/config/follow_test.cpp
@@ -133,3 +133,38 @@
     CHECK(f.duty.current->version() == 7);
     CHECK(f.duty.current->find_service("s")->floor_slots == 3);
 }
+
+TEST_CASE("the document is read at once when a peer tells a newer version")
+{
+    // Guards against a route that stays unknown while the watch is silent
+    // after a partition: its call is only given up after 27 s, and a busy peer
+    // answers one pull a second.
+    follower f;
+    f.asked();
+    f.answer(store::status::ok, 12, stored(5));
+    std::uint64_t const silent = (f.asked(), f.out.calls.back().number);
+    f.out = {};
+    on_peer_version(f.duty, {"peer", 7}, f.now, f.out);
+    f.now += 100ms;
+    on_tick(f.duty, f.now, f.out);
+    CHECK(f.out.calls.empty());
+    f.now += 150ms;
+    CHECK(std::holds_alternative<store::get_row>(f.asked()));
+    // One read at a time, and not one for each packet of a peer.
+    on_peer_version(f.duty, {"other", 7}, f.now, f.out);
+    f.answer(store::status::refused, 0);
+    f.now += 300ms;
+    on_tick(f.duty, f.now, f.out);
+    CHECK(f.out.calls.empty());
+    f.now += 2s;
+    CHECK(std::holds_alternative<store::get_row>(f.asked()));
+    f.answer(store::status::ok, 20, stored(7));
+    CHECK(f.duty.current->version() == 7);
+    // The silent watch is replaced, and what it brings late is dropped.
+    CHECK(std::get<store::watch_row>(f.asked()).after == 20);
+    store::reply late;
+    late.number = silent;
+    late.result = store::status::history_lost;
+    on_store_reply(f.duty, late, f.now, f.out);
+    CHECK(f.duty.document_revision == 20);
+}
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -36,6 +36,11 @@
 /// between peers tell newer versions.
 inline constexpr duration document_wait = std::chrono::seconds(25);
 
+/// Head start of the watch over a read for a version that a peer has told. The
+/// watch answers within some milliseconds of a change, and each read has a
+/// price.
+inline constexpr duration watch_head_start = std::chrono::milliseconds(200);
+
 /// A call without any answer for this long is taken as unknown. More than the
 /// timeout of every call but that of a snapshot.
 inline constexpr duration call_limit = std::chrono::seconds(5);
@@ -131,6 +136,10 @@
     /// Revision from which the document is watched, or 0 to read it.
     std::uint64_t document_revision = 0;
     unsigned document_failures = 0;
+    /// Newest version that a peer has told, and when the document is read for
+    /// it if the watch has not brought it by then.
+    std::uint64_t told_version = 0;
+    time_point read_due;
     /// Seed for the choice of peers and for generated patch ids; must differ
     /// between all runs of all daemons.
     std::uint64_t random = 0;
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -264,7 +264,11 @@
         return;
     note_heard(duty, told.address, told.version);
     update_ready(duty, out);
-    if (told.version > duty.current->version() && now >= duty.next_pull)
+    if (told.version <= duty.current->version())
+        return;
+    if (duty.follows_document)
+        on_newer_told(duty, told.version, now);
+    if (now >= duty.next_pull)
         send_pull(duty, told.address, now, out);
 }
 
