Leave late entries out of the wait of work that can be in time

Cause: the home serves work that can still meet its target first, but counted late entries in the expected wait of new work. At a service at its capacity new work was refused as late behind entries that are served after it, and the server went on with late work alone.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -514,3 +514,25 @@
     CHECK(f.last_kind() == error_kind::overloaded);
     CHECK(f.out.answers.back().result.result == outcome::not_run);
 }
+
+TEST_CASE("late entries do not keep out work that can still be in time")
+{
+    // Load: a service at its capacity. Late entries are served last, so they
+    // must not count in the wait of new work: it was refused as late, and the
+    // server went on with late work alone.
+    fixture f(1);
+    for (int i = 0; i < 30; ++i)
+    {
+        f.add(f.make(1));
+        f.finish(dispatch::result_class::answered, 100ms);
+    }
+    f.add(f.make(1));
+    for (int i = 0; i < 4; ++i)
+        f.add(f.make(1));
+    f.now += 450ms;
+    f.out = {};
+    std::uint64_t const fresh = f.add(f.make(1));
+    CHECK(f.out.answers.empty());
+    f.finish(dispatch::result_class::answered, 1ms);
+    CHECK(f.started() == fixture::ids{fresh});
+}
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -195,14 +195,19 @@
     return static_cast<double>(time.count());
 }
 
-/// Slot-time of a priority's entries that the server may get.
+/// Slot-time of a priority's entries that the server may get, with a deadline
+/// up to \p deadline.
+/// \param in_time  leaves out entries that can no longer meet their target,
+///                 because they are served after those that can
 double backlog_us(service_state const& service, homed_state const& server,
-                  priority_index priority, time_point deadline)
+                  priority_index priority, time_point deadline, bool in_time,
+                  time_point now)
 {
     double items = 0;
     for (entry const& waiting : service.priorities[priority].queue.entries)
     {
-        if (waiting.what.deadline > deadline)
+        if (waiting.what.deadline > deadline ||
+            (in_time && !meets_target(service, priority, waiting.entered, now)))
             continue;
         if (waiting.what.server.empty())
             items += 1.0 / static_cast<double>(service.servers.size());
@@ -212,6 +217,34 @@
     return items * to_us(expected_time(service.priorities[priority].estimate));
 }
 
+/// The wait behind the entries that are served before the work, with or
+/// without those that are late.
+duration wait_behind(service_state const& service, homed_state const& server,
+                     priority_index priority, time_point deadline, bool in_time,
+                     time_point now)
+{
+    double ahead = 0;
+    double lower_shares = 0;
+    for (priority_index i = 0; i < max_priorities; ++i)
+    {
+        if (i < priority)
+            ahead += backlog_us(service, server, i, time_point::max(), in_time,
+                                now);
+        else if (i > priority && !service.priorities[i].queue.entries.empty())
+            lower_shares += service.policy.priorities[i].min_share;
+    }
+    double const own =
+        backlog_us(service, server, priority, deadline, in_time, now) +
+        to_us(expected_time(service.priorities[priority].estimate));
+    double const slots = slots_of(server, service.policy, now);
+    double wait = (ahead + own) / (slots * std::max(0.05, 1 - lower_shares));
+    // The minimum share bounds the wait under a flood of more urgent work.
+    double const share = service.policy.priorities[priority].min_share;
+    if (share > 0)
+        wait = std::min(wait, own / (slots * share));
+    return duration(static_cast<duration::rep>(wait));
+}
+
 } // namespace
 
 priority_index urgent_priority(service_policy const& policy)
@@ -287,25 +320,11 @@
     if (has_slot(service, server, priority, now) &&
         service.priorities[priority].queue.entries.empty())
         return duration(0);
-    double ahead = 0;
-    double lower_shares = 0;
-    for (priority_index i = 0; i < max_priorities; ++i)
-    {
-        if (i < priority)
-            ahead += backlog_us(service, server, i, time_point::max());
-        else if (i > priority && !service.priorities[i].queue.entries.empty())
-            lower_shares += service.policy.priorities[i].min_share;
-    }
-    double const own =
-        backlog_us(service, server, priority, deadline) +
-        to_us(expected_time(service.priorities[priority].estimate));
-    double const slots = slots_of(server, service.policy, now);
-    double wait = (ahead + own) / (slots * std::max(0.05, 1 - lower_shares));
-    // The minimum share bounds the wait under a flood of more urgent work.
-    double const share = service.policy.priorities[priority].min_share;
-    if (share > 0)
-        wait = std::min(wait, own / (slots * share));
-    return duration(static_cast<duration::rep>(wait));
+    duration const in_time =
+        wait_behind(service, server, priority, deadline, true, now);
+    if (meets_target(service, priority, now, now + in_time))
+        return in_time;
+    return wait_behind(service, server, priority, deadline, false, now);
 }
 
 void advance_shares(state const& self, service_state& service, time_point now)
