Keep work that must not fail from servers in doubt, and get sound ones back

An attempt without a successor is refused instead of sent to a server in doubt beside a sound one. Evidence counts from when the work began, and work that outlives the fast failures counts before it ends. Tests go to every server in doubt, twice a second at most. Readmission tests the fault that ejected.

Ruled out: more weight for doubt in the cost (a full server always costs more in the end), and latencies in proportion to the target (reads of 2 ms remain).

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -57,6 +57,7 @@
         what.method = "GET";
         what.target = "/";
         what.deadline = now + limit;
+        what.received = now;
         what.server = "s1";
         what.home = home;
         what.origin = home;
@@ -536,3 +537,103 @@
     f.finish(dispatch::result_class::answered, 1ms);
     CHECK(f.started() == fixture::ids{fresh});
 }
+
+TEST_CASE("a server in doubt is given only work that may fail there")
+{
+    // Guards against a certain failure where a refusal, told at once, lets the
+    // caller come again; and against a service that nobody tests any more.
+    fixture f(4);
+    f.add(f.make(0));
+    f.finish();
+    f.add(f.make(0));
+    f.finish(dispatch::result_class::answered, 2ms, 500);
+    REQUIRE(f.self.servers.at("s1").failing.probability >= doubt_limit);
+    f.now += 1s;
+    auto const starts = [&](bool repeatable, bool other_homes, double known)
+    {
+        work what = f.make(0);
+        what.repeatable = repeatable;
+        what.other_homes = other_homes;
+        what.known_doubt = known;
+        f.out = {};
+        f.add(std::move(what));
+        if (f.out.starts.empty())
+            CHECK(f.out.answers.back().result.result == outcome::not_run);
+        return !f.out.starts.empty();
+    };
+    CHECK_FALSE(starts(false, false, 0.1));
+    CHECK_FALSE(starts(false, true, 0.1));
+    CHECK_FALSE(starts(true, true, 0.1));
+    CHECK(starts(true, false, 0.1));
+    // Routing knows the doubt and has nothing better.
+    CHECK(starts(false, false, 0.9));
+    CHECK(starts(true, true, certain_doubt));
+}
+
+TEST_CASE("a server in doubt is tested twice a second at most")
+{
+    fixture f(4);
+    f.add(f.make(0));
+    f.finish();
+    f.add(f.make(0));
+    f.finish(dispatch::result_class::answered, 2ms, 500);
+    int tests = 0;
+    time_point const end = f.now + 3s;
+    while (f.now < end)
+    {
+        work what = f.make(0);
+        what.other_homes = true;
+        what.known_doubt = certain_doubt;
+        f.out = {};
+        f.add(std::move(what));
+        f.now += 10ms;
+        if (f.out.starts.empty())
+            continue;
+        ++tests;
+        f.finish(dispatch::result_class::answered, 2ms, 500);
+    }
+    CHECK(tests == 5);
+}
+
+TEST_CASE("latencies are told in proportion to those of the same priority")
+{
+    // Guards against a server that is ejected as slow because it serves more
+    // of the long work than its siblings. On a calm day of the users four
+    // sound servers were.
+    fixture f(1);
+    duration const usual[] = {2ms, 100ms};
+    auto const told = [&](priority_index priority, duration latency)
+    {
+        f.add(f.make(priority));
+        f.finish(dispatch::result_class::answered, latency);
+        return f.out.samples.back().latency;
+    };
+    for (int i = 0; i < 30; ++i)
+    {
+        for (priority_index const priority : {0, 1})
+            CHECK(std::chrono::abs(told(priority, usual[priority]) - 1s) < 1ms);
+    }
+    CHECK(told(0, 10ms) > 4900ms);
+    CHECK(told(1, 500ms) > 4900ms);
+    CHECK(std::chrono::abs(told(1, 100ms) - 1s) < 100ms);
+}
+
+TEST_CASE("time spent at other homes counts for the target")
+{
+    // Guards against a request that waits for its whole target at each of
+    // several homes, and takes the place of one that can still be in time.
+    fixture f(1);
+    for (int i = 0; i < 30; ++i)
+    {
+        f.add(f.make(1));
+        f.finish(dispatch::result_class::answered, 100ms);
+    }
+    f.add(f.make(1));
+    work late = f.make(1);
+    late.received = f.now - 450ms;
+    f.add(std::move(late));
+    std::uint64_t const fresh = f.add(f.make(1));
+    f.out.starts.clear();
+    f.finish(dispatch::result_class::answered, 1ms);
+    CHECK(f.started() == fixture::ids{fresh});
+}
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -4,6 +4,7 @@
 #include "schedule.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrycove::admission
 {
@@ -84,6 +85,8 @@
     switch (what)
     {
     case observation::success:
+    case observation::progress:
+    case observation::completion:
         return health::sample_class::success;
     case observation::refused:
         return health::sample_class::shed;
@@ -102,20 +105,42 @@
                      homed_state const& server, time_point now, actions& out)
 {
     eligible const avoids_it = [&](entry const& item)
-    { return item.what.server == server.name && item.what.other_homes; };
+    {
+        return item.what.server == server.name &&
+               (item.what.other_homes || !item.what.repeatable) &&
+               item.what.known_doubt < doubt_limit;
+    };
     refuse_matching(self, service, avoids_it, error_kind::no_server,
                     "server_doubtful", now, out);
 }
 
 void take_doubt(state& self, service_state& service, homed_state& server,
-                observation what, time_point now, actions& out)
+                observation what, time_point began, time_point now,
+                actions& out)
 {
     double const before = doubt_at(server.failing, now);
-    take_observation(server.failing, what, now);
+    take_observation(server.failing, what, began, now);
     if (before < doubt_limit && server.failing.probability >= doubt_limit)
         return_doubtful(self, service, server, now, out);
 }
 
+/// Samples after which the usual time of a priority is known.
+constexpr double min_usual_samples = 20;
+
+/// See health::sample. Servers that serve another mix of priorities than their
+/// siblings would otherwise look slow: reads of 2 ms and work of 0.5 s share a
+/// service. A server that is slower all the time is not at fault.
+duration comparable_latency(service_estimate const& usual, duration latency)
+{
+    constexpr duration unit = std::chrono::seconds(1);
+    double const median = std::exp(usual.mean_log);
+    if (usual.samples < min_usual_samples)
+        return unit;
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(unit.count()) *
+        static_cast<double>(latency.count()) / median));
+}
+
 void learn(service_state& service, homed_state& server, running const& ended,
            dispatch::finished const& done, time_point now)
 {
@@ -136,13 +161,18 @@
         add_sample(priority.estimate, done.latency);
 }
 
-void free_slot(homed_state& server, running const& ended, std::uint64_t ticket)
+/// Returns what was known of the run.
+active_run free_slot(homed_state& server, running const& ended,
+                     std::uint64_t ticket)
 {
-    std::erase_if(server.active, [&](active_run const& item)
-                  { return item.ticket == ticket; });
+    auto const found =
+        std::ranges::find(server.active, ticket, &active_run::ticket);
+    active_run const run = *found;
+    server.active.erase(found);
     --server.in_flight;
     server.lower_in_flight -= ended.urgent ? 0 : 1;
     server.load_changed = true;
+    return run;
 }
 
 work_result result_of(state const& self, running const& ended,
@@ -186,9 +216,6 @@
 
 constexpr duration idle_check{1'000'000};
 
-/// Samples after which the usual time of a priority is known.
-constexpr double min_overdue_samples = 20;
-
 } // namespace
 
 void on_finished(state& self, dispatch::finished&& done, time_point now,
@@ -201,7 +228,7 @@
     self.in_flight.erase(found);
     service_state& service = self.services.at(ended.what.service);
     homed_state& server = self.servers.at(ended.server);
-    free_slot(server, ended, done.ticket);
+    active_run const run = free_slot(server, ended, done.ticket);
     charge_end(service.shares, ended.what.priority, ended.charged,
                done.latency);
     service_estimate const& usual =
@@ -209,8 +236,12 @@
     if (auto const seen = observe(done, usual))
     {
         out.samples.push_back({ended.server, ended.what.service,
-                               class_of(*seen), done.latency, now});
-        take_doubt(self, service, server, *seen, now, out);
+                               class_of(*seen),
+                               comparable_latency(usual, done.latency), now});
+        bool const completes = *seen == observation::success && run.progressed;
+        take_doubt(self, service, server,
+                   completes ? observation::completion : *seen, run.started,
+                   now, out);
     }
     learn(service, server, ended, done, now);
     work_result result = result_of(self, ended, std::move(done));
@@ -291,7 +322,7 @@
         {
             service_estimate const& usual =
                 service.priorities[run.priority].estimate;
-            if (run.overdue || usual.samples < min_overdue_samples)
+            if (run.overdue || usual.samples < min_usual_samples)
                 continue;
             time_point const due =
                 run.started +
@@ -303,7 +334,8 @@
                 continue;
             }
             run.overdue = true;
-            take_doubt(self, service, server, observation::overdue, now, out);
+            take_doubt(self, service, server, observation::overdue, run.started,
+                       now, out);
         }
     }
     return next;
@@ -319,7 +351,7 @@
     duration const target =
         service.policy.priorities[waiting.what.priority].target;
     return target.count() > 0 && waiting.what.claim.id.empty() &&
-           now - waiting.entered >= longest_wait_targets * target;
+           now - waiting.what.received >= longest_wait_targets * target;
 }
 
 /// Refuses late entries and uses slots that a ramp or an opened reserve
--- a/src/admission/doubt.hpp
+++ b/src/admission/doubt.hpp
@@ -16,12 +16,17 @@
 {
     double probability = 0.02;
     time_point at;
+    /// Newest evidence against the server. Work that began before it says
+    /// nothing about the server's state after it.
+    time_point last_failure;
 };
 
 /// What one result says about the server.
 enum class observation : std::uint8_t
 {
     success,
+    progress,     ///< runs on when a failing server would have answered
+    completion,   ///< success of work that has counted as progress
     fast_failure, ///< far sooner than work takes: nothing was tried
     late_failure, ///< after work; a call of the server's own may have failed
     lost,         ///< no answer, or one that broke off
@@ -33,7 +38,9 @@
 /// of time for which servers fail.
 void pass_time(doubt& of, time_point now);
 
-void take_observation(doubt& of, observation what, time_point now);
+/// \param began  when the server got the work
+void take_observation(doubt& of, observation what, time_point began,
+                      time_point now);
 
 /// The probability at \p now.
 double doubt_at(doubt const& of, time_point now);
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -50,10 +50,45 @@
                                });
 }
 
+/// Servers that fail in the users' sites answer within 2 ms.
+constexpr duration progress_time = std::chrono::milliseconds(20);
+
+/// Takes work that has run for longer than failures take as evidence, so that
+/// a sound server is known before its first long run has ended.
+void take_progress(homed_state& server, time_point now)
+{
+    for (active_run& run : server.active)
+    {
+        if (run.progressed || now - run.started < progress_time)
+            continue;
+        run.progressed = true;
+        take_observation(server.failing, observation::progress, run.started,
+                         now);
+    }
+}
+
 /// A doubt that has grown by this much since routing chose the server is worth
 /// another choice.
 constexpr double doubt_news = 0.2;
 
+/// Least time between failures of tests. Each costs a repeat elsewhere, and
+/// the limit of repeats leaves a few per second for a service.
+constexpr duration test_interval = std::chrono::milliseconds(500);
+
+bool is_test(work const& what)
+{
+    return what.known_doubt >= certain_doubt && what.other_homes;
+}
+
+/// Whether the work is not to run at a server in this doubt. Work that may run
+/// again and has no other home left is tried; work that may not is given back,
+/// because its caller can come again after a refusal but not after a failure.
+bool is_too_doubtful(work const& what, double doubt)
+{
+    return (what.other_homes || !what.repeatable) && doubt >= doubt_limit &&
+           doubt > what.known_doubt + doubt_news;
+}
+
 refusal refuse_by_server(homed_state const& server, work const& what,
                          time_point now)
 {
@@ -64,10 +99,10 @@
     if (server.health.health == health_state::probation &&
         server.in_flight + server.queued > 0)
         return {error_kind::overloaded, "probation_busy"};
-    double const doubt = doubt_at(server.failing, now);
-    if (what.other_homes && doubt >= doubt_limit &&
-        doubt > what.known_doubt + doubt_news)
+    if (is_too_doubtful(what, doubt_at(server.failing, now)))
         return {error_kind::no_server, "server_doubtful"};
+    if (is_test(what) && now - server.failing.last_failure < test_interval)
+        return {error_kind::no_server, "tested_lately"};
     return {};
 }
 
@@ -95,7 +130,7 @@
     {
         for (entry const& waiting : service.priorities[i].queue.entries)
             count += waiting.what.server == server &&
-                     !meets_target(service, i, waiting.entered, now);
+                     !meets_target(service, i, waiting.what.received, now);
     }
     return count;
 }
@@ -109,11 +144,10 @@
     refusal const refused = refuse_by_server(found->second, what, now);
     if (refused.kind != error_kind::none)
         return refused;
-    duration const wait = expected_wait(service, found->second, what.priority,
-                                        what.deadline, now);
+    duration const wait = expected_wait(service, found->second, what, now);
     if (misses_deadline(service, what, now + wait))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
-    if (!meets_target(service, what.priority, now, now + wait) &&
+    if (!meets_target(service, what.priority, what.received, now + wait) &&
         late_entries(service, name, now) >=
             slots_of(found->second, service.policy, now))
         return {error_kind::overloaded, "late_backlog"};
@@ -224,7 +258,7 @@
     ++service.queued;
     count_queued(self, what.server, 1);
     priority_queue& queue = service.priorities[what.priority].queue;
-    push(queue, std::move(what), now);
+    push(queue, std::move(what));
     start_queued(self, service, now, out);
     if (service.queued > 0)
         self.next_queue_check =
@@ -237,7 +271,10 @@
 {
     // The answer tells the doubts as they are now.
     for (auto& [name, server] : self.servers)
+    {
+        take_progress(server, now);
         pass_time(server.failing, now);
+    }
     bool const claimed = !what.claim.id.empty();
     // A claim that ran here must never be answered "not run", whatever else
     // stands against the attempt.
--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -31,9 +31,9 @@
 
 } // namespace
 
-void push(priority_queue& queue, work&& what, time_point now)
+void push(priority_queue& queue, work&& what)
 {
-    queue.entries.push_back({std::move(what), now});
+    queue.entries.push_back({std::move(what)});
 }
 
 std::optional<std::size_t> select(priority_queue const& queue,
--- a/src/admission/queue.hpp
+++ b/src/admission/queue.hpp
@@ -21,7 +21,6 @@
 struct entry
 {
     work what;
-    time_point entered;
 };
 
 /// Start-time fair queueing: each account's virtual time rises by the
@@ -43,7 +42,7 @@
 /// Selects the entries that may be taken now.
 using eligible = std::function<bool(entry const&)>;
 
-void push(priority_queue& queue, work&& what, time_point now);
+void push(priority_queue& queue, work&& what);
 
 /// Position of the eligible entry that is served next: the earliest deadline
 /// among accounts that are at most \p slack of slot-time ahead of the one
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -152,7 +152,8 @@
                               ? unchosen
                               : item.what.server == server.name;
         return fits && takes_work(server, item.what.repeatable) &&
-               (!in_time || meets_target(service, priority, item.entered, now));
+               (!in_time ||
+                meets_target(service, priority, item.what.received, now));
     };
     while (auto const position =
                select(from.queue, may_take, fair_slack_items * expected))
@@ -207,7 +208,8 @@
     for (entry const& waiting : service.priorities[priority].queue.entries)
     {
         if (waiting.what.deadline > deadline ||
-            (in_time && !meets_target(service, priority, waiting.entered, now)))
+            (in_time &&
+             !meets_target(service, priority, waiting.what.received, now)))
             continue;
         if (waiting.what.server.empty())
             items += 1.0 / static_cast<double>(service.servers.size());
@@ -228,8 +230,8 @@
     for (priority_index i = 0; i < max_priorities; ++i)
     {
         if (i < priority)
-            ahead += backlog_us(service, server, i, time_point::max(), in_time,
-                                now);
+            ahead +=
+                backlog_us(service, server, i, time_point::max(), in_time, now);
         else if (i > priority && !service.priorities[i].queue.entries.empty())
             lower_shares += service.policy.priorities[i].min_share;
     }
@@ -289,13 +291,13 @@
 }
 
 bool meets_target(service_state const& service, priority_index priority,
-                  time_point entered, time_point start)
+                  time_point received, time_point start)
 {
     duration const target = service.policy.priorities[priority].target;
     if (target.count() == 0)
         return true;
     return start + expected_time(service.priorities[priority].estimate) <=
-           entered + target;
+           received + target;
 }
 
 void start_queued(state& self, service_state& service, time_point now,
@@ -314,17 +316,17 @@
 }
 
 duration expected_wait(service_state const& service, homed_state const& server,
-                       priority_index priority, time_point deadline,
-                       time_point now)
+                       work const& what, time_point now)
 {
-    if (has_slot(service, server, priority, now) &&
-        service.priorities[priority].queue.entries.empty())
+    if (has_slot(service, server, what.priority, now) &&
+        service.priorities[what.priority].queue.entries.empty())
         return duration(0);
     duration const in_time =
-        wait_behind(service, server, priority, deadline, true, now);
-    if (meets_target(service, priority, now, now + in_time))
+        wait_behind(service, server, what.priority, what.deadline, true, now);
+    if (meets_target(service, what.priority, what.received, now + in_time))
         return in_time;
-    return wait_behind(service, server, priority, deadline, false, now);
+    return wait_behind(service, server, what.priority, what.deadline, false,
+                       now);
 }
 
 void advance_shares(state const& self, service_state& service, time_point now)
--- a/src/admission/schedule.hpp
+++ b/src/admission/schedule.hpp
@@ -19,19 +19,18 @@
 /// Whether the server takes new work of this repeatability in its state.
 bool takes_work(homed_state const& server, bool repeatable);
 
-/// Whether work that entered at \p entered can still be answered within its
-/// priority's target when it starts at \p start.
+/// Whether work of a request received at \p received can still be answered
+/// within its priority's target when it starts at \p start.
 bool meets_target(service_state const& service, priority_index priority,
-                  time_point entered, time_point start);
+                  time_point received, time_point start);
 
 /// Starts queued work of a service while its servers have free slots.
 void start_queued(state& self, service_state& service, time_point now,
                   actions& out);
 
-/// Time until work of a priority that is queued now would start at a server.
+/// Time until work that is queued now would start at a server.
 duration expected_wait(service_state const& service, homed_state const& server,
-                       priority_index priority, time_point deadline,
-                       time_point now);
+                       work const& what, time_point now);
 
 /// Whether work with this deadline can no longer be answered in time when it
 /// starts at \p start.
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -45,6 +45,8 @@
     std::uint64_t ticket = 0;
     priority_index priority = 0;
     time_point started;
+    /// It has counted as progress.
+    bool progressed = false;
     /// It has counted as evidence that the server does not answer.
     bool overdue = false;
 };
--- a/src/bench/flood_policy.cpp
+++ b/src/bench/flood_policy.cpp
@@ -177,6 +177,7 @@
     made.method = "POST";
     made.target = "/";
     made.deadline = deadline_of(run, request);
+    made.received = from.at;
     made.server = server_name(home);
     made.other_homes = run.requests[request].attempts < max_homes;
     made.home = run.homes[home].self;
--- a/src/capacity/decision_slopes.cpp
+++ b/src/capacity/decision_slopes.cpp
@@ -130,6 +130,7 @@
     what.service = "service";
     what.server = "server";
     what.deadline = now + std::chrono::seconds(2);
+    what.received = now;
     admission::on_work(self, std::move(what), now, out);
     if (out.starts.empty())
         throw std::runtime_error("work not started: " +
--- a/src/capacity/wire_slopes.cpp
+++ b/src/capacity/wire_slopes.cpp
@@ -23,6 +23,7 @@
     made.body = std::string(static_cast<std::size_t>(body), 'b');
     made.server = "server-000001";
     made.deadline = start + std::chrono::seconds(2);
+    made.received = start;
     made.origin_address = "10.0.0.1:7300";
     return made;
 }
--- a/src/core/work.cpp
+++ b/src/core/work.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Time in which what is known of a server goes out of date: faults of 4.5 s,
-/// 30 s apart, which is also the reason for usual_doubt.
-constexpr double fading_s = 1 / (1 / 4.5 + 1 / 30.0);
+/// Time in which what is known of a server goes out of date: at the users'
+/// sites faults last for 13 s on average and begin 30 s after the last one.
+constexpr double fading_s = 1 / (1 / 13.0 + 1 / 30.0);
 
 } // namespace
 
--- a/src/health/alarms.cpp
+++ b/src/health/alarms.cpp
@@ -137,6 +137,7 @@
     double const nats = fresh_nats(test, fresh, usual);
     if (nats >= threshold)
     {
+        test.ejected_for = raised.what;
         eject(test, nats, to_string(raised.what), now, out);
         return;
     }
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -92,11 +92,16 @@
 {
     probation& trial = test.trial;
     ++trial.samples;
-    trial.failure_nats += failure_nats(partial_failure(usual.failure_rate), 1,
-                                       has_failed ? 1 : 0);
+    // The trial is over the fault that the server was ejected for. One that
+    // failed all of its work has shown with three successes that it does not.
+    double const rate = usual.failure_rate;
+    trial.failure_nats += failure_nats(
+        test.ejected_for == signal::partial_failure ? partial_failure(rate)
+                                                    : outage(rate),
+        1, has_failed ? 1 : 0);
     if (has_failed)
         return;
-    if (usual.has_latency)
+    if (test.ejected_for == signal::slow && usual.has_latency)
         trial.latency_nats += latency_nats(model, log);
     else
         trial.latency_nats = std::min(trial.latency_nats, trial.failure_nats);
--- a/src/health/health_test.cpp
+++ b/src/health/health_test.cpp
@@ -309,6 +309,33 @@
     CHECK(model.test_of(0).health == health_state::healthy);
 }
 
+TEST_CASE(
+    "a server that was ejected for an outage is back after three successes")
+{
+    // Guards against sound servers that stay out: a service with little
+    // repeatable work needed 20 s for the 20 samples that a partial failure
+    // takes, and of 40 ejections on the users' heaviest day 3 were ended.
+    service_model model;
+    prepare(model);
+    server_test& test = model.test_of(0);
+    test.health = health_state::probation;
+    test.ejected_for = GENERATE(signal::outage, signal::partial_failure);
+    int samples = 0;
+    while (test.health == health_state::probation && samples < 100)
+    {
+        actions out;
+        on_sample(model.homes[0],
+                  {"v0", "s", sample_class::success, 20ms, model.now},
+                  model.now, out);
+        ++samples;
+    }
+    CHECK(test.health == health_state::healthy);
+    if (test.ejected_for == signal::outage)
+        CHECK(samples == 3);
+    else
+        CHECK(samples > 10);
+}
+
 TEST_CASE("probes delay readmission but neither eject nor readmit")
 {
     service_model model;
--- a/src/health/state.hpp
+++ b/src/health/state.hpp
@@ -90,6 +90,8 @@
     spread deviation;
     std::optional<alarm> raised;
     double score = 0;
+    /// What the last ejection was for.
+    signal ejected_for = signal::partial_failure;
     time_point hold_until;
     std::optional<time_point> last_ejection;
     unsigned relapses = 0;
--- a/src/include/gooseberrycove/health.hpp
+++ b/src/include/gooseberrycove/health.hpp
@@ -28,6 +28,8 @@
     std::string server;
     std::string service;
     sample_class what = sample_class::success;
+    /// In proportion to what work of this priority usually takes at this
+    /// server, as if that were one second.
     duration latency{0};
     time_point at;
 };
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -44,6 +44,9 @@
     /// Service of the VM where the request began.
     std::string caller_service;
     time_point deadline;
+    /// When the caller's request was received. Targets count from then, over
+    /// all homes that were tried.
+    time_point received;
     claim_ref claim;
     /// Backend server chosen by routing; the home may use another one of the
     /// same service that it is home to when this is empty.
@@ -78,16 +81,18 @@
 std::string_view to_string(health_state value);
 
 /// From this probability of a failing server on, work that must not run twice
-/// goes elsewhere where it can.
-inline constexpr double doubt_limit = 0.35;
+/// goes elsewhere or back to its caller.
+inline constexpr double doubt_limit = 0.5;
 
-/// Share of time for which servers fail: the doubt about a server of which
-/// nothing is known.
-inline constexpr double usual_doubt = 0.13;
+/// Share of time for which servers fail at the users' sites: the doubt about a
+/// server of which nothing is known.
+inline constexpr double usual_doubt = 0.25;
+
+/// work::known_doubt of repeatable work that tests a server in doubt.
+inline constexpr double certain_doubt = 1;
 
 /// What is left of a doubt after a time without evidence: it fades towards the
-/// share of time for which servers fail. At the users' sites a fault lasts a
-/// few seconds and comes back within half a minute.
+/// share of time for which servers fail.
 double faded_doubt(double probability, duration passed);
 
 struct server_status
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -10,8 +10,12 @@
 {
 
 /// One in this many repeatable requests tests a server in probation. About 20
-/// samples decide the test, and its failures cost a retry each.
-constexpr std::uint64_t trickle_share = 8;
+/// samples decide the test of a partial failure, and each of its failures costs
+/// a retry.
+constexpr std::uint64_t probation_share = 8;
+/// The same for a server in doubt, whose home limits the rate of tests. Two
+/// successes clear it, and its slots are missing until then.
+constexpr std::uint64_t doubt_share = 3;
 
 constexpr unsigned strikes_for_skip = 2;
 constexpr duration first_skip = std::chrono::seconds(1);
@@ -69,10 +73,12 @@
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 }
 
-/// A test takes one request at a time.
-bool busy(selection const& from, std::size_t index)
+/// Whether a server may be tested now. Probation takes one request at a time;
+/// a server in doubt may still run long work from before it failed.
+bool is_testable(selection const& from, std::size_t index)
 {
-    return load_of(from.candidates[index], from.outstanding) > 0;
+    double const load = load_of(from.candidates[index], from.outstanding);
+    return from.standings[index] == standing::probation ? load == 0 : load < 1;
 }
 
 /// Costs are in units of a server's load: 1 is all of its slots, so that work
@@ -120,6 +126,11 @@
     return cost;
 }
 
+bool is_sound(standing value)
+{
+    return value == standing::healthy || value == standing::kept_by_floor;
+}
+
 std::string_view reason_of(standing value)
 {
     return value == standing::healthy ? "least_cost" : to_string(value);
@@ -177,6 +188,38 @@
     }
 }
 
+/// A test of a server in doubt or in probation, each as often as the others;
+/// `who` is null when this request is none.
+choice choose_test(selection const& from, std::mt19937_64& random)
+{
+    choice result;
+    if (!from.may_test || !from.repeatable)
+        return result;
+    for (auto const& [tested, share] :
+         {std::pair(standing::doubtful, doubt_share),
+          std::pair(standing::probation, probation_share)})
+    {
+        if (draw(share, random) != 0)
+            continue;
+        std::vector<std::size_t> among;
+        for (std::size_t i = 0; i < from.candidates.size(); ++i)
+        {
+            if (from.standings[i] == tested && eligible(from, i) &&
+                is_testable(from, i))
+                among.push_back(i);
+        }
+        if (among.empty())
+            continue;
+        result.who = &from.candidates[among[draw(among.size(), random)]];
+        result.reason =
+            tested == standing::doubtful ? "doubt_test" : "probation_trickle";
+        result.passed_over = from.candidates.size() - 1;
+        result.doubt = certain_doubt;
+        return result;
+    }
+    return result;
+}
+
 } // namespace
 
 std::string_view to_string(standing value)
@@ -288,7 +331,8 @@
                                  ? usual_doubt
                                  : faded_doubt(told->second.probability, age);
         result.push_back(doubt);
-        if (standings[i] == standing::healthy && doubt >= doubt_limit)
+        if (doubt >= doubt_limit && (standings[i] == standing::healthy ||
+                                     standings[i] == standing::kept_by_floor))
             standings[i] = standing::doubtful;
     }
     return result;
@@ -305,31 +349,19 @@
 
 choice choose(selection const& from, std::mt19937_64& random)
 {
+    if (choice const test = choose_test(from, random); test.who != nullptr)
+        return test;
     std::vector<std::size_t> local;
     std::vector<std::size_t> other;
-    bool const test =
-        from.may_test && from.repeatable && draw(trickle_share, random) == 0;
-    for (standing const tested : {standing::doubtful, standing::probation})
-    {
-        if (!test)
-            break;
-        collect(
-            from,
-            [&](std::size_t i)
-            { return from.standings[i] == tested && !busy(from, i); },
-            local, other);
-        choice result = cheapest(from, local, other, random);
-        if (result.who == nullptr)
-            continue;
-        result.reason =
-            tested == standing::doubtful ? "doubt_test" : "probation_trickle";
-        // The home expects to be tested.
-        result.doubt = 1;
-        return result;
-    }
+    bool const avoids_doubt =
+        from.last_attempt && std::ranges::any_of(from.standings, is_sound);
     collect(
         from,
-        [&](std::size_t i) { return from.standings[i] <= standing::skipped; },
+        [&](std::size_t i)
+        {
+            return from.standings[i] <= standing::skipped &&
+                   !(avoids_doubt && from.standings[i] == standing::doubtful);
+        },
         local, other);
     return cheapest(from, local, other, random);
 }
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -94,8 +94,8 @@
 };
 using doubt_map = std::map<std::string, told_doubt, std::less<>>;
 
-/// The present doubt about each candidate. Healthy ones in doubt get that
-/// standing.
+/// The present doubt about each candidate. Those in doubt get that standing
+/// when they are healthy or kept by the floor.
 std::vector<double> apply_doubts(std::span<members::candidate const> candidates,
                                  doubt_map const& doubts, time_point now,
                                  std::vector<standing>& standings);
@@ -123,6 +123,10 @@
     bool may_test = true;
     /// By candidate; empty when nothing is known.
     std::span<double const> doubts = {};
+    /// No attempt may follow a failure of this one. It does not go to a server
+    /// in doubt while the service has others, even if these were tried: under
+    /// load they refuse, and a failing server looks idle.
+    bool last_attempt = false;
 };
 
 /// The cheapest of a few random candidates: its load, with costs for a doubtful
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -461,6 +461,10 @@
 void Work::__set_servers(const int32_t val) {
   this->servers = val;
 }
+
+void Work::__set_waited_us(const int64_t val) {
+  this->waited_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -717,6 +721,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waited_us);
+          this->__isset.waited_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -850,6 +862,10 @@
   xfer += oprot->writeI32(this->servers);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waited_us", ::apache::thrift::protocol::T_I64, 28);
+  xfer += oprot->writeI64(this->waited_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -884,6 +900,7 @@
   swap(a.known_doubt, b.known_doubt);
   swap(a.repeat, b.repeat);
   swap(a.servers, b.servers);
+  swap(a.waited_us, b.waited_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -915,6 +932,7 @@
   known_doubt = other12.known_doubt;
   repeat = other12.repeat;
   servers = other12.servers;
+  waited_us = other12.waited_us;
   __isset = other12.__isset;
 }
 Work& Work::operator=(const Work& other13) {
@@ -945,6 +963,7 @@
   known_doubt = other13.known_doubt;
   repeat = other13.repeat;
   servers = other13.servers;
+  waited_us = other13.waited_us;
   __isset = other13.__isset;
   return *this;
 }
@@ -978,6 +997,7 @@
   out << ", " << "known_doubt=" << to_string(known_doubt);
   out << ", " << "repeat=" << to_string(repeat);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "waited_us=" << to_string(waited_us);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -210,7 +210,7 @@
 std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
 
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false), repeat(false), servers(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false), repeat(false), servers(false), waited_us(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -238,6 +238,7 @@
   bool known_doubt :1;
   bool repeat :1;
   bool servers :1;
+  bool waited_us :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -268,7 +269,8 @@
          caller_service(),
          known_doubt(0),
          repeat(0),
-         servers(0) {
+         servers(0),
+         waited_us(0) {
   }
 
   virtual ~Work() noexcept;
@@ -299,6 +301,7 @@
   double known_doubt;
   bool repeat;
   int32_t servers;
+  int64_t waited_us;
 
   _Work__isset __isset;
 
@@ -356,6 +359,8 @@
 
   void __set_servers(const int32_t val);
 
+  void __set_waited_us(const int64_t val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -412,6 +417,8 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(waited_us == rhs.waited_us))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -46,6 +46,7 @@
   25: double known_doubt
   26: bool repeat
   27: i32 servers
+  28: i64 waited_us
 }
 
 struct ServerStatus {
