--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -637,3 +637,31 @@
     f.finish(dispatch::result_class::answered, 1ms);
     CHECK(f.started() == fixture::ids{fresh});
 }
+
+TEST_CASE("late work is refused at once where timely work waits")
+{
+    // Load: a service beyond its capacity. Late work found no slot before it
+    // was given up 2 targets after it came, and its caller had waited so long
+    // for a refusal.
+    fixture f(1);
+    for (int i = 0; i < 30; ++i)
+    {
+        f.add(f.make(1));
+        f.finish(dispatch::result_class::answered, 100ms);
+    }
+    f.add(f.make(1));
+    f.add(f.make(1));
+    work late = f.make(1);
+    late.received = f.now - 450ms;
+    f.out = {};
+    f.add(std::move(late));
+    CHECK(f.last_kind() == error_kind::overloaded);
+    CHECK(f.out.answers.back().result.result == outcome::not_run);
+    // With nothing else waiting it is the next.
+    f.finish(dispatch::result_class::answered, 100ms);
+    work next = f.make(1);
+    next.received = f.now - 450ms;
+    f.out = {};
+    f.add(std::move(next));
+    CHECK(f.out.answers.empty());
+}
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -137,6 +137,23 @@
     return count;
 }
 
+/// Whether work that can still meet its target waits for the server. It goes
+/// before late work, and under such a load more of it comes.
+bool has_timely_entry(service_state const& service, std::string_view server,
+                      time_point now)
+{
+    for (priority_index i = 0; i < max_priorities; ++i)
+    {
+        for (entry const& waiting : service.priorities[i].queue.entries)
+        {
+            if (waiting.what.server == server &&
+                meets_target(service, i, waiting.what.received, now))
+                return true;
+        }
+    }
+    return false;
+}
+
 refusal check_server(state const& self, service_state const& service,
                      std::string const& name, work const& what, time_point now)
 {
@@ -150,8 +167,9 @@
     if (misses_deadline(service, what, now + wait))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
     if (!meets_target(service, what.priority, what.received, now + wait) &&
-        late_entries(service, name, now) >=
-            slots_of(found->second, service.policy, now))
+        (late_entries(service, name, now) >=
+             slots_of(found->second, service.policy, now) ||
+         has_timely_entry(service, name, now)))
         return {error_kind::overloaded, "late_backlog"};
     if (should_spill(service, found->second, what, now))
         return {error_kind::overloaded, "target_at_entry"};
