Limit the silence of connections to the store and to servers; statuses once a second

A connection behind a partition goes silent for good: a watch of the document waited 27 s on it, a request on a kept connection for its deadline. Keep-alive probes and TCP_USER_TIMEOUT end it after 3 s.

--- /dev/null
+++ b/src/core/socket.cpp
@@ -0,0 +1,37 @@
+#include <gooseberrycove/socket.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace gooseberrycove
+{
+
+namespace
+{
+
+bool set(int socket, int level, int option, int value)
+{
+    return ::setsockopt(socket, level, option, &value, sizeof(value)) == 0;
+}
+
+} // namespace
+
+bool limit_silence(int socket)
+{
+    using namespace std::chrono;
+    // The first probe after a second without data, then one each second.
+    constexpr int probe_seconds = 1;
+    constexpr int probes =
+        static_cast<int>(duration_cast<seconds>(connection_silence).count()) -
+        probe_seconds;
+    constexpr int unacknowledged_ms = static_cast<int>(
+        duration_cast<milliseconds>(connection_silence).count());
+    return set(socket, SOL_SOCKET, SO_KEEPALIVE, 1) &&
+           set(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_seconds) &&
+           set(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds) &&
+           set(socket, IPPROTO_TCP, TCP_KEEPCNT, probes) &&
+           set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+} // namespace gooseberrycove
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -43,7 +43,7 @@
     duration default_lease{6'000'000};
     duration minimum_lease{1'000'000};
     duration maximum_lease{30'000'000};
-    duration status_period{500'000};
+    duration status_period{1'000'000};
     duration sync_period{60'000'000};
     duration rendezvous_period{300'000'000};
     /// A gap between ticks above this means that this process was paused.
