Write the log from one thread, bounded, to standard output

Lines went through glog to standard error, one write each from every duty, with no bound; a reader that stopped reading held the daemon up, and glog computed the time zone in several threads (a race in tzset under the thread sanitizer).

A line is pushed to a bounded ring and never waited for. One thread writes batches of 50 ms. 200 routine lines a second of one event are written and 500 others, so that lines of failures outlast those of progress; E0107 and E0108 tell what is missing, gcove_log_lines_total counts it. Placement lines tell the load, the doubts and the time waited that decided them.

--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -53,14 +53,20 @@
                   out);
 }
 
-void log_decision(decision const& made)
+void log_decision(decision const& made, time_point now)
 {
     event_line line(made.what);
     line.field("request", made.request)
         .field("service", made.service)
         .field("priority", static_cast<int>(made.priority))
         .field("server", made.server)
-        .field("reason", made.reason);
+        .field("reason", made.reason)
+        .field("in_flight", made.in_flight)
+        .field("queued", made.queued)
+        .field("doubt", made.doubt)
+        .field("known_doubt", made.known_doubt)
+        .field("waited_us", std::int64_t{(now - made.received).count()})
+        .routine(made.what == event::work_started);
     log_info(line);
 }
 
@@ -144,7 +150,7 @@
 {
     send_starts(self, out, now, todo);
     for (decision const& made : todo.decisions)
-        log_decision(made);
+        log_decision(made, now);
     send_all(*out.dispatch, todo.cancels, "dispatch");
     for (answer& made : todo.answers)
         send_answer(out, std::move(made));
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -5,8 +5,8 @@
 namespace gooseberrycove::admission
 {
 
-decision make_decision(event what, work const& of, std::string_view server,
-                       std::string_view reason)
+decision make_decision(state const& self, event what, work const& of,
+                       std::string_view server, std::string_view reason)
 {
     decision made;
     made.what = what;
@@ -15,6 +15,14 @@
     made.priority = of.priority;
     made.server = server;
     made.reason = reason;
+    made.known_doubt = of.known_doubt;
+    made.received = of.received;
+    auto const found = self.servers.find(made.server);
+    if (found == self.servers.end())
+        return made;
+    made.in_flight = found->second.in_flight;
+    made.queued = found->second.queued;
+    made.doubt = found->second.failing.probability;
     return made;
 }
 
@@ -63,7 +71,7 @@
     result.status = answer_of(kind).status;
     result.detail = reason;
     out.decisions.push_back(
-        make_decision(event::work_refused, what, what.server, reason));
+        make_decision(self, event::work_refused, what, what.server, reason));
     out.answers.push_back(
         {what.origin, what.origin_address, std::move(result)});
 }
--- a/src/admission/refuse.hpp
+++ b/src/admission/refuse.hpp
@@ -28,8 +28,8 @@
 /// Counts a server's queued work up or down; no server is a name too.
 void count_queued(state& self, std::string const& server, int change);
 
-decision make_decision(event what, work const& of, std::string_view server,
-                       std::string_view reason);
+decision make_decision(state const& self, event what, work const& of,
+                       std::string_view server, std::string_view reason);
 
 } // namespace gooseberrycove::admission
 
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -115,7 +115,7 @@
         claim_started(self.claims, taken.what.claim);
     charge_start(service.shares, taken.what.priority, charged);
     out.decisions.push_back(
-        make_decision(event::work_started, taken.what, server.name,
+        make_decision(self, event::work_started, taken.what, server.name,
                       taken.what.server.empty() ? "free_slot" : "routed"));
     out.starts.push_back({++self.last_ticket, server.name, server.address,
                           std::move(taken.what)});
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -143,6 +143,13 @@
     priority_index priority = 0;
     std::string server;
     std::string reason;
+    /// The inputs: load of the server and doubt about it, the doubt that
+    /// routing allowed for, and when the caller's request was received.
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+    double doubt = 0;
+    double known_doubt = 0;
+    time_point received;
 };
 
 /// What the thread has to do after a decision.
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -1,3 +1,4 @@
+#include <gooseberrycove/log.hpp>
 #include <gooseberrycove/metrics.hpp>
 
 #include <prometheus/counter.h>
@@ -75,6 +76,11 @@
     prometheus::Gauge& services =
         add_gauge(registry, "gcove_services", "Services in the directory")
             .Add({});
+    counter_family& log_lines = add_counter(registry, "gcove_log_lines_total",
+                                            "Log lines by what became of them");
+    prometheus::Counter& log_written = log_lines.Add({{"result", "written"}});
+    prometheus::Counter& log_left_out = log_lines.Add({{"result", "left_out"}});
+    prometheus::Counter& log_dropped = log_lines.Add({{"result", "dropped"}});
     prometheus::Gauge& in_flight =
         add_gauge(registry, "gcove_requests_in_flight",
                   "Callers' requests in flight at this daemon")
@@ -150,8 +156,22 @@
     m_families->in_flight.Set(static_cast<double>(requests));
 }
 
+namespace
+{
+
+void raise_to(prometheus::Counter& counter, std::uint64_t value)
+{
+    counter.Increment(static_cast<double>(value) - counter.Value());
+}
+
+} // namespace
+
 std::string metrics::text() const
 {
+    log_counts const& lines = process_log_counts();
+    raise_to(m_families->log_written, lines.written);
+    raise_to(m_families->log_left_out, lines.left_out);
+    raise_to(m_families->log_dropped, lines.dropped);
     return prometheus::TextSerializer().Serialize(
         m_families->registry.Collect());
 }
--- a/src/core/socket_test.cpp
+++ b/src/core/socket_test.cpp
@@ -1,7 +1,6 @@
 #include <gooseberrycove/socket.hpp>
 
 #include <catch2/catch.hpp>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -105,10 +105,9 @@
     optional("undelimited_answers", setting_type::boolean, "false",
              "whether an answer of a backend server may have no length and "
              "end with its connection"),
-    bounded(
-        "log_level", "0", 0, 3,
-        "least severity that is logged: 0 info, 1 warning, 2 error, 3 fatal; "
-        "reread on SIGHUP"),
+    bounded("log_level", "0", 0, 2,
+            "least severity that is logged: 0 info, 1 warning, 2 error; "
+            "reread on SIGHUP"),
     header("request_id", "X-Request-Id", "header with the caller's id"),
     header("time_allowed", "X-Deadline-Ms",
            "header with the milliseconds that the sender still waits"),
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,7 @@
 #include "daemon.hpp"
 #include "daemon_settings.hpp"
 #include "tool_settings/tool_settings.hpp"
-#include <gooseberrycove/event.hpp>
+#include <gooseberrycove/log.hpp>
 
 #include <curl/curl.h>
 #include <pthread.h>
@@ -29,19 +29,23 @@
     return signals;
 }
 
+void take_log_level(settings const& values)
+{
+    set_log_level(static_cast<severity>(values.number("daemon", "log_level")));
+}
+
 void reload(daemon_process& process)
 {
     try
     {
-        FLAGS_minloglevel =
-            static_cast<int>(tool_settings::read_settings(daemon_schema())
-                                 .number("daemon", "log_level"));
+        take_log_level(tool_settings::read_settings(daemon_schema()));
         process.reload_keys();
         log_info(event_line(event::settings_reloaded));
     }
     catch (settings_error const& fault)
     {
-        LOG(ERROR) << "settings unchanged: " << fault.what();
+        log_error(
+            event_line(event::settings_refused).field("why", fault.what()));
     }
 }
 
@@ -78,7 +82,7 @@
 {
     sigset_t const signals = block_signals();
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    FLAGS_minloglevel = static_cast<int>(values.number("daemon", "log_level"));
+    take_log_level(values);
     auto const process = make_daemon(values);
     std::atomic<bool> failed{false};
     log_info(event_line(event::process_started)
@@ -86,7 +90,7 @@
     process->start(
         [&failed](std::string_view what)
         {
-            LOG(ERROR) << what;
+            log_error(event_line(event::process_failed).field("why", what));
             failed = true;
             ::kill(::getpid(), SIGTERM);
         });
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -109,7 +109,8 @@
         .field("server", done.job.server)
         .field("class", names[static_cast<std::size_t>(result.what)])
         .field("status", result.status)
-        .field("latency_us", std::int64_t{result.latency.count()});
+        .field("latency_us", std::int64_t{result.latency.count()})
+        .routine(result.what == result_class::answered && result.status < 500);
     if (!result.detail.empty())
         line.field("reason", result.detail);
     log_info(line);
--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -117,7 +117,8 @@
     }
     catch (std::exception const& failure)
     {
-        LOG(ERROR) << failure.what();
+        log_error(
+            event_line(event::process_failed).field("why", failure.what()));
         code = 1;
     }
     inbox.close();
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -1,8 +1,6 @@
 #ifndef GOOSEBERRYCOVE_EVENT_HPP
 #define GOOSEBERRYCOVE_EVENT_HPP
 
-#include <glog/logging.h>
-
 #include <cstdint>
 #include <span>
 #include <string>
@@ -21,6 +19,10 @@
     process_stopped = 102,
     settings_reloaded = 103,
     ring_full = 104,
+    process_failed = 105,
+    settings_refused = 106,
+    log_lines_left_out = 107,
+    log_lines_dropped = 108,
 
     request_routed = 200,
     request_refused = 201,
@@ -84,7 +86,7 @@
 class event_line
 {
 public:
-    explicit event_line(event what) : m_text(event_tag(what)) {}
+    explicit event_line(event what) : m_what(what), m_text(event_tag(what)) {}
 
     event_line& field(std::string_view key, std::string_view value);
     event_line& field(std::string_view key, char const* value)
@@ -103,24 +105,28 @@
     }
     event_line& field(std::string_view key, double value);
 
+    /// Marks the normal progress of a request; see log_record::routine.
+    event_line& routine(bool value = true)
+    {
+        m_routine = value;
+        return *this;
+    }
+
+    event what() const { return m_what; }
+    bool is_routine() const { return m_routine; }
     std::string const& text() const { return m_text; }
 
 private:
+    event m_what;
+    bool m_routine = false;
     std::string m_text;
 };
 
-inline void log_info(event_line const& line)
-{
-    LOG(INFO) << line.text();
-}
-inline void log_warning(event_line const& line)
-{
-    LOG(WARNING) << line.text();
-}
-inline void log_error(event_line const& line)
-{
-    LOG(ERROR) << line.text();
-}
+/// Hand a line to the log's thread, and never wait for it. Without such a
+/// thread, as in unit tests, the lines stay in their ring.
+void log_info(event_line const& line);
+void log_warning(event_line const& line);
+void log_error(event_line const& line);
 
 } // namespace gooseberrycove
 
--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -102,6 +102,12 @@
             m_waker();
     }
 
+    bool is_closed() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
     std::size_t capacity() const { return m_capacity; }
 
 private:
@@ -111,7 +117,7 @@
         m_queue.clear();
     }
 
-    std::mutex m_mutex;
+    std::mutex mutable m_mutex;
     std::condition_variable m_ready;
     std::size_t m_capacity;
     std::deque<Message> m_queue;
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -117,8 +117,9 @@
         .field("home", to.address)
         .field("attempt", static_cast<unsigned>(what.attempts.size()))
         .field("reason", reason.empty() ? to.chosen.reason : reason)
-        .field("passed_over",
-               static_cast<std::uint64_t>(to.chosen.passed_over));
+        .field("doubt", to.chosen.doubt)
+        .field("passed_over", static_cast<std::uint64_t>(to.chosen.passed_over))
+        .routine(why == event::request_routed);
     return line;
 }
 
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -44,7 +44,9 @@
         .field("outcome",
                to_string(kind == error_kind::none ? result.result
                                                   : answer_of(kind).result))
-        .field("attempts", static_cast<unsigned>(what.attempts.size()));
+        .field("status", result.status)
+        .field("attempts", static_cast<unsigned>(what.attempts.size()))
+        .routine(kind == error_kind::none && result.status < 500);
     out.log.push_back(std::move(line));
     out.replies.push_back({what.from.id, what.from.caller_id, kind,
                            std::string(detail), std::move(result),
--- a/src/tool_settings/tool_settings.cpp
+++ b/src/tool_settings/tool_settings.cpp
@@ -1,5 +1,7 @@
 #include "tool_settings/tool_settings.hpp"
 
+#include "log/log_thread.hpp"
+
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
@@ -65,7 +67,10 @@
         settings const values = read_settings(schema);
         if (check)
             check(values);
-        return FLAGS_check_settings ? 0 : run(values);
+        if (FLAGS_check_settings)
+            return 0;
+        log::process_writer const writer;
+        return run(values);
     }
     catch (settings_error const& fault)
     {
