Keep the slots of a server that refuses a part; test only with tests

A refusal lowers the limit by one slot and an answer gives one back. No attempt but a test goes to a server in doubt beside a sound one.

--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -146,7 +146,7 @@
 {
     priority_state& priority = service.priorities[ended.what.priority];
     if (done.what == dispatch::result_class::refused_not_run)
-        on_shed(server.limit);
+        on_shed(server.limit, ended.concurrency);
     bool const answered =
         done.what == dispatch::result_class::answered && done.status < 500;
     if (answered)
--- a/src/admission/limit.cpp
+++ b/src/admission/limit.cpp
@@ -24,7 +24,7 @@
 constexpr double decrease_factor = 0.8;
 
 /// Slots that an answer gives back after refusals.
-constexpr double shed_recovery = 0.5;
+constexpr double shed_recovery = 1;
 
 /// A server of 4 slots with 5 requests takes 1.25 times as long (log 0.22).
 /// Above the declared slots a doubt is enough to go back.
@@ -140,10 +140,12 @@
         decide(limit, backlogged, now);
 }
 
-void on_shed(adaptive_limit& limit)
+void on_shed(adaptive_limit& limit, std::uint32_t concurrency)
 {
     limit.before_sheds = std::max(limit.before_sheds, limit.limit);
-    decrease(limit);
+    double const others = std::max<double>(1, concurrency - 1.0);
+    limit.limit = std::min(limit.limit, others);
+    clear_samples(limit);
 }
 
 void on_answer(adaptive_limit& limit)
--- a/src/admission/limit.hpp
+++ b/src/admission/limit.hpp
@@ -45,12 +45,14 @@
                 duration latency, std::uint32_t concurrency, bool backlogged,
                 time_point now);
 
-/// The server refused work as overloaded.
-void on_shed(adaptive_limit& limit);
+/// The server refused work as overloaded, started as the \p concurrency -th
+/// request in flight. The limit falls below that, by one slot at most: a server
+/// that fails for some seconds refuses a part of its work at any load, and the
+/// others that it runs show that it has slots.
+void on_shed(adaptive_limit& limit, std::uint32_t concurrency);
 
-/// The server answered work. What refusals took from the limit comes back
-/// within a few answers: a server that fails for some seconds refuses as well,
-/// and the gradient needs 64 samples for each step up.
+/// The server answered work. Each answer gives back a slot that a refusal took:
+/// the gradient would need 64 samples for it.
 void on_answer(adaptive_limit& limit);
 
 /// Slots that may be used: the limit, and a linear ramp from 1 to the declared
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -28,12 +28,6 @@
     return open_attempts(what) + what.reached > 1;
 }
 
-/// Whether a failure of the next attempt would be the answer.
-bool is_last_attempt(request const& what)
-{
-    return !what.repeatable || what.reached + 1 >= what.most_reached;
-}
-
 /// The next home that the claim names and that still has a usable server.
 target next_claimed(service_state const& service, request const& what,
                     std::span<standing const> standings)
@@ -71,8 +65,7 @@
     choice const chosen =
         choose({service.candidates, found.standings, service.outstanding, tried,
                 self.data_centre, what.repeatable,
-                tried.empty() && what.most_reached > 1, found.doubts,
-                is_last_attempt(what)},
+                tried.empty() && what.most_reached > 1, found.doubts},
                self.random);
     return {chosen, chosen.who ? chosen.who->home_address : std::string()};
 }
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -361,8 +361,9 @@
         return test;
     std::vector<std::size_t> local;
     std::vector<std::size_t> other;
-    bool const avoids_doubt =
-        from.last_attempt && std::ranges::any_of(from.standings, is_sound);
+    // Not even when the sound ones were tried: under load they refuse, and a
+    // failing server looks idle.
+    bool const avoids_doubt = std::ranges::any_of(from.standings, is_sound);
     collect(
         from,
         [&](std::size_t i)
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -129,10 +129,6 @@
     bool may_test = true;
     /// By candidate; empty when nothing is known.
     std::span<double const> doubts = {};
-    /// No attempt may follow a failure of this one. It does not go to a server
-    /// in doubt while the service has others, even if these were tried: under
-    /// load they refuse, and a failing server looks idle.
-    bool last_attempt = false;
 };
 
 /// The cheapest of a few random candidates: its load, with costs for a doubtful
