Block signals in the log's thread

The log's thread starts before the process blocks its signals, so a second signal, SIGHUP or SIGTERM, took its default action there.

--- a/src/log/log_test.cpp
+++ b/src/log/log_test.cpp
@@ -154,3 +154,21 @@
     CHECK(log.counts.written == 0);
     CHECK(log.counts.dropped == 10);
 }
+
+TEST_CASE("the log's thread takes no signals of the process")
+{
+    // Guards against a daemon that is ended by a signal meant for its drain.
+    // The thread starts before the process blocks its signals.
+    sigset_t before;
+    pthread_sigmask(SIG_SETMASK, nullptr, &before);
+    sigset_t inside;
+    sigemptyset(&inside);
+    log::start_without_signals(
+        [&inside] { pthread_sigmask(SIG_SETMASK, nullptr, &inside); })
+        .join();
+    for (int const number : {SIGTERM, SIGINT, SIGHUP})
+        CHECK(sigismember(&inside, number) == 1);
+    sigset_t after;
+    pthread_sigmask(SIG_SETMASK, nullptr, &after);
+    CHECK(sigismember(&after, SIGTERM) == sigismember(&before, SIGTERM));
+}
--- a/src/log/log_thread.cpp
+++ b/src/log/log_thread.cpp
@@ -6,9 +6,11 @@
 #include <fmt/format.h>
 #include <glog/logging.h>
 #include <poll.h>
+#include <pthread.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <string_view>
 
 namespace gooseberrycove::log
@@ -177,12 +179,24 @@
     }
 }
 
+std::thread start_without_signals(std::function<void()> body)
+{
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    // The new thread inherits the mask.
+    std::thread made(std::move(body));
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    return made;
+}
+
 process_writer::process_writer()
-    : m_thread(
+    : m_thread(start_without_signals(
           [] {
               run(process_log(), process_log_counts(), STDOUT_FILENO,
                   exit_patience);
-          })
+          }))
 {
 }
 
--- a/src/log/log_thread.hpp
+++ b/src/log/log_thread.hpp
@@ -3,6 +3,7 @@
 
 #include <gooseberrycove/log.hpp>
 
+#include <functional>
 #include <thread>
 
 namespace gooseberrycove::log
@@ -18,6 +19,10 @@
 void run(log_ring& lines, log_counts& counts, int descriptor,
          std::chrono::milliseconds patience);
 
+/// Starts a thread that blocks all signals. Without it a signal of the process
+/// could take its default action there before the process has blocked it.
+std::thread start_without_signals(std::function<void()> body);
+
 /// Runs the log of this process on standard output while it exists.
 class process_writer
 {
