--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -180,7 +180,8 @@
             error_kind::deadline_unmet,
             [](fixture& g, work& w) { w.deadline = g.now; }},
         std::pair<error_kind, void (*)(fixture&, work&)>{
-            error_kind::draining, [](fixture& g, work&) { on_drain(g.self); }},
+            error_kind::draining,
+            [](fixture& g, work&) { on_drain(g.self, g.now, g.out); }},
         std::pair<error_kind, void (*)(fixture&, work&)>{
             error_kind::no_server, [](fixture& g, work& w)
             {
@@ -682,3 +683,22 @@
         f.add(f.make(1));
     CHECK(f.out.starts.size() == 4);
 }
+
+TEST_CASE("a daemon that drains finishes what runs and gives its queue back")
+{
+    // Guards against queued work that starts half a second before the process
+    // ends: kfw trouble-3 --seed 237184462328 broke a promise of shutdowns.
+    fixture f(1);
+    f.add(f.make(0));
+    std::uint64_t const waiting = f.add(f.make(1));
+    on_drain(f.self, f.now, f.out);
+    REQUIRE(f.out.answers.size() == 1);
+    CHECK(f.out.answers[0].result.id.low == waiting);
+    CHECK(f.last_kind() == error_kind::draining);
+    CHECK(f.out.answers[0].result.result == outcome::not_run);
+    f.finish();
+    CHECK(f.last_kind() == error_kind::none);
+    CHECK(f.out.starts.size() == 1);
+    f.add(f.make(0));
+    CHECK(f.last_kind() == error_kind::draining);
+}
--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -226,7 +226,7 @@
     {
         on_verdict(self.decisions, verdict, now, out);
     }
-    void operator()(drain&&) const { on_drain(self.decisions); }
+    void operator()(drain&&) const { on_drain(self.decisions, now, out); }
 };
 
 } // namespace
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -294,9 +294,13 @@
                         "claim_fenced", now, out);
 }
 
-void on_drain(state& self)
+void on_drain(state& self, time_point now, actions& out)
 {
     self.draining = true;
+    eligible const any = [](entry const&) { return true; };
+    for (auto& [name, service] : self.services)
+        refuse_matching(self, service, any, error_kind::draining,
+                        "daemon_draining", now, out);
 }
 
 namespace
--- a/src/admission/decide.hpp
+++ b/src/admission/decide.hpp
@@ -29,7 +29,9 @@
 void on_fence(state& self, claims::fence const& request, time_point now,
               actions& out);
 
-void on_drain(state& self);
+/// Refuses new work from now on and gives queued work back: what starts late in
+/// a shutdown would be cut off by its end, and other homes can still run it.
+void on_drain(state& self, time_point now, actions& out);
 
 /// Refuses queued work that is past its deadline and reports loads. Returns
 /// the time of the next call.
--- a/src/include/gooseberrycove/admission.hpp
+++ b/src/include/gooseberrycove/admission.hpp
@@ -29,7 +29,7 @@
 /// repeat. Admission tells it to routing, which sees their calls.
 using repeat_share = std::atomic<double>;
 
-/// Stops taking new work; running and queued work is finished.
+/// Stops taking new work and gives queued work back; running work is finished.
 struct drain
 {
 };
