--- a/src/admission/doubt.hpp
+++ b/src/admission/doubt.hpp
@@ -10,8 +10,8 @@
 /// Probability that a server fails most of its work at present: a filter over
 /// two states, sound and failing, with the results of the server's work as
 /// evidence. It answers within one or two results, where the sequential test
-/// of health takes the many that an ejection needs. Doubt ejects nobody: it
-/// only moves work that must not fail to servers in less doubt.
+/// of health takes the many that an ejection needs. Doubt ejects nobody: only
+/// tests go to a server in doubt while the service has others.
 struct doubt
 {
     double probability = 0.02;
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -121,37 +121,40 @@
            urgent_risk(service, server, now) > spill_risk;
 }
 
-/// Queued entries of a server that can no longer meet their targets. A few of
-/// them use what the rest leaves; more would only wait for their deadlines,
-/// and their callers can do better elsewhere or later.
-std::size_t late_entries(service_state const& service, std::string_view server,
-                         time_point now)
+/// Queued work of a server by whether it can still meet its target.
+struct waiting_work
 {
-    std::size_t count = 0;
-    for (priority_index i = 0; i < max_priorities; ++i)
-    {
-        for (entry const& waiting : service.priorities[i].queue.entries)
-            count += waiting.what.server == server &&
-                     !meets_target(service, i, waiting.what.received, now);
-    }
-    return count;
-}
+    std::size_t timely = 0;
+    std::size_t late = 0;
+};
 
-/// Whether work that can still meet its target waits for the server. It goes
-/// before late work, and under such a load more of it comes.
-bool has_timely_entry(service_state const& service, std::string_view server,
-                      time_point now)
+waiting_work waiting_for(service_state const& service, std::string_view server,
+                         time_point now)
 {
+    waiting_work found;
     for (priority_index i = 0; i < max_priorities; ++i)
     {
         for (entry const& waiting : service.priorities[i].queue.entries)
         {
-            if (waiting.what.server == server &&
-                meets_target(service, i, waiting.what.received, now))
-                return true;
+            if (waiting.what.server != server)
+                continue;
+            ++(meets_target(service, i, waiting.what.received, now)
+                   ? found.timely
+                   : found.late);
         }
     }
-    return false;
+    return found;
+}
+
+/// Whether late work would only wait here for its refusal. Timely work goes
+/// before it, and where some waits more of it comes; beside that, a few late
+/// pieces use what the rest leaves.
+bool has_no_room_for_late(service_state const& service,
+                          homed_state const& server, time_point now)
+{
+    waiting_work const waiting = waiting_for(service, server.name, now);
+    return waiting.timely > 0 ||
+           waiting.late >= slots_of(server, service.policy, now);
 }
 
 refusal check_server(state const& self, service_state const& service,
@@ -167,9 +170,7 @@
     if (misses_deadline(service, what, now + wait))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
     if (!meets_target(service, what.priority, what.received, now + wait) &&
-        (late_entries(service, name, now) >=
-             slots_of(found->second, service.policy, now) ||
-         has_timely_entry(service, name, now)))
+        has_no_room_for_late(service, found->second, now))
         return {error_kind::overloaded, "late_backlog"};
     if (should_spill(service, found->second, what, now))
         return {error_kind::overloaded, "target_at_entry"};
--- a/src/admission/queue.hpp
+++ b/src/admission/queue.hpp
@@ -18,6 +18,7 @@
 /// Entries that all priorities of one service may hold.
 inline constexpr std::size_t max_service_queue = 1024;
 
+/// Work that waits.
 struct entry
 {
     work what;
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -24,8 +24,7 @@
 inline constexpr std::size_t max_homes = 3;
 
 /// The same for requests on open routes, which are never claimed. A home that
-/// refuses costs about 1 ms, and the last one tried takes the work even when
-/// its server is in doubt.
+/// refuses costs about 1 ms.
 inline constexpr std::size_t max_open_homes = 6;
 
 /// Time after the deadline in which a home's own report of the timeout can
