--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -89,6 +89,15 @@
         now += latency;
         on_finished(self, std::move(done), now, out);
     }
+    /// Serves work, one piece after the other, so that its usual time is known.
+    void serve(int count, priority_index priority, duration latency)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            add(make(priority));
+            finish(dispatch::result_class::answered, latency);
+        }
+    }
     claims::fence_state fence(char const* id, std::uint64_t epoch,
                               daemon_ref asked = home)
     {
@@ -268,11 +277,7 @@
 {
     bool const other_homes = GENERATE(true, false);
     fixture f;
-    for (int i = 0; i < 40; ++i)
-    {
-        f.add(f.make(0));
-        f.finish(dispatch::result_class::answered, 90ms);
-    }
+    f.serve(40, 0, 90ms);
     f.add(f.make(0));
     f.out.answers.clear();
     work late = f.make(0);
@@ -495,11 +500,7 @@
     // Load: a burst fills the queue beyond the target. In order of arrival all
     // of it, and all that comes after it, would be answered late.
     fixture f(1);
-    for (int i = 0; i < 30; ++i)
-    {
-        f.add(f.make(1));
-        f.finish(dispatch::result_class::answered, 100ms);
-    }
+    f.serve(30, 1, 100ms);
     f.add(f.make(1));
     std::uint64_t const late = f.add(f.make(1));
     f.now += 450ms;
@@ -523,11 +524,7 @@
     // must not count in the wait of new work: it was refused as late, and the
     // server went on with late work alone.
     fixture f(1);
-    for (int i = 0; i < 30; ++i)
-    {
-        f.add(f.make(1));
-        f.finish(dispatch::result_class::answered, 100ms);
-    }
+    f.serve(30, 1, 100ms);
     f.add(f.make(1));
     for (int i = 0; i < 4; ++i)
         f.add(f.make(1));
@@ -624,11 +621,7 @@
     // Guards against a request that waits for its whole target at each of
     // several homes, and takes the place of one that can still be in time.
     fixture f(1);
-    for (int i = 0; i < 30; ++i)
-    {
-        f.add(f.make(1));
-        f.finish(dispatch::result_class::answered, 100ms);
-    }
+    f.serve(30, 1, 100ms);
     f.add(f.make(1));
     work late = f.make(1);
     late.received = f.now - 450ms;
@@ -645,11 +638,7 @@
     // was given up 2 targets after it came, and its caller had waited so long
     // for a refusal.
     fixture f(1);
-    for (int i = 0; i < 30; ++i)
-    {
-        f.add(f.make(1));
-        f.finish(dispatch::result_class::answered, 100ms);
-    }
+    f.serve(30, 1, 100ms);
     f.add(f.make(1));
     f.add(f.make(1));
     work late = f.make(1);
@@ -673,11 +662,7 @@
     // deviation: servers at their limit ran 3 requests for 8 s after a fault
     // or a restart of their home.
     fixture f(4);
-    for (int i = 0; i < 4; ++i)
-    {
-        f.add(f.make(1));
-        f.finish(dispatch::result_class::answered, 20ms);
-    }
+    f.serve(4, 1, 20ms);
     f.out = {};
     for (int i = 0; i < 4; ++i)
         f.add(f.make(1));
