--- a/src/admission/repeats.hpp
+++ b/src/admission/repeats.hpp
@@ -1,26 +1,24 @@
 #ifndef GOOSEBERRYCOVE_ADMISSION_REPEATS_HPP
 #define GOOSEBERRYCOVE_ADMISSION_REPEATS_HPP
 
-#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/recent_seconds.hpp>
 
-#include <array>
 #include <cstdint>
 
 namespace gooseberrycove::admission
 {
 
-/// Requests that arrived at the servers of a service here, by second.
-struct arrival_counts
+/// Requests that arrived at the servers of a service here.
+struct arrivals
 {
-    struct slice
-    {
-        std::int64_t second = -1;
-        double first = 0;
-        double repeats = 0;
-    };
-    std::array<slice, 10> slices{};
+    double first = 0;
+    double repeats = 0;
+
+    arrivals& operator+=(arrivals const& other);
 };
 
+using arrival_counts = recent_seconds<arrivals>;
+
 /// What a service allows in any 10 s over all of its homes.
 struct repeat_limit
 {
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -34,6 +34,12 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
 }
 
+/// Brings a counter to a total that is counted elsewhere.
+void raise_to(prometheus::Counter& counter, std::uint64_t total)
+{
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
 } // namespace
 
 struct metrics::families
@@ -156,16 +162,6 @@
     m_families->in_flight.Set(static_cast<double>(requests));
 }
 
-namespace
-{
-
-void raise_to(prometheus::Counter& counter, std::uint64_t value)
-{
-    counter.Increment(static_cast<double>(value) - counter.Value());
-}
-
-} // namespace
-
 std::string metrics::text() const
 {
     log_counts const& lines = process_log_counts();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,11 +34,6 @@
 /// Two empty looks this far apart cover a message that is between two rings.
 constexpr int empty_looks_needed = 5;
 
-} // namespace
-
-namespace
-{
-
 bool uses_rows(settings const& from)
 {
     return from.text("daemon", "platform_interface") == "rows";
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -1,6 +1,6 @@
 #include "transfer.hpp"
 
-#include <gooseberrycove/socket.hpp>
+#include <gooseberrycove/curl_socket.hpp>
 
 #include <fmt/format.h>
 
@@ -56,14 +56,6 @@
     return CURL_PREREQFUNC_OK;
 }
 
-int on_socket(void*, curl_socket_t socket, curlsocktype)
-{
-    // Without the limits a request on a silent kept connection waits for its
-    // deadline.
-    limit_silence(socket);
-    return CURL_SOCKOPT_OK;
-}
-
 long to_milliseconds(duration time)
 {
     return std::max<long>(1, static_cast<long>(time.count() / 1000));
@@ -128,7 +120,7 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, limit_silence_of);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &self);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &write_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &self);
--- /dev/null
+++ b/src/include/gooseberrycove/recent_seconds.hpp
@@ -0,0 +1,64 @@
+#ifndef GOOSEBERRYCOVE_RECENT_SECONDS_HPP
+#define GOOSEBERRYCOVE_RECENT_SECONDS_HPP
+
+#include <gooseberrycove/types.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace gooseberrycove
+{
+
+/// Counts of the last ten seconds, one slice for each second.
+/// \tparam Counts  a struct of numbers with operator+=, zero by default
+template <class Counts>
+class recent_seconds
+{
+public:
+    /// The counts of the second of \p now.
+    Counts& at(time_point now)
+    {
+        std::int64_t const second = second_of(now);
+        slice& found =
+            m_slices[static_cast<std::size_t>(second) % m_slices.size()];
+        if (found.second != second)
+            found = {second, {}};
+        return found.counts;
+    }
+
+    /// The sum of the last ten seconds, that of \p now included.
+    Counts sum(time_point now) const
+    {
+        std::int64_t const last = second_of(now);
+        std::int64_t const oldest =
+            last - static_cast<std::int64_t>(m_slices.size());
+        Counts total;
+        for (slice const& one : m_slices)
+        {
+            if (one.second <= oldest || one.second > last)
+                continue;
+            total += one.counts;
+        }
+        return total;
+    }
+
+private:
+    struct slice
+    {
+        std::int64_t second = -1;
+        Counts counts;
+    };
+
+    static std::int64_t second_of(time_point now)
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(
+                   now.time_since_epoch())
+            .count();
+    }
+
+    std::array<slice, 10> m_slices{};
+};
+
+} // namespace gooseberrycove
+
+#endif
--- a/src/log/log_thread.cpp
+++ b/src/log/log_thread.cpp
@@ -11,6 +11,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <optional>
 #include <string_view>
 
 namespace gooseberrycove::log
@@ -42,9 +43,8 @@
     line_limit limit;
     std::uint64_t told_dropped = 0;
     bool failed = false;
-    bool closing = false;
-    /// End of the wait for a reader while closing.
-    time_point give_up = time_point::max();
+    /// End of the wait for a reader, once the ring is closed.
+    std::optional<time_point> give_up;
 };
 
 std::string_view to_string(severity level)
@@ -102,13 +102,10 @@
             return true;
         if (ready < 0 && errno != EINTR)
             return false;
-        if (to.closing && clock_now() >= to.give_up)
+        if (to.give_up && clock_now() >= *to.give_up)
             return false;
-        if (!to.closing && to.lines.is_closed())
-        {
-            to.closing = true;
+        if (!to.give_up && to.lines.is_closed())
             to.give_up = clock_now() + to.patience;
-        }
     }
 }
 
@@ -168,7 +165,7 @@
 void run(log_ring& lines, log_counts& counts, int descriptor,
          std::chrono::milliseconds patience)
 {
-    output to{lines, counts, descriptor, patience, {}, 0, false, false, {}};
+    output to{lines, counts, descriptor, patience, {}, 0, false, {}};
     std::vector<log_record> batch;
     while (lines.pop_until(batch, clock_now() + idle_wait))
     {
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -56,9 +56,8 @@
 }
 
 target next_target(state& self, service_state const& service,
-                   request const& what, time_point now)
+                   request const& what, assessment const& found)
 {
-    assessment const found = assess(service, self.evidence, now);
     if (what.claimed)
         return next_claimed(service, what, found.standings);
     std::vector<daemon_ref> const tried = tried_homes(what);
@@ -138,8 +137,8 @@
 }
 
 /// Whether another home than the one of the last attempt is left to try.
-bool has_other_home(state const& self, service_state const& service,
-                    request const& what, time_point now)
+bool has_other_home(service_state const& service, request const& what,
+                    assessment const& found)
 {
     if (what.attempts.size() >= homes_allowed(what))
         return false;
@@ -150,7 +149,6 @@
         return std::any_of(what.claim.homes.begin(), what.claim.homes.end(),
                            [&](claims::claim_home const& home)
                            { return untried(home.daemon); });
-    assessment const found = assess(service, self.evidence, now);
     for (std::size_t i = 0; i < found.standings.size(); ++i)
     {
         if (found.standings[i] == standing::healthy &&
@@ -167,7 +165,8 @@
         what.reached >= what.most_reached || now >= what.deadline)
         return false;
     service_state& service = service_of(self, what.service);
-    target const to = next_target(self, service, what, now);
+    assessment const found = assess(service, self.evidence, now);
+    target const to = next_target(self, service, what, found);
     if (!to.chosen.who)
         return false;
     members::candidate const& who = *to.chosen.who;
@@ -180,8 +179,8 @@
     made.known_doubt = to.chosen.doubt;
     made.repeat = is_repeat(what);
     made.repeat_share = made.repeat ? 1 : what.repeat_share;
-    made.servers = sharing_servers(assess(service, self.evidence, now));
-    made.other_homes = has_other_home(self, service, what, now);
+    made.servers = sharing_servers(found);
+    made.other_homes = has_other_home(service, what, found);
     out.sends.push_back({to.address, who.home == self.self, std::move(made)});
     return true;
 }
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -15,66 +15,40 @@
 constexpr double first_edge_us = 100;
 constexpr double edge_ratio = 1.25;
 
-std::int64_t second_of(time_point now)
+bool has_retry(request_counts const& sum)
 {
-    return std::chrono::duration_cast<std::chrono::seconds>(
-               now.time_since_epoch())
-        .count();
-}
-
-retry_budget::counts& current(retry_budget& budget, time_point now)
-{
-    std::int64_t const second = second_of(now);
-    auto& slice =
-        budget.slices[static_cast<std::size_t>(second) % budget.slices.size()];
-    if (slice.second != second)
-        slice = {second, 0, 0, 0};
-    return slice;
+    return sum.retries + sum.hedges < std::max(3U, sum.requests / 10);
 }
 
-retry_budget::counts recent(retry_budget const& budget, time_point now)
-{
-    std::int64_t const second = second_of(now);
-    std::int64_t const oldest =
-        second - static_cast<std::int64_t>(budget.slices.size());
-    retry_budget::counts sum;
-    for (auto const& slice : budget.slices)
-    {
-        if (slice.second <= oldest || slice.second > second)
-            continue;
-        sum.requests += slice.requests;
-        sum.retries += slice.retries;
-        sum.hedges += slice.hedges;
-    }
-    return sum;
-}
+} // namespace
 
-bool has_retry(retry_budget::counts const& sum)
+request_counts& request_counts::operator+=(request_counts const& other)
 {
-    return sum.retries + sum.hedges < std::max(3U, sum.requests / 10);
+    requests += other.requests;
+    retries += other.retries;
+    hedges += other.hedges;
+    return *this;
 }
 
-} // namespace
-
 void count_request(retry_budget& budget, time_point now)
 {
-    ++current(budget, now).requests;
+    ++budget.at(now).requests;
 }
 
 bool take_retry(retry_budget& budget, time_point now)
 {
-    if (!has_retry(recent(budget, now)))
+    if (!has_retry(budget.sum(now)))
         return false;
-    ++current(budget, now).retries;
+    ++budget.at(now).retries;
     return true;
 }
 
 bool take_hedge(retry_budget& budget, time_point now)
 {
-    retry_budget::counts const sum = recent(budget, now);
+    request_counts const sum = budget.sum(now);
     if (!has_retry(sum) || (sum.hedges + 1) * 20 > sum.requests)
         return false;
-    ++current(budget, now).hedges;
+    ++budget.at(now).hedges;
     return true;
 }
 
--- a/src/routing/retry.hpp
+++ b/src/routing/retry.hpp
@@ -1,7 +1,7 @@
 #ifndef GOOSEBERRYCOVE_ROUTING_RETRY_HPP
 #define GOOSEBERRYCOVE_ROUTING_RETRY_HPP
 
-#include <gooseberrycove/types.hpp>
+#include <gooseberrycove/recent_seconds.hpp>
 
 #include <array>
 #include <cstdint>
@@ -10,19 +10,18 @@
 namespace gooseberrycove::routing
 {
 
-/// Counts of one service over the last 10 s, in slices of 1 s.
-struct retry_budget
+struct request_counts
 {
-    struct counts
-    {
-        std::int64_t second = -1;
-        std::uint32_t requests = 0;
-        std::uint32_t retries = 0;
-        std::uint32_t hedges = 0;
-    };
-    std::array<counts, 10> slices;
+    std::uint32_t requests = 0;
+    std::uint32_t retries = 0;
+    std::uint32_t hedges = 0;
+
+    request_counts& operator+=(request_counts const& other);
 };
 
+/// Counts of one service.
+using retry_budget = recent_seconds<request_counts>;
+
 void count_request(retry_budget& budget, time_point now);
 
 /// Takes one retry: 10% of recent requests, at least 3 in 10 s.
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -1,6 +1,6 @@
 #include "store/call.hpp"
+#include <gooseberrycove/curl_socket.hpp>
 #include <gooseberrycove/event.hpp>
-#include <gooseberrycove/socket.hpp>
 
 #include <curl/curl.h>
 
@@ -48,13 +48,6 @@
     return size;
 }
 
-int on_socket(void*, curl_socket_t socket, curlsocktype)
-{
-    // Without the limits a silent connection only ends with its call.
-    limit_silence(socket);
-    return CURL_SOCKOPT_OK;
-}
-
 struct loop_state
 {
     std::shared_ptr<CURLM> multi;
@@ -79,7 +72,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &one.body);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, limit_silence_of);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(one.asked.timeout.count() / 1000));
