--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -104,11 +104,11 @@
 void return_doubtful(state& self, service_state& service,
                      homed_state const& server, time_point now, actions& out)
 {
-    eligible const avoids_it = [&](entry const& item)
+    eligible const avoids_it = [&](work const& item)
     {
-        return item.what.server == server.name &&
-               (item.what.other_homes || !item.what.repeatable) &&
-               item.what.known_doubt < doubt_limit;
+        return item.server == server.name &&
+               (item.other_homes || !item.repeatable) &&
+               item.known_doubt < doubt_limit;
     };
     refuse_matching(self, service, avoids_it, error_kind::no_server,
                     "server_doubtful", now, out);
@@ -256,8 +256,8 @@
 
 void on_cancel(state& self, cancel const& which, time_point now, actions& out)
 {
-    eligible const matches = [&](entry const& item)
-    { return is_attempt(item.what, which); };
+    eligible const matches = [&](work const& item)
+    { return is_attempt(item, which); };
     for (auto& [name, service] : self.services)
         refuse_matching(self, service, matches, error_kind::cancelled,
                         "caller_gone", now, out);
@@ -283,10 +283,10 @@
     if (request.home != self.self ||
         out.fences.back().answer.state != claims::fence_state::fenced)
         return;
-    eligible const is_fenced = [&](entry const& item)
+    eligible const is_fenced = [&](work const& item)
     {
-        return item.what.claim.id == request.claim.id &&
-               item.what.claim.epoch <= request.claim.epoch;
+        return item.claim.id == request.claim.id &&
+               item.claim.epoch <= request.claim.epoch;
     };
     // The successor may run the claim, so the attempt is not "not run".
     for (auto& [name, service] : self.services)
@@ -297,7 +297,7 @@
 void on_drain(state& self, time_point now, actions& out)
 {
     self.draining = true;
-    eligible const any = [](entry const&) { return true; };
+    eligible const any = [](work const&) { return true; };
     for (auto& [name, service] : self.services)
         refuse_matching(self, service, any, error_kind::draining,
                         "daemon_draining", now, out);
@@ -349,13 +349,12 @@
 /// caller hears so while it still has time.
 constexpr int longest_wait_targets = 2;
 
-bool has_waited_long(service_state const& service, entry const& waiting,
+bool has_waited_long(service_state const& service, work const& waiting,
                      time_point now)
 {
-    duration const target =
-        service.policy.priorities[waiting.what.priority].target;
-    return target.count() > 0 && waiting.what.claim.id.empty() &&
-           now - waiting.what.received >= longest_wait_targets * target;
+    duration const target = service.policy.priorities[waiting.priority].target;
+    return target.count() > 0 && waiting.claim.id.empty() &&
+           now - waiting.received >= longest_wait_targets * target;
 }
 
 /// Refuses late entries and uses slots that a ramp or an opened reserve
@@ -368,11 +367,11 @@
         service_state& service = item.second;
         if (service.queued == 0)
             continue;
-        eligible const is_late = [&](entry const& waiting)
-        { return misses_deadline(service, waiting.what, now); };
+        eligible const is_late = [&](work const& waiting)
+        { return misses_deadline(service, waiting, now); };
         refuse_matching(self, service, is_late, error_kind::deadline_unmet,
                         "deadline_in_queue", now, out);
-        eligible const waited_long = [&](entry const& waiting)
+        eligible const waited_long = [&](work const& waiting)
         { return has_waited_long(service, waiting, now); };
         refuse_matching(self, service, waited_long, error_kind::overloaded,
                         "late_in_queue", now, out);
--- a/src/admission/enter.cpp
+++ b/src/admission/enter.cpp
@@ -134,13 +134,12 @@
     waiting_work found;
     for (priority_index i = 0; i < max_priorities; ++i)
     {
-        for (entry const& waiting : service.priorities[i].queue.entries)
+        for (work const& waiting : service.priorities[i].queue.entries)
         {
-            if (waiting.what.server != server)
+            if (waiting.server != server)
                 continue;
-            ++(meets_target(service, i, waiting.what.received, now)
-                   ? found.timely
-                   : found.late);
+            ++(meets_target(service, i, waiting.received, now) ? found.timely
+                                                               : found.late);
         }
     }
     return found;
@@ -219,7 +218,7 @@
     priority_queue& queue = service.priorities[victim].queue;
     std::size_t const latest = latest_deadline(queue);
     if (victim == what.priority &&
-        queue.entries[latest].what.deadline <= what.deadline)
+        queue.entries[latest].deadline <= what.deadline)
         return false;
     refuse_queued(self, service, remove_at(queue, latest),
                   error_kind::overloaded, "queue_full", now, out);
--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -33,7 +33,7 @@
 
 void push(priority_queue& queue, work&& what)
 {
-    queue.entries.push_back({std::move(what)});
+    queue.entries.push_back(std::move(what));
 }
 
 std::optional<std::size_t> select(priority_queue const& queue,
@@ -46,7 +46,7 @@
         if (!may_take(queue.entries[i]))
             continue;
         candidates.emplace_back(
-            i, virtual_time_of(queue.shares, queue.entries[i].what.account));
+            i, virtual_time_of(queue.shares, queue.entries[i].account));
         least = std::min(least, candidates.back().second);
     }
     std::optional<std::size_t> best;
@@ -54,34 +54,34 @@
     {
         if (tag > least + slack)
             continue;
-        if (!best || queue.entries[position].what.deadline <
-                         queue.entries[*best].what.deadline)
+        if (!best ||
+            queue.entries[position].deadline < queue.entries[*best].deadline)
             best = position;
     }
     return best;
 }
 
-entry remove_at(priority_queue& queue, std::size_t position)
+work remove_at(priority_queue& queue, std::size_t position)
 {
-    entry taken = std::move(queue.entries[position]);
+    work taken = std::move(queue.entries[position]);
     if (position + 1 != queue.entries.size())
         queue.entries[position] = std::move(queue.entries.back());
     queue.entries.pop_back();
     return taken;
 }
 
-entry serve_at(priority_queue& queue, std::size_t position, duration cost)
+work serve_at(priority_queue& queue, std::size_t position, duration cost)
 {
-    entry taken = remove_at(queue, position);
+    work taken = remove_at(queue, position);
     fair_shares& shares = queue.shares;
-    duration const tag = virtual_time_of(shares, taken.what.account);
+    duration const tag = virtual_time_of(shares, taken.account);
     // The accounts furthest behind set the virtual time; an entry within the
     // slack may be ahead of them.
     duration least = tag;
-    for (entry const& other : queue.entries)
-        least = std::min(least, virtual_time_of(shares, other.what.account));
+    for (work const& other : queue.entries)
+        least = std::min(least, virtual_time_of(shares, other.account));
     shares.now = std::max(shares.now, least);
-    shares.virtual_time[taken.what.account] = tag + std::max(cost, duration(1));
+    shares.virtual_time[taken.account] = tag + std::max(cost, duration(1));
     if (shares.virtual_time.size() > max_accounts)
         forget_accounts(shares);
     return taken;
@@ -91,8 +91,8 @@
 {
     auto const latest =
         std::max_element(queue.entries.begin(), queue.entries.end(),
-                         [](entry const& left, entry const& right)
-                         { return left.what.deadline < right.what.deadline; });
+                         [](work const& left, work const& right)
+                         { return left.deadline < right.deadline; });
     return static_cast<std::size_t>(latest - queue.entries.begin());
 }
 
--- a/src/admission/queue.hpp
+++ b/src/admission/queue.hpp
@@ -18,12 +18,6 @@
 /// Entries that all priorities of one service may hold.
 inline constexpr std::size_t max_service_queue = 1024;
 
-/// Work that waits.
-struct entry
-{
-    work what;
-};
-
 /// Start-time fair queueing: each account's virtual time rises by the
 /// slot-time it is given. The account that is furthest behind is served.
 struct fair_shares
@@ -36,12 +30,12 @@
 /// Work of one priority that waits. Small enough for linear scans.
 struct priority_queue
 {
-    std::vector<entry> entries;
+    std::vector<work> entries;
     fair_shares shares;
 };
 
 /// Selects the entries that may be taken now.
-using eligible = std::function<bool(entry const&)>;
+using eligible = std::function<bool(work const&)>;
 
 void push(priority_queue& queue, work&& what);
 
@@ -52,10 +46,10 @@
                                   eligible const& may_take, duration slack);
 
 /// Takes an entry out without serving it.
-entry remove_at(priority_queue& queue, std::size_t position);
+work remove_at(priority_queue& queue, std::size_t position);
 
 /// Takes an entry out and charges its account with \p cost.
-entry serve_at(priority_queue& queue, std::size_t position, duration cost);
+work serve_at(priority_queue& queue, std::size_t position, duration cost);
 
 /// Position of the entry with the latest deadline; the queue is not empty.
 std::size_t latest_deadline(priority_queue const& queue);
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -85,17 +85,16 @@
     found->second.load_changed = true;
 }
 
-void refuse_queued(state& self, service_state& service, entry&& taken,
+void refuse_queued(state& self, service_state& service, work&& taken,
                    error_kind kind, std::string_view reason, time_point now,
                    actions& out)
 {
     --service.queued;
-    count_queued(self, taken.what.server, -1);
-    refuse(self, taken.what, kind, reason, out);
+    count_queued(self, taken.server, -1);
+    refuse(self, taken, kind, reason, out);
     // A fenced claim is settled already.
-    if (!taken.what.claim.id.empty() && kind != error_kind::outcome_unknown)
-        claim_ended(self.claims, taken.what.claim, out.answers.back().result,
-                    now);
+    if (!taken.claim.id.empty() && kind != error_kind::outcome_unknown)
+        claim_ended(self.claims, taken.claim, out.answers.back().result, now);
 }
 
 void refuse_matching(state& self, service_state& service,
--- a/src/admission/refuse.hpp
+++ b/src/admission/refuse.hpp
@@ -16,7 +16,7 @@
             std::string_view reason, actions& out);
 
 /// The same for an entry taken out of a queue; settles its claim as refused.
-void refuse_queued(state& self, service_state& service, entry&& taken,
+void refuse_queued(state& self, service_state& service, work&& taken,
                    error_kind kind, std::string_view reason, time_point now,
                    actions& out);
 
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -93,32 +93,32 @@
 }
 
 void start(state& self, service_state& service, homed_state& server,
-           entry&& taken, duration charged, time_point now, actions& out)
+           work&& taken, duration charged, time_point now, actions& out)
 {
     --service.queued;
-    count_queued(self, taken.what.server, -1);
+    count_queued(self, taken.server, -1);
     running begun;
     // The body goes to dispatch alone.
-    std::string body = std::move(taken.what.body);
-    begun.what = taken.what;
-    taken.what.body = std::move(body);
+    std::string body = std::move(taken.body);
+    begun.what = taken;
+    taken.body = std::move(body);
     begun.what.server = server.name;
     begun.server = server.name;
     begun.charged = charged;
-    begun.urgent = taken.what.priority == urgent_priority(service.policy);
+    begun.urgent = taken.priority == urgent_priority(service.policy);
     begun.concurrency = ++server.in_flight;
-    server.active.push_back({self.last_ticket + 1, taken.what.priority, now});
+    server.active.push_back({self.last_ticket + 1, taken.priority, now});
     server.lower_in_flight += begun.urgent ? 0 : 1;
     server.load_changed = true;
-    count_arrival(service.arrivals, taken.what.repeat_share, now);
-    if (!taken.what.claim.id.empty())
-        claim_started(self.claims, taken.what.claim);
-    charge_start(service.shares, taken.what.priority, charged);
+    count_arrival(service.arrivals, taken.repeat_share, now);
+    if (!taken.claim.id.empty())
+        claim_started(self.claims, taken.claim);
+    charge_start(service.shares, taken.priority, charged);
     out.decisions.push_back(
-        make_decision(self, event::work_started, taken.what, server.name,
-                      taken.what.server.empty() ? "free_slot" : "routed"));
-    out.starts.push_back({++self.last_ticket, server.name, server.address,
-                          std::move(taken.what)});
+        make_decision(self, event::work_started, taken, server.name,
+                      taken.server.empty() ? "free_slot" : "routed"));
+    out.starts.push_back(
+        {++self.last_ticket, server.name, server.address, std::move(taken)});
     self.in_flight.emplace(self.last_ticket, std::move(begun));
 }
 
@@ -146,19 +146,18 @@
     priority_state& from = service.priorities[priority];
     duration const expected = expected_time(from.estimate);
     bool const unchosen = takes_unchosen(self, service, server);
-    eligible const may_take = [&](entry const& item)
+    eligible const may_take = [&](work const& item)
     {
-        bool const fits = item.what.server.empty()
-                              ? unchosen
-                              : item.what.server == server.name;
-        return fits && takes_work(server, item.what.repeatable) &&
+        bool const fits =
+            item.server.empty() ? unchosen : item.server == server.name;
+        return fits && takes_work(server, item.repeatable) &&
                (!in_time ||
-                meets_target(service, priority, item.what.received, now));
+                meets_target(service, priority, item.received, now));
     };
     while (auto const position =
                select(from.queue, may_take, fair_slack_items * expected))
     {
-        if (misses_deadline(service, from.queue.entries[*position].what, now))
+        if (misses_deadline(service, from.queue.entries[*position], now))
         {
             refuse_queued(self, service, remove_at(from.queue, *position),
                           error_kind::deadline_unmet, "deadline_before_start",
@@ -205,15 +204,15 @@
                   time_point now)
 {
     double items = 0;
-    for (entry const& waiting : service.priorities[priority].queue.entries)
+    for (work const& waiting : service.priorities[priority].queue.entries)
     {
-        if (waiting.what.deadline > deadline ||
+        if (waiting.deadline > deadline ||
             (in_time &&
-             !meets_target(service, priority, waiting.what.received, now)))
+             !meets_target(service, priority, waiting.received, now)))
             continue;
-        if (waiting.what.server.empty())
+        if (waiting.server.empty())
             items += 1.0 / static_cast<double>(service.servers.size());
-        else if (waiting.what.server == server.name)
+        else if (waiting.server == server.name)
             ++items;
     }
     return items * to_us(expected_time(service.priorities[priority].estimate));
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -35,16 +35,15 @@
 void return_unservable(state& self, service_state& service, error_kind kind,
                        std::string_view reason, time_point now, actions& out)
 {
-    eligible const is_unservable = [&](entry const& item)
+    eligible const is_unservable = [&](work const& item)
     {
         return std::ranges::none_of(
             service.servers,
             [&](std::string const& name)
             {
-                bool const chosen =
-                    item.what.server.empty() || item.what.server == name;
+                bool const chosen = item.server.empty() || item.server == name;
                 return chosen &&
-                       takes_work(self.servers.at(name), item.what.repeatable);
+                       takes_work(self.servers.at(name), item.repeatable);
             });
     };
     refuse_matching(self, service, is_unservable, kind, reason, now, out);
@@ -159,8 +158,8 @@
         server.health.health != health_state::healthy)
     {
         // Routing finds a better server, or comes back under the floor rule.
-        eligible const chose_it = [&](entry const& item)
-        { return item.what.server == server.name; };
+        eligible const chose_it = [&](work const& item)
+        { return item.server == server.name; };
         refuse_matching(self, service, chose_it, error_kind::no_server,
                         "server_unhealthy", now, out);
     }
