--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -64,9 +64,12 @@
         .field("queued", entry.queued)
         .field("doubt", entry.failure_probability)
         .field("known_doubt", entry.accepted_failure_probability)
-        .field("waited_us", std::int64_t{(now - entry.received).count()})
-        .routine(entry.event_id == event::work_started);
-    log_info(line);
+        .field("waited_us", std::int64_t{(now - entry.received).count()});
+    if (entry.retry_weight > 0)
+        line.field("retry_weight", entry.retry_weight);
+    if (entry.is_retry)
+        line.field("limit_servers", entry.retry_limit_servers);
+    log_info(line.routine(entry.event_id == event::work_started));
 }
 
 void log_ring_full(std::string_view ring)
@@ -151,7 +154,11 @@
 {
     send_starts(duty, out, now, todo);
     for (decision const& entry : todo.decisions)
+    {
         log_decision(entry, now);
+        if (out.counts && entry.event_id == event::work_started)
+            out.counts->count_arrival(entry.retry_weight);
+    }
     send_all(*out.dispatch, todo.cancels, "dispatch");
     for (addressed_result& addressed : todo.results)
         send_result(out, std::move(addressed));
--- a/src/admission/admission_thread.hpp
+++ b/src/admission/admission_thread.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_ADMISSION_ADMISSION_THREAD_HPP
 
 #include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/peer.hpp>
 #include <gooseberrycove/routing.hpp>
 
@@ -28,6 +29,8 @@
     std::atomic<std::size_t>* in_flight = nullptr;
     /// See admission::retry_share; may be null.
     retry_share* local_retry_share = nullptr;
+    /// May be null.
+    metrics* counts = nullptr;
 };
 
 /// Runs the duty until \p requests is closed and empty. The owner waits for the
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -18,6 +18,9 @@
     entry.reason = reason;
     entry.accepted_failure_probability = request.accepted_failure_probability;
     entry.received = request.received;
+    entry.is_retry = request.is_retry;
+    entry.retry_weight = request.retry_weight;
+    entry.retry_limit_servers = request.retry_limit_servers;
     auto const found = state.servers.find(entry.server);
     if (found == state.servers.end())
         return entry;
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -151,6 +151,10 @@
     double failure_probability = 0;
     double accepted_failure_probability = 0;
     time_point received;
+    /// Copies of the request's fields for the retry limit.
+    bool is_retry = false;
+    double retry_weight = 0;
+    std::uint32_t retry_limit_servers = 1;
 };
 
 /// Messages to send and decisions to log, as the decision functions return
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -32,6 +32,7 @@
     GOOSEBERRYCOVE_EVENT(settings_refused),
     GOOSEBERRYCOVE_EVENT(log_lines_left_out),
     GOOSEBERRYCOVE_EVENT(log_lines_dropped),
+    GOOSEBERRYCOVE_EVENT(drain_ended),
     GOOSEBERRYCOVE_EVENT(request_routed),
     GOOSEBERRYCOVE_EVENT(request_refused),
     GOOSEBERRYCOVE_EVENT(request_retried),
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -68,6 +68,12 @@
     counter_family& retries =
         add_counter(registry, "gcove_retries_total",
                     "Further attempts of requests by reason");
+    counter_family& arrivals =
+        add_counter(registry, "gcove_arrivals_total",
+                    "Attempts sent to backend servers homed here; a call made "
+                    "by a retry counts in parts as first and as retry");
+    prometheus::Counter& first_arrivals = arrivals.Add({{"kind", "first"}});
+    prometheus::Counter& retry_arrivals = arrivals.Add({{"kind", "retry"}});
     counter_family& health_changes =
         add_counter(registry, "gcove_health_changes_total",
                     "State changes of backend servers homed here");
@@ -142,6 +148,12 @@
     m_families->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void metrics::count_arrival(double retry_weight)
+{
+    m_families->first_arrivals.Increment(1 - retry_weight);
+    m_families->retry_arrivals.Increment(retry_weight);
+}
+
 void metrics::count_health_change(std::string_view state)
 {
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,6 +15,8 @@
 #include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/store.hpp>
 
+#include <pthread.h>
+
 #include <atomic>
 #include <condition_variable>
 #include <thread>
@@ -151,7 +153,7 @@
                        peer_keys.current()});
     admission_wiring = std::make_unique<admission::wiring>(admission::wiring{
         &dispatch, &health, &members, &routing, &peer, &claims, own_daemon,
-        address, &work_in_flight, &retry_share});
+        address, &work_in_flight, &retry_share, &counts});
     dispatch::server_http_options dialect;
     dialect.names = read_header_names(values);
     dialect.max_body_bytes = values.number("daemon", "max_body_bytes");
@@ -204,6 +206,7 @@
         impl.threads.emplace_back(
             [duty, run, on_failure]
             {
+                pthread_setname_np(pthread_self(), duty);
                 try
                 {
                     run();
@@ -250,6 +253,7 @@
 void daemon_process::drain(time_point notice_end, time_point drain_end)
 {
     implementation& impl = *m_implementation;
+    time_point const drain_start = clock_now();
     impl.is_draining = true;
     impl.members.try_push(members::leave{});
     impl.front.try_push(front::drain{});
@@ -270,6 +274,12 @@
                              impl.work_in_flight.load() == 0;
         empty_polls = is_idle ? empty_polls + 1 : 0;
     }
+    auto const waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_now() - drain_start);
+    log_info(event_line(event::drain_ended)
+                 .field("waited_ms", std::int64_t{waited.count()})
+                 .field("callers", std::uint64_t{impl.callers_in_flight})
+                 .field("work", std::uint64_t{impl.work_in_flight}));
 }
 
 void daemon_process::stop()
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -23,6 +23,7 @@
     settings_refused = 106,
     log_lines_left_out = 107,
     log_lines_dropped = 108,
+    drain_ended = 109,
 
     request_routed = 200,
     request_refused = 201,
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -37,6 +37,9 @@
     /// Counts a message dropped because the ring of \p duty was full.
     void count_ring_drop(std::string_view duty);
     void count_retry(std::string_view reason);
+    /// Counts an attempt that was sent to a backend server homed here.
+    /// \param retry_weight  see work_request::retry_weight
+    void count_arrival(double retry_weight);
     /// Counts a server homed here that entered \p state.
     void count_health_change(std::string_view state);
     void set_config_version(std::uint64_t version);
