--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -705,3 +705,52 @@
     f.submit(f.make_request(0));
     CHECK(f.last_kind() == error_kind::draining);
 }
+
+namespace
+{
+
+/// A home whose part of the retry limit is 10 in 10 s.
+fixture make_limited_home(std::uint32_t slots)
+{
+    fixture f(slots);
+    service_policy policy = f.state.policies.at("shop");
+    policy.retry_limit = retry_allowance{0, 10};
+    on_policy(f.state, policy, f.now, f.out);
+    return f;
+}
+
+work_request make_retry(fixture& f)
+{
+    work_request request = f.make_request(2);
+    request.is_retry = true;
+    request.retry_weight = 1;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("queued retries count in the retry limit before they start",
+          "[!shouldfail]")
+{
+    fixture f = make_limited_home(1);
+    f.submit(f.make_request(2));
+    for (int i = 0; i < 20; ++i)
+        f.submit(make_retry(f));
+    CHECK(f.state.servers.at("s1").queued <= 10);
+}
+
+TEST_CASE("calls made by retried runs are refused above the retry limit",
+          "[!shouldfail]")
+{
+    fixture f = make_limited_home(40);
+    for (int i = 0; i < 20; ++i)
+    {
+        work_request call = f.make_request(0);
+        call.retry_weight = 1;
+        f.submit(std::move(call));
+    }
+    REQUIRE(f.out.starts.size() <= 10);
+    CHECK(f.last_kind() == error_kind::overloaded);
+    f.submit(f.make_request(0));
+    CHECK(f.out.starts.back().request.retry_weight == 0);
+}
--- a/src/admission/retry_limit_test.cpp
+++ b/src/admission/retry_limit_test.cpp
@@ -40,6 +40,23 @@
     CHECK(may_retry(homes[0], limit, 9, start + 30s));
 }
 
+TEST_CASE("retries of any 10 s stay in the limit, not only of whole seconds",
+          "[!shouldfail]")
+{
+    retry_allowance const limit{0, 40};
+    arrival_counts home;
+    int retries = 0;
+    for (time_point const now : {calls_start + 900ms, calls_start + 10'800ms})
+    {
+        while (may_retry(home, limit, 1, now))
+        {
+            count_arrival(home, 1, now);
+            ++retries;
+        }
+    }
+    CHECK(retries <= 40);
+}
+
 TEST_CASE("calls made by retried runs count in the retry limit")
 {
     // Guards against a limit that is exceeded by arrivals that no home
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <optional>
 #include <thread>
 
 using namespace gooseberrycove;
@@ -280,3 +281,16 @@
     REQUIRE(received.size() == 1);
     CHECK(std::get<health::probe_result>(received.front()).ok);
 }
+
+TEST_CASE("a server that does not answer does not keep a stopped loop running",
+          "[!shouldfail]")
+{
+    test_server server;
+    std::optional<fixture> duty(std::in_place);
+    duty->send(server.address(), "/stall", true, 3000);
+    while (server.requests == 0)
+        std::this_thread::sleep_for(duration(1000));
+    time_point const closed_at = clock_now();
+    duty.reset();
+    CHECK(clock_now() - closed_at < std::chrono::seconds(1));
+}
--- a/src/routing/candidates_test.cpp
+++ b/src/routing/candidates_test.cpp
@@ -308,3 +308,15 @@
     CHECK(count_servers({suspected}) == 1);
     CHECK(count_servers({}) == 1);
 }
+
+TEST_CASE("the parts of the retry slack add up to the slack while servers fail",
+          "[!shouldfail]")
+{
+    // Suspected servers receive retries as well when no other server is left.
+    using enum standing;
+    std::vector<standing> const all_suspected(8, suspected);
+    CHECK(count_retry_limit_servers({all_suspected, 0}) == 8);
+    std::vector<standing> most_suspected(8, suspected);
+    most_suspected.front() = healthy;
+    CHECK(count_retry_limit_servers({most_suspected, 0}) == 8);
+}
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -152,3 +152,40 @@
         fmt::format("http://127.0.0.1:{}", bound.local_endpoint().port());
     CHECK(call_all(url, {write_op}).at(0).result == status::refused);
 }
+
+TEST_CASE("a watch that the store holds does not keep a stopped client running",
+          "[!shouldfail]")
+{
+    asio::io_context loop;
+    // Accepts connections in the kernel and never responds.
+    tcp::acceptor store(loop, {asio::ip::address_v4::loopback(), 0});
+    inbox requests(8);
+    client store_client(
+        requests,
+        fmt::format("http://127.0.0.1:{}", store.local_endpoint().port()),
+        "d1");
+    std::thread thread([&] { store_client.run(); });
+    for (operation const& op :
+         {operation(watch_row{"k", 1, std::chrono::seconds(3)}), write_op})
+        requests.try_push({1, op, std::chrono::seconds(4), [](reply&&) {}});
+    tcp::socket const watch = store.accept();
+    time_point const closed_at = clock_now();
+    requests.close();
+    thread.join();
+    CHECK(clock_now() - closed_at < std::chrono::seconds(1));
+}
+
+TEST_CASE("a write in flight at the stop of the client gets its reply")
+{
+    std::string const body = R"({"versions":{"k":2}})";
+    scripted_server server({fmt::format(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body)});
+    inbox requests(8);
+    client store_client(requests, server.url(), "d1");
+    status result = status::unknown;
+    requests.try_push({1, write_op, std::chrono::seconds(20),
+                       [&](reply&& received) { result = received.result; }});
+    requests.close();
+    store_client.run();
+    CHECK(result == status::ok);
+}
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -3,6 +3,8 @@
 # bin (folder of the programs) and run (folder for settings and histories).
 
 declare -A listen admin peer peer_bind pid_of server_address start_counts
+# Further lines of a daemon's settings.
+declare -A daemon_settings
 daemons=()
 servers=()
 admin_key=demo-admin-key
@@ -72,6 +74,9 @@
 announce_key_file = $run/announce.key
 platform = 127.0.0.1:$platform_port
 INI
+    if [ -n "${daemon_settings[$name]:-}" ]; then
+        echo "${daemon_settings[$name]}" >>"$run/$name.ini"
+    fi
     if [ -n "${peer_bind[$name]:-}" ]; then
         echo "peer_bind = ${peer_bind[$name]}" >>"$run/$name.ini"
     fi
