Count queued retries in the retry limit

A retry was checked against the limit when it arrived and counted when it started, so that all retries of a queue passed the same check. Queued ones are added to the sum now. In the test 20 retries were queued under a limit of 10, which allows 7.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -729,8 +729,7 @@
 
 } // namespace
 
-TEST_CASE("queued retries count in the retry limit before they start",
-          "[!shouldfail]")
+TEST_CASE("queued retries count in the retry limit before they start")
 {
     fixture f = make_limited_home(1);
     f.submit(f.make_request(2));
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -283,6 +283,17 @@
            evict_latest_deadline(state, service, victim, request, now, out);
 }
 
+double count_queued_retries(service_state const& service)
+{
+    double retries = 0;
+    for (priority_state const& priority : service.priorities)
+    {
+        for (work_request const& entry : priority.queue.entries)
+            retries += entry.retry_weight;
+    }
+    return retries;
+}
+
 refusal check_request(admission_state const& state, work_request const& request,
                       time_point now)
 {
@@ -295,8 +306,9 @@
         return {error_kind::no_server, "not_homed_here"};
     service_state const& service = found->second;
     if (request.is_retry && service.policy.retry_limit &&
-        !may_retry(service.arrivals, *service.policy.retry_limit,
-                   request.retry_limit_servers, now))
+        !may_retry(service.arrivals, count_queued_retries(service),
+                   *service.policy.retry_limit, request.retry_limit_servers,
+                   now))
         return {error_kind::overloaded, "repeat_limit"};
     return request.server.empty()
                ? check_any_server(state, found->second, request, now)
--- a/src/admission/retry_limit.cpp
+++ b/src/admission/retry_limit.cpp
@@ -28,13 +28,14 @@
     present.first += retry_weight < 1 ? 1 : 0;
 }
 
-bool may_retry(arrival_counts const& counts, retry_allowance const& limit,
-               std::uint32_t servers, time_point now)
+bool may_retry(arrival_counts const& counts, double queued,
+               retry_allowance const& limit, std::uint32_t servers,
+               time_point now)
 {
     arrivals const recent = counts.sum(now);
     double const allowed =
         limit.share * recent.first + limit.slack / std::max(1U, servers);
-    return recent.retries + 1 <= usable_fraction * allowed;
+    return recent.retries + queued + 1 <= usable_fraction * allowed;
 }
 
 } // namespace gooseberrycove::admission
--- a/src/admission/retry_limit.hpp
+++ b/src/admission/retry_limit.hpp
@@ -34,9 +34,11 @@
 
 /// Whether this home may admit another retry. Each home keeps to its part of
 /// the limit, so that the homes together keep it without coordination.
+/// \param queued   retries that were admitted and have not started
 /// \param servers  servers of the service that share the limit, at least 1
-bool may_retry(arrival_counts const& counts, retry_allowance const& limit,
-               std::uint32_t servers, time_point now);
+bool may_retry(arrival_counts const& counts, double queued,
+               retry_allowance const& limit, std::uint32_t servers,
+               time_point now);
 
 } // namespace gooseberrycove::admission
 
