Divide the retry slack among all listed servers

The slack was divided among the servers that routing prefers, at least half of all. When every server is suspected all of them receive retries, and each home took a quarter of the slack for an eighth of the servers.

The divisor is the number of listed servers now, which does not change when servers fail.

--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -362,10 +362,7 @@
 
 std::uint32_t count_retry_limit_servers(assessment const& assessed)
 {
-    auto const all = static_cast<std::uint32_t>(assessed.standings.size());
-    auto const preferred = static_cast<std::uint32_t>(
-        std::ranges::count_if(assessed.standings, is_preferred));
-    return std::max({1U, preferred, (all + 1) / 2});
+    return std::max(1U, static_cast<std::uint32_t>(assessed.standings.size()));
 }
 
 double load_of(members::candidate const& candidate,
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -108,10 +108,9 @@
                             time_point now, std::vector<standing>& standings);
 
 /// Number of servers among which the slack of a service's retry limit is
-/// divided: those that receive retries, but at least half of all. The part of a
-/// failing server would not be used. When servers fail in turn within the
-/// window of the limit, the parts of all servers that had one may add up to
-/// twice the slack.
+/// divided: all listed ones, whatever their standing. A failing server uses
+/// little of its part, but standings change within the window of the limit, and
+/// the parts of all servers that had one must not exceed the slack.
 std::uint32_t count_retry_limit_servers(assessment const& assessed);
 
 struct choice
