Refuse calls of retried runs above the retry limit

Retries were limited, the calls that retried runs make were only counted.

Such calls are refused from 95% of a home's part on; retries stay below 75%, which leaves room for the calls that they cause. A call counts as a first arrival only for the rest of its weight.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -738,8 +738,7 @@
     CHECK(f.state.servers.at("s1").queued <= 10);
 }
 
-TEST_CASE("calls made by retried runs are refused above the retry limit",
-          "[!shouldfail]")
+TEST_CASE("calls made by retried runs are refused above the retry limit")
 {
     fixture f = make_limited_home(40);
     for (int i = 0; i < 20; ++i)
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -305,10 +305,12 @@
     if (found == state.services.end())
         return {error_kind::no_server, "not_homed_here"};
     service_state const& service = found->second;
-    if (request.is_retry && service.policy.retry_limit &&
-        !may_retry(service.arrivals, count_queued_retries(service),
-                   *service.policy.retry_limit, request.retry_limit_servers,
-                   now))
+    if (service.policy.retry_limit &&
+        !may_arrive(service.arrivals, count_queued_retries(service),
+                    *service.policy.retry_limit,
+                    {request.is_retry, request.retry_weight,
+                     request.retry_limit_servers},
+                    now))
         return {error_kind::overloaded, "repeat_limit"};
     return request.server.empty()
                ? check_any_server(state, found->second, request, now)
--- a/src/admission/retry_limit.cpp
+++ b/src/admission/retry_limit.cpp
@@ -8,9 +8,13 @@
 namespace
 {
 
-/// Fraction of the limit that the homes use. The rest is a margin, because the
-/// calls made by retried runs are only known on average.
-constexpr double usable_fraction = 0.75;
+/// Fraction of the limit that retries may use. The rest is for calls that
+/// retried runs have yet to make.
+constexpr double retry_fraction = 0.75;
+
+/// Fraction of the limit that may be used at all. The margin covers the weights
+/// of calls, which are averages over the runs of a VM.
+constexpr double usable_fraction = 0.95;
 
 } // namespace
 
@@ -25,17 +29,21 @@
 {
     arrivals& present = counts.at(now);
     present.retries += retry_weight;
-    present.first += retry_weight < 1 ? 1 : 0;
+    present.first += 1 - retry_weight;
 }
 
-bool may_retry(arrival_counts const& counts, double queued,
-               retry_allowance const& limit, std::uint32_t servers,
-               time_point now)
+bool may_arrive(arrival_counts const& counts, double queued,
+                retry_allowance const& limit, arriving_request const& request,
+                time_point now)
 {
+    if (request.retry_weight <= 0)
+        return true;
     arrivals const recent = counts.sum(now);
-    double const allowed =
-        limit.share * recent.first + limit.slack / std::max(1U, servers);
-    return recent.retries + queued + 1 <= usable_fraction * allowed;
+    double const allowed = limit.share * recent.first +
+                           limit.slack / std::max(1U, request.limit_servers);
+    double const usable =
+        (request.is_retry ? retry_fraction : usable_fraction) * allowed;
+    return recent.retries + queued + request.retry_weight <= usable;
 }
 
 } // namespace gooseberrycove::admission
--- a/src/admission/retry_limit.hpp
+++ b/src/admission/retry_limit.hpp
@@ -29,16 +29,29 @@
     double slack = 0;
 };
 
-/// \param retry_weight  see work_request::retry_weight
+/// \param retry_weight  see work_request::retry_weight; the rest of 1 counts as
+///                      a first arrival
 void count_arrival(arrival_counts& counts, double retry_weight, time_point now);
 
-/// Whether this home may admit another retry. Each home keeps to its part of
-/// the limit, so that the homes together keep it without coordination.
-/// \param queued   retries that were admitted and have not started
-/// \param servers  servers of the service that share the limit, at least 1
-bool may_retry(arrival_counts const& counts, double queued,
-               retry_allowance const& limit, std::uint32_t servers,
-               time_point now);
+/// Fields of a work_request that the limit depends on.
+struct arriving_request
+{
+    /// Another server was tried before; otherwise a weight above 0 is that of
+    /// a call which a retried run may have made.
+    bool is_retry = false;
+    double retry_weight = 0;
+    /// Servers of the service that share the limit.
+    std::uint32_t limit_servers = 1;
+};
+
+/// Whether the retry limit allows this home to admit a request. Each home keeps
+/// to its part of the limit, so that the homes together keep it without
+/// coordination. Calls of retried runs may use more of it than retries, because
+/// the work of the run that waits for them would be lost.
+/// \param queued  retries that were admitted and have not started
+bool may_arrive(arrival_counts const& counts, double queued,
+                retry_allowance const& limit, arriving_request const& request,
+                time_point now);
 
 } // namespace gooseberrycove::admission
 
