Give a restarted home no retry slack for the window of the limit

A daemon's counts end with its process, and its next run took its part of the slack anew within the same 10 s. In a rolling restart every home would take two parts. A home has only the share of its first arrivals until 10 s after its start; the share adds up over both runs by itself.

--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -247,6 +247,7 @@
 {
     duty_state duty;
     duty.state.own_daemon = out.own_daemon;
+    duty.state.started = clock_now();
     run_duty(
         requests,
         [&](message& item, time_point now)
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -310,7 +310,7 @@
                     *service.policy.retry_limit,
                     {request.is_retry, request.retry_weight,
                      request.retry_limit_servers},
-                    now))
+                    state.started, now))
         return {error_kind::overloaded, "repeat_limit"};
     return request.server.empty()
                ? check_any_server(state, found->second, request, now)
--- a/src/admission/retry_limit.cpp
+++ b/src/admission/retry_limit.cpp
@@ -16,6 +16,9 @@
 /// of calls, which are averages over the runs of a VM.
 constexpr double usable_fraction = 0.95;
 
+/// Time that the limit is about.
+constexpr duration limit_window = std::chrono::seconds(10);
+
 } // namespace
 
 arrivals& arrivals::operator+=(arrivals const& other)
@@ -34,13 +37,16 @@
 
 bool may_arrive(arrival_counts const& counts, double queued,
                 retry_allowance const& limit, arriving_request const& request,
-                time_point now)
+                time_point started, time_point now)
 {
     if (request.retry_weight <= 0)
         return true;
     arrivals const recent = counts.sum(now);
-    double const allowed = limit.share * recent.first +
-                           limit.slack / std::max(1U, request.limit_servers);
+    double const slack =
+        now - started < limit_window
+            ? 0
+            : limit.slack / std::max(1U, request.limit_servers);
+    double const allowed = limit.share * recent.first + slack;
     double const usable =
         (request.is_retry ? retry_fraction : usable_fraction) * allowed;
     return recent.retries + queued + request.retry_weight <= usable;
--- a/src/admission/retry_limit.hpp
+++ b/src/admission/retry_limit.hpp
@@ -48,10 +48,14 @@
 /// to its part of the limit, so that the homes together keep it without
 /// coordination. Calls of retried runs may use more of it than retries, because
 /// the work of the run that waits for them would be lost.
-/// \param queued  retries that were admitted and have not started
+/// \param queued      retries that were admitted and have not started
+/// \param started     when this home began to count. The run of the daemon
+/// before
+///                    may have used this home's part of the slack, so there is
+///                    none until that is outside of the limit's window.
 bool may_arrive(arrival_counts const& counts, double queued,
                 retry_allowance const& limit, arriving_request const& request,
-                time_point now);
+                time_point started, time_point now);
 
 } // namespace gooseberrycove::admission
 
--- a/src/admission/retry_limit_test.cpp
+++ b/src/admission/retry_limit_test.cpp
@@ -10,6 +10,7 @@
 {
 
 time_point const calls_start{1000s};
+time_point const never_restarted{0s};
 
 } // namespace
 
@@ -29,7 +30,7 @@
         count_arrival(home, 0, now);
         for (int attempt = 0; attempt < 3; ++attempt)
         {
-            if (!may_arrive(home, 0, limit, {true, 1, 9}, now))
+            if (!may_arrive(home, 0, limit, {true, 1, 9}, never_restarted, now))
                 break;
             count_arrival(home, 1, now);
             ++retries;
@@ -37,7 +38,8 @@
     }
     CHECK(retries <= 0.2 * 90 + 62);
     CHECK(retries >= 0.5 * (0.2 * 90 + 62));
-    CHECK(may_arrive(homes[0], 0, limit, {true, 1, 9}, start + 30s));
+    CHECK(may_arrive(homes[0], 0, limit, {true, 1, 9}, never_restarted,
+                     start + 30s));
 }
 
 TEST_CASE("retries of any 10 s stay in the limit, not only of whole seconds")
@@ -47,7 +49,7 @@
     int retries = 0;
     for (time_point const now : {calls_start + 900ms, calls_start + 10'800ms})
     {
-        while (may_arrive(home, 0, limit, {true, 1, 1}, now))
+        while (may_arrive(home, 0, limit, {true, 1, 1}, never_restarted, now))
         {
             count_arrival(home, 1, now);
             ++retries;
@@ -64,8 +66,24 @@
     arrival_counts home;
     for (int i = 0; i < 100; ++i)
         count_arrival(home, 0.1, calls_start);
-    CHECK(may_arrive(home, 0, limit, {true, 1, 1}, calls_start));
+    CHECK(
+        may_arrive(home, 0, limit, {true, 1, 1}, never_restarted, calls_start));
     for (int i = 0; i < 100; ++i)
         count_arrival(home, 0.5, calls_start);
-    CHECK_FALSE(may_arrive(home, 0, limit, {true, 1, 1}, calls_start));
+    CHECK_FALSE(
+        may_arrive(home, 0, limit, {true, 1, 1}, never_restarted, calls_start));
+}
+
+TEST_CASE("a home that has restarted does not get its part of the slack again")
+{
+    retry_allowance const limit{0.2, 40};
+    arrival_counts home;
+    CHECK_FALSE(may_arrive(home, 0, limit, {true, 1, 1}, calls_start - 2s,
+                           calls_start));
+    CHECK(may_arrive(home, 0, limit, {true, 1, 1}, calls_start - 10s,
+                     calls_start));
+    for (int i = 0; i < 20; ++i)
+        count_arrival(home, 0, calls_start);
+    CHECK(may_arrive(home, 0, limit, {true, 1, 1}, calls_start - 2s,
+                     calls_start));
 }
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -107,6 +107,8 @@
 struct admission_state
 {
     daemon_ref own_daemon;
+    /// When the duty started.
+    time_point started;
     std::unordered_map<std::string, service_state> services;
     std::unordered_map<std::string, homed_server_state> servers;
     std::unordered_map<std::string, service_policy> policies;
