--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace gooseberrycove;
 using namespace gooseberrycove::admission;
@@ -785,3 +786,91 @@
     REQUIRE(f.out.results.size() == 1);
     CHECK(f.last_kind() == error_kind::draining);
 }
+
+namespace
+{
+
+/// Ends the oldest request in flight with an answer that names a limit.
+void finish_naming(fixture& f, std::optional<double> limit,
+                   bool leaving = false, int status = 200)
+{
+    dispatch::finished done;
+    done.ticket = f.state.in_flight.begin()->first;
+    done.result = dispatch::result_class::answered;
+    done.status = status;
+    done.latency = 10ms;
+    done.statement = dispatch::answer_statement{limit, leaving, false};
+    f.now += 10ms;
+    on_finished(f.state, std::move(done), f.now, f.out);
+}
+
+} // namespace
+
+TEST_CASE("work beyond a server's limit goes to other homes or waits in time")
+{
+    fixture f(4);
+    f.submit(f.make_request(2));
+    finish_naming(f, 2);
+    f.out = {};
+    work_request elsewhere = f.make_request(2);
+    elsewhere.has_other_homes = true;
+    f.submit(std::move(elsewhere));
+    CHECK(f.last_kind() == error_kind::overloaded);
+    CHECK(f.out.results.back().result.retry_after == 500ms);
+    // The last home queues what can still meet its target of 1 s.
+    f.submit(f.make_request(2));
+    CHECK(f.state.servers.at("s1").queued == 1);
+    f.submit(f.make_request(2));
+    CHECK(f.last_kind() == error_kind::overloaded);
+    CHECK(f.out.results.back().result.retry_after == 1s);
+    f.submit(f.make_request(2, 1s));
+    CHECK(f.last_kind() == error_kind::deadline_unmet);
+    CHECK(f.out.starts.empty());
+    f.now += 500ms;
+    on_tick(f.state, f.now, f.out);
+    CHECK(f.out.starts.size() == 1);
+}
+
+TEST_CASE("a refusal by a server with a limit is no evidence of a fault")
+{
+    fixture f(4);
+    f.submit(f.make_request(2));
+    f.submit(f.make_request(2));
+    finish_naming(f, 20);
+    double const before = f.state.servers.at("s1").failure.probability;
+    std::size_t const samples = f.out.samples.size();
+    dispatch::finished refused;
+    refused.ticket = f.state.in_flight.begin()->first;
+    refused.result = dispatch::result_class::refused_not_run;
+    refused.status = 503;
+    refused.latency = 1ms;
+    refused.statement = dispatch::answer_statement{20, false, false};
+    on_finished(f.state, std::move(refused), f.now, f.out);
+    CHECK(f.state.servers.at("s1").failure.probability == Approx(before));
+    CHECK(f.out.samples.size() == samples);
+    CHECK(f.state.servers.at("s1").limit.slots == 4);
+}
+
+TEST_CASE(
+    "a server that says it leaves gets nothing more, also after a restart")
+{
+    fixture f(1);
+    f.submit(f.make_request(2));
+    f.submit(f.make_request(2));
+    finish_naming(f, std::nullopt, true);
+    CHECK(f.out.results.front().result.kind == error_kind::draining);
+    f.submit(f.make_request(2));
+    CHECK(f.last_kind() == error_kind::draining);
+    CHECK(f.out.starts.size() == 1);
+    on_tick(f.state, f.now, f.out);
+    REQUIRE(!f.out.loads.empty());
+    CHECK(f.out.loads.back().is_leaving);
+    server_statement const known = f.state.servers.at("s1").rate.statement;
+
+    fixture restarted(1);
+    work_request request = restarted.make_request(2);
+    request.statement = known;
+    restarted.submit(std::move(request));
+    CHECK(restarted.last_kind() == error_kind::draining);
+    CHECK(restarted.out.starts.empty());
+}
--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -136,6 +136,7 @@
         todo.starts = std::move(follow_up.starts);
         append(todo.results, follow_up.results);
         append(todo.decisions, follow_up.decisions);
+        append(todo.log, follow_up.log);
     }
 }
 
@@ -159,6 +160,10 @@
         if (out.counts && entry.event_id == event::work_started)
             out.counts->count_arrival(entry.retry_weight);
     }
+    for (event_line const& line : todo.log)
+        log_info(line);
+    if (out.counts && todo.malformed_statements > 0)
+        out.counts->count_malformed_statements(todo.malformed_statements);
     send_all(*out.dispatch, todo.cancels, "dispatch");
     for (addressed_result& addressed : todo.results)
         send_result(out, std::move(addressed));
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -2,6 +2,7 @@
 #include "miss_probability.hpp"
 #include "refuse.hpp"
 #include "schedule.hpp"
+#include "statement.hpp"
 
 #include <algorithm>
 
@@ -105,7 +106,8 @@
 refusal check_server_state(homed_server_state const& server,
                            work_request const& request, time_point now)
 {
-    if (server.state == members::server_state::draining)
+    if (server.state == members::server_state::draining ||
+        server.rate.statement.is_leaving)
         return {error_kind::draining, "server_draining"};
     if (!accepts_work(server, request.repeatable))
         return {error_kind::no_server, "server_not_eligible"};
@@ -185,6 +187,9 @@
     refusal const refused = check_server_state(found->second, request, now);
     if (refused.kind != error_kind::none)
         return refused;
+    if (request.has_other_homes &&
+        time_to_start(found->second.rate, 0, now) > duration(0))
+        return {error_kind::overloaded, "server_limit"};
     duration const wait = expected_wait(service, found->second, request, now);
     if (misses_deadline(service, request, now + wait))
         return {error_kind::deadline_unmet, "deadline_at_entry"};
@@ -343,6 +348,7 @@
         record_progress(server, now);
         decay(server.failure, now);
     }
+    apply_reported_statement(state, request, now, out);
     bool const has_claim = !request.claim.id.empty();
     // The claim is checked first: when its request has run at this home, the
     // attempt must not be reported as "not run", even if there are other
@@ -367,7 +373,7 @@
     }
     if (refused.kind != error_kind::none)
     {
-        refuse(state, request, refused.kind, refused.reason, out);
+        refuse(state, request, refused.kind, refused.reason, now, out);
         return;
     }
     service_state& service = state.services.at(request.service);
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -2,6 +2,7 @@
 
 #include "refuse.hpp"
 #include "schedule.hpp"
+#include "statement.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -157,7 +158,8 @@
                       dispatch::finished const& finished_run, time_point now)
 {
     priority_state& priority = service.priorities[ended.request.priority];
-    if (finished_run.result == dispatch::result_class::refused_not_run)
+    if (finished_run.result == dispatch::result_class::refused_not_run &&
+        !has_rate_limit(server.rate))
         on_shed(server.limit, ended.concurrency);
     bool const has_succeeded =
         finished_run.result == dispatch::result_class::answered &&
@@ -191,11 +193,12 @@
 
 work_result make_finished_result(admission_state const& state,
                                  in_flight_request const& ended,
-                                 dispatch::finished&& finished_run)
+                                 dispatch::finished&& finished_run,
+                                 time_point now)
 {
     mapped_result const mapped = map_result_class(finished_run.result);
     work_result result =
-        make_result(state, ended.request, mapped.kind, mapped.run_outcome);
+        make_result(state, ended.request, mapped.kind, mapped.run_outcome, now);
     result.status = mapped.kind == error_kind::none
                         ? finished_run.status
                         : error_response_for(mapped.kind).status;
@@ -234,7 +237,9 @@
             continue;
         server.has_unreported_load = false;
         server.load_reported_at = now;
-        out.loads.push_back({name, server.in_flight, server.queued});
+        out.loads.push_back({name, server.in_flight, server.queued,
+                             server.rate.statement.is_leaving,
+                             server.incarnation});
     }
 }
 
@@ -261,9 +266,20 @@
     active_run const run = free_slot(server, ended, finished_run.ticket);
     correct_charge(service.credits, ended.request.priority, ended.charged_time,
                    finished_run.latency);
+    if (finished_run.statement)
+        apply_answer_statement(state, server, *finished_run.statement,
+                               run.started, now, out);
     service_time_estimate const& estimate =
         service.priorities[ended.request.priority].estimate;
-    if (auto const observed = observe_result(finished_run, estimate))
+    // A server that names a limit refuses work for that reason, not for a
+    // fault.
+    bool const is_limit_refusal =
+        finished_run.result == dispatch::result_class::refused_not_run &&
+        has_rate_limit(server.rate);
+    auto const observed = is_limit_refusal
+                              ? std::nullopt
+                              : observe_result(finished_run, estimate);
+    if (observed)
     {
         out.samples.push_back(
             {ended.server, ended.request.service, to_sample_class(*observed),
@@ -276,7 +292,7 @@
     }
     update_estimates(service, server, ended, finished_run, now);
     work_result result =
-        make_finished_result(state, ended, std::move(finished_run));
+        make_finished_result(state, ended, std::move(finished_run), now);
     if (!ended.request.claim.id.empty())
         record_claim_result(state.claims, ended.request.claim, result, now);
     out.results.push_back({ended.request.origin, ended.request.origin_address,
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -33,7 +33,7 @@
 namespace
 {
 
-server_status status_of(homed_server_state const& server)
+server_status status_of(homed_server_state const& server, time_point now)
 {
     server_status status = server.status;
     status.server = server.name;
@@ -42,6 +42,8 @@
     status.in_flight = server.in_flight;
     status.queued = server.queued;
     status.failure_probability = server.failure.probability;
+    status.statement = server.rate.statement;
+    status.start_wait = time_to_start(server.rate, server.queued, now);
     return status;
 }
 
@@ -49,7 +51,7 @@
 
 work_result make_result(admission_state const& state,
                         work_request const& request, error_kind kind,
-                        outcome run_outcome)
+                        outcome run_outcome, time_point now)
 {
     work_result result;
     result.id = request.id;
@@ -62,19 +64,24 @@
     if (service == state.services.end())
         return result;
     for (std::string const& name : service->second.servers)
-        result.statuses.push_back(status_of(state.servers.at(name)));
+        result.statuses.push_back(status_of(state.servers.at(name), now));
     return result;
 }
 
 void refuse(admission_state const& state, work_request const& request,
-            error_kind kind, std::string_view reason, actions& out)
+            error_kind kind, std::string_view reason, time_point now,
+            actions& out)
 {
     outcome const run_outcome = kind == error_kind::cancelled
                                     ? outcome::not_run
                                     : error_response_for(kind).run_outcome;
-    work_result result = make_result(state, request, kind, run_outcome);
+    work_result result = make_result(state, request, kind, run_outcome, now);
     result.status = error_response_for(kind).status;
     result.detail = reason;
+    auto const server = state.servers.find(request.server);
+    if (server != state.servers.end())
+        result.retry_after =
+            time_to_start(server->second.rate, server->second.queued, now);
     out.decisions.push_back(make_decision(state, event::work_refused, request,
                                           request.server, reason));
     out.results.push_back(
@@ -97,7 +104,7 @@
 {
     --service.queued;
     adjust_queued(state, entry.server, -1);
-    refuse(state, entry, kind, reason, out);
+    refuse(state, entry, kind, reason, now, out);
     // With outcome_unknown, the fence has settled the claim already.
     if (!entry.claim.id.empty() && kind != error_kind::outcome_unknown)
         record_claim_result(state.claims, entry.claim,
@@ -120,4 +127,23 @@
     }
 }
 
+void refuse_unservable(admission_state& state, service_state& service,
+                       error_kind kind, std::string_view reason, time_point now,
+                       actions& out)
+{
+    entry_predicate const is_unservable = [&](work_request const& request)
+    {
+        return std::ranges::none_of(
+            service.servers,
+            [&](std::string const& name)
+            {
+                bool const is_allowed =
+                    request.server.empty() || request.server == name;
+                return is_allowed &&
+                       accepts_work(state.servers.at(name), request.repeatable);
+            });
+    };
+    refuse_matching(state, service, is_unservable, kind, reason, now, out);
+}
+
 } // namespace gooseberrycove::admission
--- a/src/admission/refuse.hpp
+++ b/src/admission/refuse.hpp
@@ -9,12 +9,13 @@
 /// Makes the result of an attempt, with the statuses of the service's servers.
 work_result make_result(admission_state const& state,
                         work_request const& request, error_kind kind,
-                        outcome run_outcome);
+                        outcome run_outcome, time_point now);
 
 /// Refuses an attempt that was not started, with the outcome from the table of
 /// errors. A cancelled attempt that was not started is reported as not run.
 void refuse(admission_state const& state, work_request const& request,
-            error_kind kind, std::string_view reason, actions& out);
+            error_kind kind, std::string_view reason, time_point now,
+            actions& out);
 
 /// Refuses an entry that was removed from a queue, and settles its claim as
 /// refused.
@@ -27,6 +28,11 @@
                      entry_predicate const& matches, error_kind kind,
                      std::string_view reason, time_point now, actions& out);
 
+/// Refuses queued requests that no server here may run any more.
+void refuse_unservable(admission_state& state, service_state& service,
+                       error_kind kind, std::string_view reason, time_point now,
+                       actions& out);
+
 /// Adds \p change to the server's number of queued requests. Ignores names that
 /// are not homed here, such as the empty name of a request without a chosen
 /// server.
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -89,7 +89,8 @@
               priority_index priority, time_point now)
 {
     std::uint32_t const slots = slots_of(server, service.policy, now);
-    if (server.in_flight >= slots)
+    if (server.in_flight >= slots ||
+        time_to_start(server.rate, 0, now) > duration(0))
         return false;
     if (priority == urgent_priority(service.policy) ||
         slots < min_slots_for_reserve)
@@ -120,6 +121,7 @@
     server.lower_in_flight += started.is_urgent ? 0 : 1;
     server.has_unreported_load = true;
     count_arrival(service.arrivals, entry.retry_weight, now);
+    count_start(server.rate, now);
     if (!entry.claim.id.empty())
         mark_claim_running(state.claims, entry.claim);
     charge_start(service.credits, entry.priority, charged_time);
@@ -292,6 +294,7 @@
 bool accepts_work(homed_server_state const& server, bool repeatable)
 {
     return server.state == members::server_state::serving &&
+           !server.rate.statement.is_leaving &&
            (repeatable || server.status.health != health_state::probation);
 }
 
@@ -351,13 +354,15 @@
     if (has_slot(service, server, request.priority, now) &&
         service.priorities[request.priority].queue.entries.empty())
         return duration(0);
-    duration const timely_wait = backlog_wait(service, server, request.priority,
-                                              request.deadline, true, now);
+    duration const limit_wait = time_to_start(server.rate, server.queued, now);
+    duration const timely_wait =
+        std::max(limit_wait, backlog_wait(service, server, request.priority,
+                                          request.deadline, true, now));
     if (meets_target(service, request.priority, request.received,
                      now + timely_wait))
         return timely_wait;
-    return backlog_wait(service, server, request.priority, request.deadline,
-                        false, now);
+    return std::max(limit_wait, backlog_wait(service, server, request.priority,
+                                             request.deadline, false, now));
 }
 
 void update_credits(admission_state const& state, service_state& service,
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -34,26 +34,6 @@
                                   policy.probe_path});
 }
 
-/// Refuses queued requests that no server here may run any more.
-void refuse_unservable(admission_state& state, service_state& service,
-                       error_kind kind, std::string_view reason, time_point now,
-                       actions& out)
-{
-    entry_predicate const is_unservable = [&](work_request const& request)
-    {
-        return std::ranges::none_of(
-            service.servers,
-            [&](std::string const& name)
-            {
-                bool const is_allowed =
-                    request.server.empty() || request.server == name;
-                return is_allowed &&
-                       accepts_work(state.servers.at(name), request.repeatable);
-            });
-    };
-    refuse_matching(state, service, is_unservable, kind, reason, now, out);
-}
-
 void remove_server(admission_state& state, std::string const& name,
                    time_point now, actions& out)
 {
@@ -95,6 +75,7 @@
         server.warmup = details.warmup;
         server.status = {};
         server.limit = {};
+        server.rate = {};
         server.failure = {};
     }
     server.name = details.server;
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -6,6 +6,7 @@
 #include "failure_estimate.hpp"
 #include "queue.hpp"
 #include "retry_limit.hpp"
+#include "server_limit.hpp"
 #include "service_time.hpp"
 #include "share_credit.hpp"
 #include <gooseberrycove/admission.hpp>
@@ -62,6 +63,7 @@
     server_status status;
     std::uint64_t incarnation = 0;
     adaptive_limit limit;
+    server_limit rate;
     failure_estimate failure;
     time_point announced_at;
     /// Warm-up time that the server announced, counted from `announced_at`; 0
@@ -173,6 +175,10 @@
     std::vector<health::server_change> server_changes;
     std::vector<members::server_load> loads;
     std::vector<decision> decisions;
+    /// Lines about changes of what a server has stated.
+    std::vector<event_line> log;
+    /// Answers whose statement could not be read.
+    std::uint64_t malformed_statements = 0;
 };
 
 /// Interval between checks of queued requests against their deadlines.
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -40,6 +40,7 @@
     GOOSEBERRYCOVE_EVENT(request_answered),
     GOOSEBERRYCOVE_EVENT(work_refused),
     GOOSEBERRYCOVE_EVENT(work_started),
+    GOOSEBERRYCOVE_EVENT(server_stated),
     GOOSEBERRYCOVE_EVENT(dispatch_finished),
     GOOSEBERRYCOVE_EVENT(server_alarm),
     GOOSEBERRYCOVE_EVENT(server_ejected),
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -74,6 +74,11 @@
                     "by a retry counts in parts as first and as retry");
     prometheus::Counter& first_arrivals = arrivals.Add({{"kind", "first"}});
     prometheus::Counter& retry_arrivals = arrivals.Add({{"kind", "retry"}});
+    prometheus::Counter& malformed_statements =
+        add_counter(registry, "gcove_malformed_statements_total",
+                    "Answers of backend servers whose limit or leaving could "
+                    "not be read")
+            .Add({});
     counter_family& health_changes =
         add_counter(registry, "gcove_health_changes_total",
                     "State changes of backend servers homed here");
@@ -154,6 +159,11 @@
     m_families->retry_arrivals.Increment(retry_weight);
 }
 
+void metrics::count_malformed_statements(std::uint64_t count)
+{
+    m_families->malformed_statements.Increment(static_cast<double>(count));
+}
+
 void metrics::count_health_change(std::string_view state)
 {
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -135,6 +135,14 @@
         "not_run", "",
         "header whose presence on an answer states that the request was "
         "not run; besides it `X-Outcome: not_run` does"),
+    header_setting(
+        "server_limit", "",
+        "header of an answer with the requests a second that the backend "
+        "server takes from all daemons; not read when empty"),
+    header_setting(
+        "server_leaving", "",
+        "header that is 1 on the answers of a backend server that leaves; "
+        "not read when empty"),
 };
 
 } // namespace
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -1,6 +1,7 @@
 #include "classify.hpp"
 
 #include <charconv>
+#include <cmath>
 
 namespace gooseberrycove::dispatch
 {
@@ -24,6 +25,28 @@
                           chunked);
 }
 
+/// Sets the limit that a header names. A second header, or a value that is no
+/// finite number from 0 on, makes the statement malformed.
+void read_rate_limit(answer_statement& statement, std::string_view value)
+{
+    double limit = 0;
+    char const* const end = value.data() + value.size();
+    auto const parsed = std::from_chars(value.data(), end, limit);
+    if (statement.rate_limit || parsed.ec != std::errc() || parsed.ptr != end ||
+        !std::isfinite(limit) || limit < 0)
+        statement.is_malformed = true;
+    else
+        statement.rate_limit = limit;
+}
+
+void read_leaving(response_head& head, std::string_view value)
+{
+    if (head.has_leaving_header || (value != "0" && value != "1"))
+        head.statement.is_malformed = true;
+    head.has_leaving_header = true;
+    head.statement.is_leaving = value == "1";
+}
+
 bool has_no_body(transfer_summary const& summary, response_head const& head)
 {
     return summary.is_head_request || head.status == 204 || head.status == 304;
@@ -58,6 +81,12 @@
             head.states_not_run || is_same_header(value, "not_run");
     else if (!names.not_run.empty() && is_same_header(name, names.not_run))
         head.states_not_run = true;
+    else if (!names.server_limit.empty() &&
+             is_same_header(name, names.server_limit))
+        read_rate_limit(head.statement, value);
+    else if (!names.server_leaving.empty() &&
+             is_same_header(name, names.server_leaving))
+        read_leaving(head, value);
     else if (is_same_header(name, names.request_id))
         head.request_id = value;
     else if (is_same_header(name, "Content-Type"))
@@ -80,9 +109,7 @@
     if (!head.request_id.empty() && !summary.request_id.empty() &&
         head.request_id != summary.request_id)
         return result_class::cut;
-    // Status 421: the address now belongs to another server than the expected
-    // one. That other server refuses the request and does not run it.
-    bool const is_misdirected = head.status == 421;
+    bool const is_misdirected = head.status == misdirected_status;
     if (is_misdirected || (head.status >= 400 && head.states_not_run))
         return result_class::refused_not_run;
     // A response that ends with the connection may have been truncated.
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -9,6 +9,10 @@
 namespace gooseberrycove::dispatch
 {
 
+/// The address belongs to another server than the expected one. That other
+/// server refuses the request and does not run it.
+inline constexpr int misdirected_status = 421;
+
 /// Values read from the header lines of a response so far.
 struct response_head
 {
@@ -21,6 +25,8 @@
     /// Request id header of the response; empty when absent.
     std::string request_id;
     std::string content_type;
+    answer_statement statement;
+    bool has_leaving_header = false;
 };
 
 /// Reads one header line, including its line break, into \p head. A status
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -293,3 +293,31 @@
     duty.reset();
     CHECK(clock_now() - closed_at < std::chrono::seconds(1));
 }
+
+TEST_CASE("a statement of a server is read, and a malformed one is marked")
+{
+    header_names names;
+    names.server_limit = "Server-Limit";
+    names.server_leaving = "Server-Leaving";
+    auto const read = [&](std::vector<std::string> const& lines)
+    {
+        response_head head;
+        apply_header_line(head, names, "HTTP/1.1 200 OK\r\n");
+        for (std::string const& line : lines)
+            apply_header_line(head, names, line);
+        return head.statement;
+    };
+    CHECK(read({"server-limit: 4.25\r\n"}).rate_limit == 4.25);
+    CHECK(read({"Server-Limit: 0\r\n"}).rate_limit == 0);
+    CHECK(read({"Server-Leaving: 1\r\n"}).is_leaving);
+    CHECK_FALSE(read({"Content-Length: 2\r\n"}).rate_limit);
+    for (char const* value :
+         {"", "x", "-1", "inf", "nan", "1e999", "4.2 a second", "4,2"})
+    {
+        INFO(value);
+        CHECK(read({std::string("Server-Limit: ") + value}).is_malformed);
+    }
+    CHECK(read({"Server-Limit: 4", "Server-Limit: 5"}).is_malformed);
+    CHECK(read({"Server-Leaving: yes"}).is_malformed);
+    CHECK(read({"Server-Leaving: 1", "Server-Leaving: 1"}).is_malformed);
+}
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -238,6 +238,8 @@
         result.result == result_class::refused_not_run)
     {
         result.status = ended.head.status;
+        if (result.status != misdirected_status)
+            result.statement = ended.head.statement;
         result.content_type = std::move(ended.head.content_type);
         result.headers = forwarded_headers(
             ended.head.headers,
--- a/src/include/gooseberrycove/dispatch.hpp
+++ b/src/include/gooseberrycove/dispatch.hpp
@@ -6,6 +6,7 @@
 #include <gooseberrycove/work.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,16 @@
     cancelled
 };
 
+/// What a response says about the server that sent it.
+struct answer_statement
+{
+    /// Requests per second that the server takes; unset when it names no limit.
+    std::optional<double> rate_limit;
+    bool is_leaving = false;
+    /// A value could not be read or came twice; the response says nothing then.
+    bool is_malformed = false;
+};
+
 /// End of the transfer with this ticket.
 struct finished
 {
@@ -61,6 +72,8 @@
     std::string body;
     std::string detail;
     duration latency{0};
+    /// Set when the server that was meant has responded.
+    std::optional<answer_statement> statement;
 };
 
 /// Messages that the dispatch duty handles.
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -33,6 +33,7 @@
 
     work_refused = 301,
     work_started = 302,
+    server_stated = 303,
 
     dispatch_finished = 400,
 
--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -35,6 +35,12 @@
     /// Response header whose presence states that the server did not run the
     /// request. Empty when the servers only use `X-Outcome: not_run`.
     std::string not_run;
+    /// Response header with the requests per second that the server takes from
+    /// all daemons together. Empty when the servers name no limit.
+    std::string server_limit;
+    /// Response header that is `1` while the server leaves. Empty when the
+    /// servers do not say so.
+    std::string server_leaving;
 };
 
 /// Compares header names case-insensitively.
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -166,6 +166,10 @@
     std::string server;
     std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
+    /// The start of the server with this incarnation says in its answers that
+    /// it leaves.
+    bool is_leaving = false;
+    std::uint64_t incarnation = 0;
 };
 
 /// The configuration version in force in this process.
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -40,6 +40,9 @@
     /// Counts an attempt that was sent to a backend server homed here.
     /// \param retry_weight  see work_request::retry_weight
     void count_arrival(double retry_weight);
+    /// Counts answers of backend servers whose limit or leaving could not be
+    /// read.
+    void count_malformed_statements(std::uint64_t count);
     /// Counts a server homed here that entered \p state.
     void count_health_change(std::string_view state);
     void set_config_version(std::uint64_t version);
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -164,8 +164,8 @@
     client(client const&) = delete;
     client& operator=(client const&) = delete;
 
-    /// Returns soon after the ring is closed: writes in flight have a short time
-    /// to end, all other calls end at once as status::unknown.
+    /// Returns soon after the ring is closed: writes in flight have a short
+    /// time to end, all other calls end at once as status::unknown.
     void run();
 
 private:
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -19,6 +19,23 @@
     std::uint64_t epoch = 0;
 };
 
+/// What a backend server has said about itself in its answers. Its home sends
+/// it to the daemons that pass the answers on; these return it with their
+/// requests, so that a home that restarts keeps to it.
+struct server_statement
+{
+    /// False when the server has never named a limit and does not leave; the
+    /// other fields are unset then.
+    bool is_known = false;
+    /// Start of the server that said it; see members::announcement.
+    std::uint64_t incarnation = 0;
+    /// Requests per second that the server takes from all daemons together; 0
+    /// when it names no limit any more.
+    double rate_limit = 0;
+    /// The server leaves and gets no more requests.
+    bool is_leaving = false;
+};
+
 /// One attempt to run a caller's request at a home daemon.
 struct work_request
 {
@@ -66,6 +83,8 @@
     /// Failure probability of the server that routing accepted. The home
     /// refuses the request when its own estimate is clearly greater.
     double accepted_failure_probability = 0;
+    /// What the origin knows of the chosen server.
+    server_statement statement;
     /// Run of the home that the request is for. A restart loses the fences, so
     /// a claimed request for an earlier run of the home is refused.
     daemon_ref home;
@@ -122,6 +141,10 @@
     /// Estimated probability that the server fails most of its requests at
     /// present.
     double failure_probability = 0;
+    server_statement statement;
+    /// Time until the server's own limit lets the home start another request; 0
+    /// without a limit.
+    duration start_wait{0};
 };
 
 /// Result of one attempt.
@@ -141,6 +164,9 @@
     std::string detail;
     /// Time from dispatch to the complete response; zero when not dispatched.
     duration service_time{0};
+    /// When the home expects to have room for a refused request; zero when it
+    /// does not know.
+    duration retry_after{0};
     /// Status of the home's servers of this service, used by later choices.
     std::vector<server_status> statuses;
     daemon_ref home;
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -68,7 +68,7 @@
         choose({service.candidates, assessed.standings, service.outstanding,
                 tried, state.data_centre, request.repeatable,
                 tried.empty() && request.max_servers_reached > 1,
-                assessed.failure_probabilities},
+                assessed.failure_probabilities, assessed.start_waits},
                state.random);
     return {chosen,
             chosen.candidate ? chosen.candidate->home_address : std::string()};
@@ -142,6 +142,8 @@
     assessed.failure_probabilities = apply_failure_probabilities(
         service.candidates, service.probability_reports, now,
         assessed.standings);
+    assessed.start_waits =
+        start_waits(service.candidates, service.statements, now);
     return assessed;
 }
 
@@ -193,6 +195,9 @@
     work.is_retry = is_retry(request);
     work.retry_weight = work.is_retry ? 1 : request.retry_weight;
     work.retry_limit_servers = count_retry_limit_servers(assessed);
+    auto const statement = service.statements.find(candidate.server);
+    if (statement != service.statements.end())
+        work.statement = statement->second.statement;
     work.has_other_homes = has_other_home(service, request, assessed);
     out.home_messages.push_back(
         {target.address, candidate.home == state.own_daemon, std::move(work)});
@@ -212,7 +217,7 @@
         choice const next =
             choose({service.candidates, assessed.standings, service.outstanding,
                     named_homes, state.data_centre, false, false,
-                    assessed.failure_probabilities},
+                    assessed.failure_probabilities, assessed.start_waits},
                    state.random);
         if (!next.candidate)
             break;
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -96,6 +96,8 @@
 /// a lower failure probability instead.
 constexpr double failure_cost = 3;
 constexpr double single_attempt_failure_cost = 6;
+/// Cost of a second of wait for a server's own limit.
+constexpr double limit_wait_cost = 4;
 /// Upper bound of the random noise added to each cost. Loads are some
 /// milliseconds old, and without noise many daemons would choose the same
 /// server on a small difference.
@@ -130,6 +132,9 @@
     if (index < input.failure_probabilities.size())
         cost += input.failure_probabilities[index] *
                 (input.repeatable ? failure_cost : single_attempt_failure_cost);
+    if (index < input.start_waits.size())
+        cost += limit_wait_cost *
+                std::chrono::duration<double>(input.start_waits[index]).count();
     return cost;
 }
 
@@ -360,6 +365,32 @@
     return result;
 }
 
+void record_statement(reported_statements& reports, server_status const& status,
+                      time_point now)
+{
+    if (!status.statement.is_known)
+        return;
+    reports[status.server] = {status.statement, now + status.start_wait};
+}
+
+std::vector<duration>
+start_waits(std::span<members::candidate const> candidates,
+            reported_statements const& reports, time_point now)
+{
+    std::vector<duration> waits;
+    if (reports.empty())
+        return waits;
+    for (members::candidate const& candidate : candidates)
+    {
+        auto const report = reports.find(candidate.server);
+        waits.push_back(
+            report == reports.end()
+                ? duration(0)
+                : std::max(duration(0), report->second.available_at - now));
+    }
+    return waits;
+}
+
 std::uint32_t count_retry_limit_servers(assessment const& assessed)
 {
     return std::max(1U, static_cast<std::uint32_t>(assessed.standings.size()));
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -67,6 +67,8 @@
     std::uint32_t capacity = 0;
     /// By candidate; see apply_failure_probabilities().
     std::vector<double> failure_probabilities = {};
+    /// By candidate; see start_waits().
+    std::vector<duration> start_waits = {};
 };
 
 /// Applies ejections, the worst server first, while the remaining capacity
@@ -99,6 +101,27 @@
 using reported_probabilities =
     std::map<std::string, reported_probability, std::less<>>;
 
+/// What a server said about itself, as its home last reported it, and when its
+/// own limit lets its home start another request.
+struct reported_statement
+{
+    server_statement statement;
+    time_point available_at;
+};
+using reported_statements =
+    std::map<std::string, reported_statement, std::less<>>;
+
+/// Records the statement of a status. A home that knows of none may have
+/// restarted, so the recorded one stays then.
+void record_statement(reported_statements& reports, server_status const& status,
+                      time_point now);
+
+/// How long the limits of the candidates keep another request waiting; empty
+/// when no server of the service has stated anything.
+std::vector<duration>
+start_waits(std::span<members::candidate const> candidates,
+            reported_statements const& reports, time_point now);
+
 /// Computes the present failure probability of each candidate. Servers at or
 /// above failure_probability_limit that are healthy or kept by the floor become
 /// suspected in \p standings.
@@ -136,10 +159,13 @@
     bool allows_trial = true;
     /// By candidate; empty when there are no estimates.
     std::span<double const> failure_probabilities = {};
+    /// By candidate; empty when no server has stated a limit.
+    std::span<duration const> start_waits = {};
 };
 
 /// Chooses the cheapest of a few random candidates. The cost is the load, plus
-/// costs for the standing, the failure probability and another data centre.
+/// costs for the standing, the failure probability, the wait for the server's
+/// own limit and another data centre.
 /// `candidate` is null when no candidate is eligible.
 choice choose(choice_input const& input, std::mt19937_64& random);
 
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -87,6 +87,10 @@
 
 void keep_failure(request_state& request, work_result&& result)
 {
+    if (result.retry_after.count() > 0 &&
+        (request.retry_after.count() == 0 ||
+         result.retry_after < request.retry_after))
+        request.retry_after = result.retry_after;
     if (request.has_failure && execution_rank(result.run_outcome) <
                                    execution_rank(request.failure.run_outcome))
         return;
@@ -138,6 +142,7 @@
             ? error_kind::draining
             : error_kind_for(result.kind, result.run_outcome);
     std::string const detail = result.detail;
+    result.retry_after = request.retry_after;
     respond_once(request, kind, detail, std::move(result), out);
     erase_request(state, request.original.id);
 }
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -290,14 +290,15 @@
 {
     service_state& service = service_of(state, view.service);
     service.candidates = view.candidates;
-    std::erase_if(service.probability_reports,
-                  [&](auto const& report)
-                  {
-                      return std::ranges::none_of(
-                          view.candidates,
-                          [&](members::candidate const& candidate)
-                          { return candidate.server == report.first; });
-                  });
+    auto const is_unlisted = [&](auto const& report)
+    {
+        return std::ranges::none_of(view.candidates,
+                                    [&](members::candidate const& candidate) {
+                                        return candidate.server == report.first;
+                                    });
+    };
+    std::erase_if(service.probability_reports, is_unlisted);
+    std::erase_if(service.statements, is_unlisted);
 }
 
 } // namespace gooseberrycove::routing
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -20,6 +20,7 @@
             continue;
         found->second.probability_reports[status.server] = {
             status.failure_probability, now};
+        record_statement(found->second.statements, status, now);
         for (members::candidate& candidate : found->second.candidates)
         {
             if (candidate.server != status.server ||
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -607,3 +607,71 @@
     CHECK(last_work_request(out).is_retry);
     CHECK(last_work_request(out).retry_weight == 1);
 }
+
+TEST_CASE("a server's statement is returned to a home that has forgotten it")
+{
+    routing_state state = make_state();
+    actions out;
+    work_result told;
+    told.home = {1, 1};
+    told.statuses.resize(1);
+    told.statuses[0].server = "s1";
+    told.statuses[0].service = "orders";
+    told.statuses[0].statement = {true, 5, 2, true};
+    on_result(state, std::move(told), start, out);
+    work_result forgot;
+    forgot.home = {1, 1};
+    forgot.statuses.resize(1);
+    forgot.statuses[0].server = "s1";
+    forgot.statuses[0].service = "orders";
+    on_result(state, std::move(forgot), start, out);
+    members::service_view only_s1 = four_servers();
+    only_s1.candidates.resize(1);
+    on_service_view(state, only_s1);
+    begin_request(state, true, out);
+    work_request const& sent = last_work_request(out);
+    CHECK(sent.server == "s1");
+    CHECK(sent.statement.is_leaving);
+    CHECK(sent.statement.incarnation == 5);
+    CHECK(sent.statement.rate_limit == 2);
+}
+
+TEST_CASE("a refusal for a server's limit tells when there is room")
+{
+    routing_state state = make_state();
+    members::service_view two = four_servers();
+    two.candidates.resize(2);
+    on_service_view(state, two);
+    actions out;
+    begin_request(state, true, out);
+    for (duration const wait : {3s, 2s})
+    {
+        work_request const& sent = last_work_request(out);
+        work_result refused = result_of(sent, sent.home, error_kind::overloaded,
+                                        outcome::not_run);
+        refused.retry_after = wait;
+        on_result(state, std::move(refused), start, out);
+    }
+    REQUIRE(out.responses.size() == 1);
+    CHECK(out.responses[0].result.retry_after == 2s);
+}
+
+TEST_CASE("a server that waits for its own limit is passed over")
+{
+    routing_state state = make_state();
+    actions out;
+    work_result told;
+    told.home = {1, 1};
+    told.statuses.resize(1);
+    told.statuses[0].server = "s1";
+    told.statuses[0].service = "orders";
+    told.statuses[0].statement = {true, 5, 2, false};
+    told.statuses[0].start_wait = 1s;
+    on_result(state, std::move(told), start, out);
+    for (std::uint64_t i = 0; i < 20; ++i)
+    {
+        on_caller_request(state, request_number(100 + i), lookup_for(true),
+                          start, out);
+        CHECK(last_work_request(out).server != "s1");
+    }
+}
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -46,6 +46,10 @@
         problem_document(response.kind, response.detail, response.caller_id);
     encoded.run_outcome = row.run_outcome;
     encoded.retry_after_s = row.retry_after_s;
+    if (row.retry_after_s > 0 && response.result.retry_after.count() > 0)
+        encoded.retry_after_s = static_cast<int>(
+            std::chrono::ceil<std::chrono::seconds>(response.result.retry_after)
+                .count());
     return encoded;
 }
 
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -106,6 +106,9 @@
     /// The failure to report when no attempt succeeds; see keep_failure().
     work_result failure;
     bool has_failure = false;
+    /// Least time after which a home that refused expects to have room; zero
+    /// when none told.
+    duration retry_after{0};
     time_point hedge_at = never;
     time_point unresponsive_at = never;
     /// The entry of this request in routing_state::timers, if any.
@@ -127,6 +130,7 @@
     /// This daemon's attempts in flight by server; newer than any report.
     std::map<std::string, std::uint32_t, std::less<>> outstanding;
     reported_probabilities probability_reports;
+    reported_statements statements;
     retry_budget budget;
     latency_histogram latency;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -1,6 +1,7 @@
 #include "convert.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrycove::wire
 {
@@ -92,6 +93,39 @@
     return out;
 }
 
+/// Sets the optional statement of a message when one is known.
+template <class Message>
+void put_statement(server_statement const& value, Message& out)
+{
+    if (!value.is_known)
+        return;
+    gen::ServerStatement statement;
+    statement.incarnation = static_cast<std::int64_t>(value.incarnation);
+    statement.rate_limit = value.rate_limit;
+    statement.leaving = value.is_leaving;
+    out.__set_statement(statement);
+}
+
+template <class Message>
+server_statement get_statement(Message const& in)
+{
+    // A rate that is no finite number from 0 on comes from a faulty peer.
+    bool const is_valid = in.__isset.statement &&
+                          std::isfinite(in.statement.rate_limit) &&
+                          in.statement.rate_limit >= 0;
+    if (!is_valid)
+        return {};
+    return {true, static_cast<std::uint64_t>(in.statement.incarnation),
+            in.statement.rate_limit, in.statement.leaving};
+}
+
+/// A time from a peer, which is never negative nor beyond max_remaining_us.
+duration to_wait(std::int64_t microseconds)
+{
+    return duration(
+        std::clamp<std::int64_t>(microseconds, 0, max_remaining_us));
+}
+
 gen::Work to_gen(work_request const& value, time_point now)
 {
     gen::Work out;
@@ -123,6 +157,7 @@
     out.repeat_share = value.retry_weight;
     out.servers = static_cast<std::int32_t>(value.retry_limit_servers);
     out.waited_us = (now - value.received).count();
+    put_statement(value.statement, out);
     return out;
 }
 
@@ -159,8 +194,8 @@
     out.is_retry = in.repeat;
     out.retry_weight = std::clamp(in.repeat_share, 0.0, 1.0);
     out.retry_limit_servers = to_count(in.servers);
-    out.received = now - duration(std::clamp<std::int64_t>(in.waited_us, 0,
-                                                           max_remaining_us));
+    out.received = now - to_wait(in.waited_us);
+    out.statement = get_statement(in);
     return out;
 }
 
@@ -179,6 +214,9 @@
     out.mean_log_latency = value.mean_log_latency;
     out.sequence = static_cast<std::int64_t>(value.sequence);
     out.doubt = value.failure_probability;
+    put_statement(value.statement, out);
+    if (value.start_wait.count() > 0)
+        out.__set_start_wait_us(value.start_wait.count());
     return out;
 }
 
@@ -197,6 +235,8 @@
     out.mean_log_latency = in.mean_log_latency;
     out.sequence = static_cast<std::uint64_t>(in.sequence);
     out.failure_probability = in.doubt;
+    out.statement = get_statement(in);
+    out.start_wait = to_wait(in.start_wait_us);
     return out;
 }
 
@@ -244,6 +284,8 @@
     out.statuses = to_gen_all<gen::ServerStatus>(value.statuses);
     out.home = to_gen(value.home);
     out.headers = to_gen(value.headers);
+    if (value.retry_after.count() > 0)
+        out.__set_retry_after_us(value.retry_after.count());
     return out;
 }
 
@@ -263,6 +305,7 @@
     out.statuses = from_gen_all<server_status>(in.statuses);
     out.home = from_gen(in.home);
     out.headers = from_gen(in.headers);
+    out.retry_after = to_wait(in.retry_after_us);
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -350,6 +350,138 @@
 }
 
 
+ServerStatement::~ServerStatement() noexcept {
+}
+
+
+void ServerStatement::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void ServerStatement::__set_rate_limit(const double val) {
+  this->rate_limit = val;
+}
+
+void ServerStatement::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_limit);
+          this->__isset.rate_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerStatement");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate_limit", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->rate_limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerStatement &a, ServerStatement &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.rate_limit, b.rate_limit);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+ServerStatement::ServerStatement(const ServerStatement& other6) noexcept {
+  incarnation = other6.incarnation;
+  rate_limit = other6.rate_limit;
+  leaving = other6.leaving;
+  __isset = other6.__isset;
+}
+ServerStatement& ServerStatement::operator=(const ServerStatement& other7) noexcept {
+  incarnation = other7.incarnation;
+  rate_limit = other7.rate_limit;
+  leaving = other7.leaving;
+  __isset = other7.__isset;
+  return *this;
+}
+void ServerStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerStatement(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "rate_limit=" << to_string(rate_limit);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
 Work::~Work() noexcept {
 }
 
@@ -469,6 +601,11 @@
 void Work::__set_repeat_share(const double val) {
   this->repeat_share = val;
 }
+
+void Work::__set_statement(const ServerStatement& val) {
+  this->statement = val;
+__isset.statement = true;
+}
 std::ostream& operator<<(std::ostream& out, const Work& obj)
 {
   obj.printTo(out);
@@ -677,14 +814,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->headers.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->headers.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += this->headers[_i10].read(iprot);
+              xfer += this->headers[_i12].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -741,6 +878,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -849,10 +994,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HeaderField> ::const_iterator _iter11;
-    for (_iter11 = this->headers.begin(); _iter11 != this->headers.end(); ++_iter11)
+    std::vector<HeaderField> ::const_iterator _iter13;
+    for (_iter13 = this->headers.begin(); _iter13 != this->headers.end(); ++_iter13)
     {
-      xfer += (*_iter11).write(oprot);
+      xfer += (*_iter13).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -882,6 +1027,11 @@
   xfer += oprot->writeDouble(this->repeat_share);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -918,72 +1068,75 @@
   swap(a.servers, b.servers);
   swap(a.waited_us, b.waited_us);
   swap(a.repeat_share, b.repeat_share);
+  swap(a.statement, b.statement);
   swap(a.__isset, b.__isset);
 }
 
-Work::Work(const Work& other12) {
-  id_high = other12.id_high;
-  id_low = other12.id_low;
-  attempt = other12.attempt;
-  account = other12.account;
-  service_name = other12.service_name;
-  route = other12.route;
-  priority = other12.priority;
-  repeatable = other12.repeatable;
-  method = other12.method;
-  target = other12.target;
-  content_type = other12.content_type;
-  body = other12.body;
-  idempotency_key = other12.idempotency_key;
-  traceparent = other12.traceparent;
-  remaining_us = other12.remaining_us;
-  claim = other12.claim;
-  server = other12.server;
-  origin = other12.origin;
-  origin_address = other12.origin_address;
-  other_homes = other12.other_homes;
-  home = other12.home;
-  caller_id = other12.caller_id;
-  headers = other12.headers;
-  caller_service = other12.caller_service;
-  known_doubt = other12.known_doubt;
-  repeat = other12.repeat;
-  servers = other12.servers;
-  waited_us = other12.waited_us;
-  repeat_share = other12.repeat_share;
-  __isset = other12.__isset;
-}
-Work& Work::operator=(const Work& other13) {
-  id_high = other13.id_high;
-  id_low = other13.id_low;
-  attempt = other13.attempt;
-  account = other13.account;
-  service_name = other13.service_name;
-  route = other13.route;
-  priority = other13.priority;
-  repeatable = other13.repeatable;
-  method = other13.method;
-  target = other13.target;
-  content_type = other13.content_type;
-  body = other13.body;
-  idempotency_key = other13.idempotency_key;
-  traceparent = other13.traceparent;
-  remaining_us = other13.remaining_us;
-  claim = other13.claim;
-  server = other13.server;
-  origin = other13.origin;
-  origin_address = other13.origin_address;
-  other_homes = other13.other_homes;
-  home = other13.home;
-  caller_id = other13.caller_id;
-  headers = other13.headers;
-  caller_service = other13.caller_service;
-  known_doubt = other13.known_doubt;
-  repeat = other13.repeat;
-  servers = other13.servers;
-  waited_us = other13.waited_us;
-  repeat_share = other13.repeat_share;
-  __isset = other13.__isset;
+Work::Work(const Work& other14) {
+  id_high = other14.id_high;
+  id_low = other14.id_low;
+  attempt = other14.attempt;
+  account = other14.account;
+  service_name = other14.service_name;
+  route = other14.route;
+  priority = other14.priority;
+  repeatable = other14.repeatable;
+  method = other14.method;
+  target = other14.target;
+  content_type = other14.content_type;
+  body = other14.body;
+  idempotency_key = other14.idempotency_key;
+  traceparent = other14.traceparent;
+  remaining_us = other14.remaining_us;
+  claim = other14.claim;
+  server = other14.server;
+  origin = other14.origin;
+  origin_address = other14.origin_address;
+  other_homes = other14.other_homes;
+  home = other14.home;
+  caller_id = other14.caller_id;
+  headers = other14.headers;
+  caller_service = other14.caller_service;
+  known_doubt = other14.known_doubt;
+  repeat = other14.repeat;
+  servers = other14.servers;
+  waited_us = other14.waited_us;
+  repeat_share = other14.repeat_share;
+  statement = other14.statement;
+  __isset = other14.__isset;
+}
+Work& Work::operator=(const Work& other15) {
+  id_high = other15.id_high;
+  id_low = other15.id_low;
+  attempt = other15.attempt;
+  account = other15.account;
+  service_name = other15.service_name;
+  route = other15.route;
+  priority = other15.priority;
+  repeatable = other15.repeatable;
+  method = other15.method;
+  target = other15.target;
+  content_type = other15.content_type;
+  body = other15.body;
+  idempotency_key = other15.idempotency_key;
+  traceparent = other15.traceparent;
+  remaining_us = other15.remaining_us;
+  claim = other15.claim;
+  server = other15.server;
+  origin = other15.origin;
+  origin_address = other15.origin_address;
+  other_homes = other15.other_homes;
+  home = other15.home;
+  caller_id = other15.caller_id;
+  headers = other15.headers;
+  caller_service = other15.caller_service;
+  known_doubt = other15.known_doubt;
+  repeat = other15.repeat;
+  servers = other15.servers;
+  waited_us = other15.waited_us;
+  repeat_share = other15.repeat_share;
+  statement = other15.statement;
+  __isset = other15.__isset;
   return *this;
 }
 void Work::printTo(std::ostream& out) const {
@@ -1018,6 +1171,7 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "waited_us=" << to_string(waited_us);
   out << ", " << "repeat_share=" << to_string(repeat_share);
+  out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1073,6 +1227,16 @@
 void ServerStatus::__set_doubt(const double val) {
   this->doubt = val;
 }
+
+void ServerStatus::__set_statement(const ServerStatement& val) {
+  this->statement = val;
+__isset.statement = true;
+}
+
+void ServerStatus::__set_start_wait_us(const int64_t val) {
+  this->start_wait_us = val;
+__isset.start_wait_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj)
 {
   obj.printTo(out);
@@ -1197,6 +1361,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start_wait_us);
+          this->__isset.start_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1262,6 +1442,16 @@
   xfer += oprot->writeDouble(this->doubt);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.start_wait_us) {
+    xfer += oprot->writeFieldBegin("start_wait_us", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->start_wait_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1281,38 +1471,44 @@
   swap(a.mean_log_latency, b.mean_log_latency);
   swap(a.sequence, b.sequence);
   swap(a.doubt, b.doubt);
+  swap(a.statement, b.statement);
+  swap(a.start_wait_us, b.start_wait_us);
   swap(a.__isset, b.__isset);
 }
 
-ServerStatus::ServerStatus(const ServerStatus& other14) {
-  server = other14.server;
-  service_name = other14.service_name;
-  slots = other14.slots;
-  in_flight = other14.in_flight;
-  queued = other14.queued;
-  health = other14.health;
-  score = other14.score;
-  samples = other14.samples;
-  failures = other14.failures;
-  mean_log_latency = other14.mean_log_latency;
-  sequence = other14.sequence;
-  doubt = other14.doubt;
-  __isset = other14.__isset;
-}
-ServerStatus& ServerStatus::operator=(const ServerStatus& other15) {
-  server = other15.server;
-  service_name = other15.service_name;
-  slots = other15.slots;
-  in_flight = other15.in_flight;
-  queued = other15.queued;
-  health = other15.health;
-  score = other15.score;
-  samples = other15.samples;
-  failures = other15.failures;
-  mean_log_latency = other15.mean_log_latency;
-  sequence = other15.sequence;
-  doubt = other15.doubt;
-  __isset = other15.__isset;
+ServerStatus::ServerStatus(const ServerStatus& other16) {
+  server = other16.server;
+  service_name = other16.service_name;
+  slots = other16.slots;
+  in_flight = other16.in_flight;
+  queued = other16.queued;
+  health = other16.health;
+  score = other16.score;
+  samples = other16.samples;
+  failures = other16.failures;
+  mean_log_latency = other16.mean_log_latency;
+  sequence = other16.sequence;
+  doubt = other16.doubt;
+  statement = other16.statement;
+  start_wait_us = other16.start_wait_us;
+  __isset = other16.__isset;
+}
+ServerStatus& ServerStatus::operator=(const ServerStatus& other17) {
+  server = other17.server;
+  service_name = other17.service_name;
+  slots = other17.slots;
+  in_flight = other17.in_flight;
+  queued = other17.queued;
+  health = other17.health;
+  score = other17.score;
+  samples = other17.samples;
+  failures = other17.failures;
+  mean_log_latency = other17.mean_log_latency;
+  sequence = other17.sequence;
+  doubt = other17.doubt;
+  statement = other17.statement;
+  start_wait_us = other17.start_wait_us;
+  __isset = other17.__isset;
   return *this;
 }
 void ServerStatus::printTo(std::ostream& out) const {
@@ -1330,6 +1526,8 @@
   out << ", " << "mean_log_latency=" << to_string(mean_log_latency);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "doubt=" << to_string(doubt);
+  out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
+  out << ", " << "start_wait_us="; (__isset.start_wait_us ? (out << to_string(start_wait_us)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1393,6 +1591,11 @@
 void WorkResult::__set_headers(const std::vector<HeaderField> & val) {
   this->headers = val;
 }
+
+void WorkResult::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+__isset.retry_after_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkResult& obj)
 {
   obj.printTo(out);
@@ -1513,14 +1716,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->statuses.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->statuses.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->statuses[_i20].read(iprot);
+              xfer += this->statuses[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1541,14 +1744,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->headers.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->headers.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->headers[_i25].read(iprot);
+              xfer += this->headers[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1557,6 +1760,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1621,10 +1832,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter26;
-    for (_iter26 = this->statuses.begin(); _iter26 != this->statuses.end(); ++_iter26)
+    std::vector<ServerStatus> ::const_iterator _iter28;
+    for (_iter28 = this->statuses.begin(); _iter28 != this->statuses.end(); ++_iter28)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1637,15 +1848,20 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HeaderField> ::const_iterator _iter27;
-    for (_iter27 = this->headers.begin(); _iter27 != this->headers.end(); ++_iter27)
+    std::vector<HeaderField> ::const_iterator _iter29;
+    for (_iter29 = this->headers.begin(); _iter29 != this->headers.end(); ++_iter29)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.retry_after_us) {
+    xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->retry_after_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1667,42 +1883,45 @@
   swap(a.statuses, b.statuses);
   swap(a.home, b.home);
   swap(a.headers, b.headers);
+  swap(a.retry_after_us, b.retry_after_us);
   swap(a.__isset, b.__isset);
 }
 
-WorkResult::WorkResult(const WorkResult& other28) {
-  id_high = other28.id_high;
-  id_low = other28.id_low;
-  attempt = other28.attempt;
-  kind = other28.kind;
-  outcome = other28.outcome;
-  status = other28.status;
-  content_type = other28.content_type;
-  body = other28.body;
-  server = other28.server;
-  detail = other28.detail;
-  service_time_us = other28.service_time_us;
-  statuses = other28.statuses;
-  home = other28.home;
-  headers = other28.headers;
-  __isset = other28.__isset;
-}
-WorkResult& WorkResult::operator=(const WorkResult& other29) {
-  id_high = other29.id_high;
-  id_low = other29.id_low;
-  attempt = other29.attempt;
-  kind = other29.kind;
-  outcome = other29.outcome;
-  status = other29.status;
-  content_type = other29.content_type;
-  body = other29.body;
-  server = other29.server;
-  detail = other29.detail;
-  service_time_us = other29.service_time_us;
-  statuses = other29.statuses;
-  home = other29.home;
-  headers = other29.headers;
-  __isset = other29.__isset;
+WorkResult::WorkResult(const WorkResult& other30) {
+  id_high = other30.id_high;
+  id_low = other30.id_low;
+  attempt = other30.attempt;
+  kind = other30.kind;
+  outcome = other30.outcome;
+  status = other30.status;
+  content_type = other30.content_type;
+  body = other30.body;
+  server = other30.server;
+  detail = other30.detail;
+  service_time_us = other30.service_time_us;
+  statuses = other30.statuses;
+  home = other30.home;
+  headers = other30.headers;
+  retry_after_us = other30.retry_after_us;
+  __isset = other30.__isset;
+}
+WorkResult& WorkResult::operator=(const WorkResult& other31) {
+  id_high = other31.id_high;
+  id_low = other31.id_low;
+  attempt = other31.attempt;
+  kind = other31.kind;
+  outcome = other31.outcome;
+  status = other31.status;
+  content_type = other31.content_type;
+  body = other31.body;
+  server = other31.server;
+  detail = other31.detail;
+  service_time_us = other31.service_time_us;
+  statuses = other31.statuses;
+  home = other31.home;
+  headers = other31.headers;
+  retry_after_us = other31.retry_after_us;
+  __isset = other31.__isset;
   return *this;
 }
 void WorkResult::printTo(std::ostream& out) const {
@@ -1722,6 +1941,7 @@
   out << ", " << "statuses=" << to_string(statuses);
   out << ", " << "home=" << to_string(home);
   out << ", " << "headers=" << to_string(headers);
+  out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1869,21 +2089,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other30) noexcept {
-  id_high = other30.id_high;
-  id_low = other30.id_low;
-  attempt = other30.attempt;
-  origin = other30.origin;
-  queued_only = other30.queued_only;
-  __isset = other30.__isset;
+Cancel::Cancel(const Cancel& other32) noexcept {
+  id_high = other32.id_high;
+  id_low = other32.id_low;
+  attempt = other32.attempt;
+  origin = other32.origin;
+  queued_only = other32.queued_only;
+  __isset = other32.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other31) noexcept {
-  id_high = other31.id_high;
-  id_low = other31.id_low;
-  attempt = other31.attempt;
-  origin = other31.origin;
-  queued_only = other31.queued_only;
-  __isset = other31.__isset;
+Cancel& Cancel::operator=(const Cancel& other33) noexcept {
+  id_high = other33.id_high;
+  id_low = other33.id_low;
+  attempt = other33.attempt;
+  origin = other33.origin;
+  queued_only = other33.queued_only;
+  __isset = other33.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2024,19 +2244,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Fence::Fence(const Fence& other32) {
-  claim = other32.claim;
-  home = other32.home;
-  sender = other32.sender;
-  sender_address = other32.sender_address;
-  __isset = other32.__isset;
+Fence::Fence(const Fence& other34) {
+  claim = other34.claim;
+  home = other34.home;
+  sender = other34.sender;
+  sender_address = other34.sender_address;
+  __isset = other34.__isset;
 }
-Fence& Fence::operator=(const Fence& other33) {
-  claim = other33.claim;
-  home = other33.home;
-  sender = other33.sender;
-  sender_address = other33.sender_address;
-  __isset = other33.__isset;
+Fence& Fence::operator=(const Fence& other35) {
+  claim = other35.claim;
+  home = other35.home;
+  sender = other35.sender;
+  sender_address = other35.sender_address;
+  __isset = other35.__isset;
   return *this;
 }
 void Fence::printTo(std::ostream& out) const {
@@ -2176,19 +2396,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceAnswer::FenceAnswer(const FenceAnswer& other34) {
-  claim = other34.claim;
-  home = other34.home;
-  state = other34.state;
-  result = other34.result;
-  __isset = other34.__isset;
+FenceAnswer::FenceAnswer(const FenceAnswer& other36) {
+  claim = other36.claim;
+  home = other36.home;
+  state = other36.state;
+  result = other36.result;
+  __isset = other36.__isset;
 }
-FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other35) {
-  claim = other35.claim;
-  home = other35.home;
-  state = other35.state;
-  result = other35.result;
-  __isset = other35.__isset;
+FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other37) {
+  claim = other37.claim;
+  home = other37.home;
+  state = other37.state;
+  result = other37.result;
+  __isset = other37.__isset;
   return *this;
 }
 void FenceAnswer::printTo(std::ostream& out) const {
@@ -2294,15 +2514,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other36) {
-  sender_address = other36.sender_address;
-  after = other36.after;
-  __isset = other36.__isset;
+Pull::Pull(const Pull& other38) {
+  sender_address = other38.sender_address;
+  after = other38.after;
+  __isset = other38.__isset;
 }
-Pull& Pull::operator=(const Pull& other37) {
-  sender_address = other37.sender_address;
-  after = other37.after;
-  __isset = other37.__isset;
+Pull& Pull::operator=(const Pull& other39) {
+  sender_address = other39.sender_address;
+  after = other39.after;
+  __isset = other39.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -2440,19 +2660,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Delta::Delta(const Delta& other38) {
-  version = other38.version;
-  patch_id = other38.patch_id;
-  author = other38.author;
-  patch = other38.patch;
-  __isset = other38.__isset;
+Delta::Delta(const Delta& other40) {
+  version = other40.version;
+  patch_id = other40.patch_id;
+  author = other40.author;
+  patch = other40.patch;
+  __isset = other40.__isset;
 }
-Delta& Delta::operator=(const Delta& other39) {
-  version = other39.version;
-  patch_id = other39.patch_id;
-  author = other39.author;
-  patch = other39.patch;
-  __isset = other39.__isset;
+Delta& Delta::operator=(const Delta& other41) {
+  version = other41.version;
+  patch_id = other41.patch_id;
+  author = other41.author;
+  patch = other41.patch;
+  __isset = other41.__isset;
   return *this;
 }
 void Delta::printTo(std::ostream& out) const {
@@ -2541,14 +2761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->entries.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->entries.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->entries[_i44].read(iprot);
+              xfer += this->entries[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2589,10 +2809,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<Delta> ::const_iterator _iter45;
-    for (_iter45 = this->entries.begin(); _iter45 != this->entries.end(); ++_iter45)
+    std::vector<Delta> ::const_iterator _iter47;
+    for (_iter47 = this->entries.begin(); _iter47 != this->entries.end(); ++_iter47)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2612,19 +2832,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Deltas::Deltas(const Deltas& other46) {
-  sender_address = other46.sender_address;
-  snapshot_version = other46.snapshot_version;
-  snapshot = other46.snapshot;
-  entries = other46.entries;
-  __isset = other46.__isset;
+Deltas::Deltas(const Deltas& other48) {
+  sender_address = other48.sender_address;
+  snapshot_version = other48.snapshot_version;
+  snapshot = other48.snapshot;
+  entries = other48.entries;
+  __isset = other48.__isset;
 }
-Deltas& Deltas::operator=(const Deltas& other47) {
-  sender_address = other47.sender_address;
-  snapshot_version = other47.snapshot_version;
-  snapshot = other47.snapshot;
-  entries = other47.entries;
-  __isset = other47.__isset;
+Deltas& Deltas::operator=(const Deltas& other49) {
+  sender_address = other49.sender_address;
+  snapshot_version = other49.snapshot_version;
+  snapshot = other49.snapshot;
+  entries = other49.entries;
+  __isset = other49.__isset;
   return *this;
 }
 void Deltas::printTo(std::ostream& out) const {
@@ -2730,15 +2950,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerVersion::PeerVersion(const PeerVersion& other48) {
-  address = other48.address;
-  version = other48.version;
-  __isset = other48.__isset;
+PeerVersion::PeerVersion(const PeerVersion& other50) {
+  address = other50.address;
+  version = other50.version;
+  __isset = other50.__isset;
 }
-PeerVersion& PeerVersion::operator=(const PeerVersion& other49) {
-  address = other49.address;
-  version = other49.version;
-  __isset = other49.__isset;
+PeerVersion& PeerVersion::operator=(const PeerVersion& other51) {
+  address = other51.address;
+  version = other51.version;
+  __isset = other51.__isset;
   return *this;
 }
 void PeerVersion::printTo(std::ostream& out) const {
@@ -2944,27 +3164,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRecord::PeerRecord(const PeerRecord& other50) {
-  daemon = other50.daemon;
-  name = other50.name;
-  data_centre = other50.data_centre;
-  address = other50.address;
-  admin_address = other50.admin_address;
-  state = other50.state;
-  refutation = other50.refutation;
-  config_version = other50.config_version;
-  __isset = other50.__isset;
+PeerRecord::PeerRecord(const PeerRecord& other52) {
+  daemon = other52.daemon;
+  name = other52.name;
+  data_centre = other52.data_centre;
+  address = other52.address;
+  admin_address = other52.admin_address;
+  state = other52.state;
+  refutation = other52.refutation;
+  config_version = other52.config_version;
+  __isset = other52.__isset;
 }
-PeerRecord& PeerRecord::operator=(const PeerRecord& other51) {
-  daemon = other51.daemon;
-  name = other51.name;
-  data_centre = other51.data_centre;
-  address = other51.address;
-  admin_address = other51.admin_address;
-  state = other51.state;
-  refutation = other51.refutation;
-  config_version = other51.config_version;
-  __isset = other51.__isset;
+PeerRecord& PeerRecord::operator=(const PeerRecord& other53) {
+  daemon = other53.daemon;
+  name = other53.name;
+  data_centre = other53.data_centre;
+  address = other53.address;
+  admin_address = other53.admin_address;
+  state = other53.state;
+  refutation = other53.refutation;
+  config_version = other53.config_version;
+  __isset = other53.__isset;
   return *this;
 }
 void PeerRecord::printTo(std::ostream& out) const {
@@ -3193,29 +3413,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other52) {
-  server = other52.server;
-  service_name = other52.service_name;
-  slots = other52.slots;
-  state = other52.state;
-  health = other52.health;
-  score = other52.score;
-  home = other52.home;
-  sequence = other52.sequence;
-  drains = other52.drains;
-  __isset = other52.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other53) {
-  server = other53.server;
-  service_name = other53.service_name;
-  slots = other53.slots;
-  state = other53.state;
-  health = other53.health;
-  score = other53.score;
-  home = other53.home;
-  sequence = other53.sequence;
-  drains = other53.drains;
-  __isset = other53.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other54) {
+  server = other54.server;
+  service_name = other54.service_name;
+  slots = other54.slots;
+  state = other54.state;
+  health = other54.health;
+  score = other54.score;
+  home = other54.home;
+  sequence = other54.sequence;
+  drains = other54.drains;
+  __isset = other54.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other55) {
+  server = other55.server;
+  service_name = other55.service_name;
+  slots = other55.slots;
+  state = other55.state;
+  health = other55.health;
+  score = other55.score;
+  home = other55.home;
+  sequence = other55.sequence;
+  drains = other55.drains;
+  __isset = other55.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -3329,14 +3549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->peers.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->peers.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->peers[_i58].read(iprot);
+              xfer += this->peers[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3349,14 +3569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->servers.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->servers.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->servers[_i63].read(iprot);
+              xfer += this->servers[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3369,14 +3589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->buckets.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->buckets.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readI32(this->buckets[_i68]);
+              xfer += iprot->readI32(this->buckets[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3421,10 +3641,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter69;
-    for (_iter69 = this->peers.begin(); _iter69 != this->peers.end(); ++_iter69)
+    std::vector<PeerRecord> ::const_iterator _iter71;
+    for (_iter71 = this->peers.begin(); _iter71 != this->peers.end(); ++_iter71)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3433,10 +3653,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter70;
-    for (_iter70 = this->servers.begin(); _iter70 != this->servers.end(); ++_iter70)
+    std::vector<ServerRecord> ::const_iterator _iter72;
+    for (_iter72 = this->servers.begin(); _iter72 != this->servers.end(); ++_iter72)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3445,10 +3665,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter71;
-    for (_iter71 = this->buckets.begin(); _iter71 != this->buckets.end(); ++_iter71)
+    std::vector<int32_t> ::const_iterator _iter73;
+    for (_iter73 = this->buckets.begin(); _iter73 != this->buckets.end(); ++_iter73)
     {
-      xfer += oprot->writeI32((*_iter71));
+      xfer += oprot->writeI32((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3471,25 +3691,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Sync::Sync(const Sync& other72) {
-  sender = other72.sender;
-  sender_address = other72.sender_address;
-  reply_wanted = other72.reply_wanted;
-  digest = other72.digest;
-  peers = other72.peers;
-  servers = other72.servers;
-  buckets = other72.buckets;
-  __isset = other72.__isset;
-}
-Sync& Sync::operator=(const Sync& other73) {
-  sender = other73.sender;
-  sender_address = other73.sender_address;
-  reply_wanted = other73.reply_wanted;
-  digest = other73.digest;
-  peers = other73.peers;
-  servers = other73.servers;
-  buckets = other73.buckets;
-  __isset = other73.__isset;
+Sync::Sync(const Sync& other74) {
+  sender = other74.sender;
+  sender_address = other74.sender_address;
+  reply_wanted = other74.reply_wanted;
+  digest = other74.digest;
+  peers = other74.peers;
+  servers = other74.servers;
+  buckets = other74.buckets;
+  __isset = other74.__isset;
+}
+Sync& Sync::operator=(const Sync& other75) {
+  sender = other75.sender;
+  sender_address = other75.sender_address;
+  reply_wanted = other75.reply_wanted;
+  digest = other75.digest;
+  peers = other75.peers;
+  servers = other75.servers;
+  buckets = other75.buckets;
+  __isset = other75.__isset;
   return *this;
 }
 void Sync::printTo(std::ostream& out) const {
@@ -3625,14 +3845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->peers.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->peers.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->peers[_i78].read(iprot);
+              xfer += this->peers[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3645,14 +3865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->servers.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->servers.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->servers[_i83].read(iprot);
+              xfer += this->servers[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3665,14 +3885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->statuses.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->statuses.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->statuses[_i88].read(iprot);
+              xfer += this->statuses[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3725,10 +3945,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter89;
-    for (_iter89 = this->peers.begin(); _iter89 != this->peers.end(); ++_iter89)
+    std::vector<PeerRecord> ::const_iterator _iter91;
+    for (_iter91 = this->peers.begin(); _iter91 != this->peers.end(); ++_iter91)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3737,10 +3957,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter90;
-    for (_iter90 = this->servers.begin(); _iter90 != this->servers.end(); ++_iter90)
+    std::vector<ServerRecord> ::const_iterator _iter92;
+    for (_iter92 = this->servers.begin(); _iter92 != this->servers.end(); ++_iter92)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3749,10 +3969,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter91;
-    for (_iter91 = this->statuses.begin(); _iter91 != this->statuses.end(); ++_iter91)
+    std::vector<ServerStatus> ::const_iterator _iter93;
+    for (_iter93 = this->statuses.begin(); _iter93 != this->statuses.end(); ++_iter93)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3777,29 +3997,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Packet::Packet(const Packet& other92) {
-  kind = other92.kind;
-  sender = other92.sender;
-  sender_address = other92.sender_address;
-  number = other92.number;
-  probe_address = other92.probe_address;
-  config_version = other92.config_version;
-  peers = other92.peers;
-  servers = other92.servers;
-  statuses = other92.statuses;
-  __isset = other92.__isset;
-}
-Packet& Packet::operator=(const Packet& other93) {
-  kind = other93.kind;
-  sender = other93.sender;
-  sender_address = other93.sender_address;
-  number = other93.number;
-  probe_address = other93.probe_address;
-  config_version = other93.config_version;
-  peers = other93.peers;
-  servers = other93.servers;
-  statuses = other93.statuses;
-  __isset = other93.__isset;
+Packet::Packet(const Packet& other94) {
+  kind = other94.kind;
+  sender = other94.sender;
+  sender_address = other94.sender_address;
+  number = other94.number;
+  probe_address = other94.probe_address;
+  config_version = other94.config_version;
+  peers = other94.peers;
+  servers = other94.servers;
+  statuses = other94.statuses;
+  __isset = other94.__isset;
+}
+Packet& Packet::operator=(const Packet& other95) {
+  kind = other95.kind;
+  sender = other95.sender;
+  sender_address = other95.sender_address;
+  number = other95.number;
+  probe_address = other95.probe_address;
+  config_version = other95.config_version;
+  peers = other95.peers;
+  servers = other95.servers;
+  statuses = other95.statuses;
+  __isset = other95.__isset;
   return *this;
 }
 void Packet::printTo(std::ostream& out) const {
@@ -3910,15 +4130,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PathCheck::PathCheck(const PathCheck& other94) noexcept {
-  number = other94.number;
-  answer = other94.answer;
-  __isset = other94.__isset;
+PathCheck::PathCheck(const PathCheck& other96) noexcept {
+  number = other96.number;
+  answer = other96.answer;
+  __isset = other96.__isset;
 }
-PathCheck& PathCheck::operator=(const PathCheck& other95) noexcept {
-  number = other95.number;
-  answer = other95.answer;
-  __isset = other95.__isset;
+PathCheck& PathCheck::operator=(const PathCheck& other97) noexcept {
+  number = other97.number;
+  answer = other97.answer;
+  __isset = other97.__isset;
   return *this;
 }
 void PathCheck::printTo(std::ostream& out) const {
@@ -4214,35 +4434,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other96) {
-  sender = other96.sender;
-  work = other96.work;
-  work_result = other96.work_result;
-  cancel = other96.cancel;
-  fence = other96.fence;
-  fence_answer = other96.fence_answer;
-  pull = other96.pull;
-  deltas = other96.deltas;
-  peer_version = other96.peer_version;
-  sync = other96.sync;
-  packet = other96.packet;
-  path_check = other96.path_check;
-  __isset = other96.__isset;
-}
-Message& Message::operator=(const Message& other97) {
-  sender = other97.sender;
-  work = other97.work;
-  work_result = other97.work_result;
-  cancel = other97.cancel;
-  fence = other97.fence;
-  fence_answer = other97.fence_answer;
-  pull = other97.pull;
-  deltas = other97.deltas;
-  peer_version = other97.peer_version;
-  sync = other97.sync;
-  packet = other97.packet;
-  path_check = other97.path_check;
-  __isset = other97.__isset;
+Message::Message(const Message& other98) {
+  sender = other98.sender;
+  work = other98.work;
+  work_result = other98.work_result;
+  cancel = other98.cancel;
+  fence = other98.fence;
+  fence_answer = other98.fence_answer;
+  pull = other98.pull;
+  deltas = other98.deltas;
+  peer_version = other98.peer_version;
+  sync = other98.sync;
+  packet = other98.packet;
+  path_check = other98.path_check;
+  __isset = other98.__isset;
+}
+Message& Message::operator=(const Message& other99) {
+  sender = other99.sender;
+  work = other99.work;
+  work_result = other99.work_result;
+  cancel = other99.cancel;
+  fence = other99.fence;
+  fence_answer = other99.fence_answer;
+  pull = other99.pull;
+  deltas = other99.deltas;
+  peer_version = other99.peer_version;
+  sync = other99.sync;
+  packet = other99.packet;
+  path_check = other99.path_check;
+  __isset = other99.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -27,6 +27,8 @@
 
 class HeaderField;
 
+class ServerStatement;
+
 class Work;
 
 class ServerStatus;
@@ -209,8 +211,65 @@
 
 std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
 
+typedef struct _ServerStatement__isset {
+  _ServerStatement__isset() : incarnation(false), rate_limit(false), leaving(false) {}
+  bool incarnation :1;
+  bool rate_limit :1;
+  bool leaving :1;
+} _ServerStatement__isset;
+
+class ServerStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerStatement(const ServerStatement&) noexcept;
+  ServerStatement& operator=(const ServerStatement&) noexcept;
+  ServerStatement() noexcept
+                  : incarnation(0),
+                    rate_limit(0),
+                    leaving(0) {
+  }
+
+  virtual ~ServerStatement() noexcept;
+  int64_t incarnation;
+  double rate_limit;
+  bool leaving;
+
+  _ServerStatement__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_rate_limit(const double val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const ServerStatement & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(rate_limit == rhs.rate_limit))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerStatement &a, ServerStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerStatement& obj);
+
 typedef struct _Work__isset {
-  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false), repeat(false), servers(false), waited_us(false), repeat_share(false) {}
+  _Work__isset() : id_high(false), id_low(false), attempt(false), account(false), service_name(false), route(false), priority(false), repeatable(false), method(false), target(false), content_type(false), body(false), idempotency_key(false), traceparent(false), remaining_us(false), claim(false), server(false), origin(false), origin_address(false), other_homes(false), home(false), caller_id(false), headers(false), caller_service(false), known_doubt(false), repeat(false), servers(false), waited_us(false), repeat_share(false), statement(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -240,6 +299,7 @@
   bool servers :1;
   bool waited_us :1;
   bool repeat_share :1;
+  bool statement :1;
 } _Work__isset;
 
 class Work : public virtual ::apache::thrift::TBase {
@@ -305,6 +365,7 @@
   int32_t servers;
   int64_t waited_us;
   double repeat_share;
+  ServerStatement statement;
 
   _Work__isset __isset;
 
@@ -366,6 +427,8 @@
 
   void __set_repeat_share(const double val);
 
+  void __set_statement(const ServerStatement& val);
+
   bool operator == (const Work & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -426,6 +489,10 @@
       return false;
     if (!(repeat_share == rhs.repeat_share))
       return false;
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
     return true;
   }
   bool operator != (const Work &rhs) const {
@@ -445,7 +512,7 @@
 std::ostream& operator<<(std::ostream& out, const Work& obj);
 
 typedef struct _ServerStatus__isset {
-  _ServerStatus__isset() : server(false), service_name(false), slots(false), in_flight(false), queued(false), health(false), score(false), samples(false), failures(false), mean_log_latency(false), sequence(false), doubt(false) {}
+  _ServerStatus__isset() : server(false), service_name(false), slots(false), in_flight(false), queued(false), health(false), score(false), samples(false), failures(false), mean_log_latency(false), sequence(false), doubt(false), statement(false), start_wait_us(false) {}
   bool server :1;
   bool service_name :1;
   bool slots :1;
@@ -458,6 +525,8 @@
   bool mean_log_latency :1;
   bool sequence :1;
   bool doubt :1;
+  bool statement :1;
+  bool start_wait_us :1;
 } _ServerStatus__isset;
 
 class ServerStatus : public virtual ::apache::thrift::TBase {
@@ -477,7 +546,8 @@
                  failures(0),
                  mean_log_latency(0),
                  sequence(0),
-                 doubt(0) {
+                 doubt(0),
+                 start_wait_us(0) {
   }
 
   virtual ~ServerStatus() noexcept;
@@ -493,6 +563,8 @@
   double mean_log_latency;
   int64_t sequence;
   double doubt;
+  ServerStatement statement;
+  int64_t start_wait_us;
 
   _ServerStatus__isset __isset;
 
@@ -520,6 +592,10 @@
 
   void __set_doubt(const double val);
 
+  void __set_statement(const ServerStatement& val);
+
+  void __set_start_wait_us(const int64_t val);
+
   bool operator == (const ServerStatus & rhs) const
   {
     if (!(server == rhs.server))
@@ -546,6 +622,14 @@
       return false;
     if (!(doubt == rhs.doubt))
       return false;
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
+    if (__isset.start_wait_us != rhs.__isset.start_wait_us)
+      return false;
+    else if (__isset.start_wait_us && !(start_wait_us == rhs.start_wait_us))
+      return false;
     return true;
   }
   bool operator != (const ServerStatus &rhs) const {
@@ -565,7 +649,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj);
 
 typedef struct _WorkResult__isset {
-  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false) {}
+  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -580,6 +664,7 @@
   bool statuses :1;
   bool home :1;
   bool headers :1;
+  bool retry_after_us :1;
 } _WorkResult__isset;
 
 class WorkResult : public virtual ::apache::thrift::TBase {
@@ -598,7 +683,8 @@
                body(),
                server(),
                detail(),
-               service_time_us(0) {
+               service_time_us(0),
+               retry_after_us(0) {
   }
 
   virtual ~WorkResult() noexcept;
@@ -616,6 +702,7 @@
   std::vector<ServerStatus>  statuses;
   Daemon home;
   std::vector<HeaderField>  headers;
+  int64_t retry_after_us;
 
   _WorkResult__isset __isset;
 
@@ -647,6 +734,8 @@
 
   void __set_headers(const std::vector<HeaderField> & val);
 
+  void __set_retry_after_us(const int64_t val);
+
   bool operator == (const WorkResult & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -677,6 +766,10 @@
       return false;
     if (!(headers == rhs.headers))
       return false;
+    if (__isset.retry_after_us != rhs.__isset.retry_after_us)
+      return false;
+    else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
+      return false;
     return true;
   }
   bool operator != (const WorkResult &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -17,6 +17,12 @@
   2: string value
 }
 
+struct ServerStatement {
+  1: i64 incarnation
+  2: double rate_limit
+  3: bool leaving
+}
+
 struct Work {
   1: i64 id_high
   2: i64 id_low
@@ -48,6 +54,7 @@
   27: i32 servers
   28: i64 waited_us
   29: double repeat_share
+  30: optional ServerStatement statement
 }
 
 struct ServerStatus {
@@ -63,6 +70,8 @@
   10: double mean_log_latency
   11: i64 sequence
   12: double doubt
+  13: optional ServerStatement statement
+  14: optional i64 start_wait_us
 }
 
 struct WorkResult {
@@ -80,6 +89,7 @@
   12: list<ServerStatus> statuses
   13: Daemon home
   14: list<HeaderField> headers
+  15: optional i64 retry_after_us
 }
 
 struct Cancel {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -39,6 +39,7 @@
     request.has_other_homes = true;
     request.retry_weight = 0.5;
     request.home = {9, 10};
+    request.statement = {true, 1'700'000'000'123, 4.25, true};
     return request;
 }
 
@@ -62,6 +63,28 @@
     CHECK(request.has_other_homes);
     CHECK(request.retry_weight == 0.5);
     CHECK(request.home == daemon_ref{9, 10});
+    CHECK(request.statement.is_known);
+    CHECK(request.statement.incarnation == 1'700'000'000'123);
+    CHECK(request.statement.rate_limit == 4.25);
+    CHECK(request.statement.is_leaving);
+}
+
+TEST_CASE("a result keeps the statements and waits of its servers")
+{
+    work_result result;
+    result.retry_after = duration(2500);
+    result.statuses.resize(2);
+    result.statuses[0].statement = {true, 9, 0, false};
+    result.statuses[0].start_wait = duration(1500);
+    auto const frame = wire::encode("new key", {5, 6}, result, now);
+    auto const decoded = wire::decode(frame, keys, now);
+    auto const& received = std::get<work_result>(decoded.content);
+    CHECK(received.retry_after == duration(2500));
+    CHECK(received.statuses[0].statement.is_known);
+    CHECK(received.statuses[0].statement.incarnation == 9);
+    CHECK(received.statuses[0].start_wait == duration(1500));
+    CHECK_FALSE(received.statuses[1].statement.is_known);
+    CHECK(received.statuses[1].start_wait == duration(0));
 }
 
 TEST_CASE("every kind of payload is decoded as the same kind")
