Publish a server that leaves by its answers as draining

A home that learned from an answer that its server leaves refused its work, and the other daemons went on sending it, since the directory still listed the server as serving. members now publishes it as draining at once, like an operator's drain, and keeps to it although later announcements say that the server serves. It ends with the server's next start; a late report about the earlier start is ignored, known by the incarnation.

--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -22,10 +22,11 @@
 }
 
 server_state effective_state(membership_state const& state,
-                             announcement const& details)
+                             homed_server_state const& homed)
 {
-    return is_drained(state, details.server) ? server_state::draining
-                                             : details.state;
+    return homed.is_leaving || is_drained(state, homed.details.server)
+               ? server_state::draining
+               : homed.details.state;
 }
 
 /// Returns a sequence above every one received for the server and not below
@@ -70,7 +71,7 @@
                       actions& out)
 {
     homed_server message{homed.details, is_gone};
-    message.details.state = effective_state(state, homed.details);
+    message.details.state = effective_state(state, homed);
     out.homed_changes.push_back(std::move(message));
 }
 
@@ -80,7 +81,7 @@
     publish_entry(state, homed, now);
     notify_admission(state, homed, false, out);
     bool const is_draining =
-        effective_state(state, homed.details) == server_state::draining;
+        effective_state(state, homed) == server_state::draining;
     log_server(is_draining ? event::server_draining : event::server_announced,
                homed.details,
                is_drained(state, homed.details.server) ? "operator" : "", out);
@@ -191,6 +192,8 @@
     bool const is_changed = !is_same_content(homed->details, details) ||
                             entry == nullptr ||
                             entry->home != state.own_record.daemon;
+    homed->is_leaving =
+        homed->is_leaving && homed->details.incarnation == details.incarnation;
     homed->details = details;
     homed->status.service = details.service;
     homed->status.slots = details.slots;
@@ -242,7 +245,7 @@
     record.server = homed.details.server;
     record.service = homed.details.service;
     record.slots = homed.details.slots;
-    record.state = effective_state(state, homed.details);
+    record.state = effective_state(state, homed);
     record.health = homed.status.health;
     record.score = homed.status.score;
     record.home = state.own_record.daemon;
@@ -325,6 +328,17 @@
         publish_change(state, *homed, now, out);
 }
 
+void set_leaving(membership_state& state, homed_server_state& homed,
+                 time_point now, actions& out)
+{
+    if (homed.is_leaving)
+        return;
+    homed.is_leaving = true;
+    publish_change(state, homed, now, out);
+    // Sent at once, like the operator's drain: other daemons must stop too.
+    push_updates(state, max_drain_messages, out);
+}
+
 void on_drain_request(membership_state& state, drain_request const& request,
                       time_point now, actions& out)
 {
--- a/src/members/lease.hpp
+++ b/src/members/lease.hpp
@@ -37,6 +37,10 @@
 void drop_homed_server(membership_state& state, std::string_view server,
                        std::string_view reason, actions& out);
 
+/// Publishes that the server leaves, although it announces that it serves.
+void set_leaving(membership_state& state, homed_server_state& homed,
+                 time_point now, actions& out);
+
 /// Removes the servers whose lease has lapsed.
 void expire_leases(membership_state& state, time_point now, actions& out);
 
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -440,3 +440,26 @@
         });
     CHECK(joins == 1);
 }
+
+TEST_CASE("a server that leaves by its answers is published as draining")
+{
+    daemon_fixture daemon;
+    daemon.announce();
+    server_load load{"server-1", 0, 0, true,
+                     daemon.state.homed_servers.front().details.incarnation};
+    on_server_load(daemon.state, load, daemon.now, daemon.out);
+    CHECK(daemon.entry().state == server_state::draining);
+    CHECK(daemon.out.homed_changes.back().details.state ==
+          server_state::draining);
+    // Its announcements may still say that it serves.
+    daemon.announce();
+    CHECK(daemon.entry().state == server_state::draining);
+    announcement next_start = daemon.state.homed_servers.front().details;
+    next_start.state = server_state::serving;
+    ++next_start.incarnation;
+    on_announce_request(daemon.state, {next_start, {}}, daemon.now, daemon.out);
+    CHECK(daemon.entry().state == server_state::serving);
+    // A late report is about the earlier start.
+    on_server_load(daemon.state, load, daemon.now, daemon.out);
+    CHECK(daemon.entry().state == server_state::serving);
+}
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -163,6 +163,9 @@
     announcement details;
     server_status status;
     time_point lease_until;
+    /// This start of the server said in an answer that it leaves; its
+    /// announcements may still say that it serves.
+    bool is_leaving = false;
     /// The status is to be sent to the other homes of the service.
     bool is_status_due = false;
     time_point next_status;
--- a/src/members/status.cpp
+++ b/src/members/status.cpp
@@ -268,7 +268,7 @@
 }
 
 void on_server_load(membership_state& state, server_load const& load,
-                    time_point, actions&)
+                    time_point now, actions& out)
 {
     homed_server_state* const homed = find_homed_server(state, load.server);
     if (homed == nullptr)
@@ -276,6 +276,8 @@
     homed->status.in_flight = load.in_flight;
     homed->status.queued = load.queued;
     refresh_own_entry(state, *homed);
+    if (load.is_leaving && load.incarnation == homed->details.incarnation)
+        set_leaving(state, *homed, now, out);
 }
 
 } // namespace gooseberrycove::members
