--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -30,7 +30,8 @@
     /// except for work that would not end by \p drain_end. Only this home can
     /// reach its servers, so they stay in use for as long as possible. Then
     /// notifies the peers that this daemon leaves and refuses new work as not
-    /// run. Returns when no request is in flight, at \p drain_end at the latest.
+    /// run. Returns when no request is in flight, at \p drain_end at the
+    /// latest.
     void drain(time_point notice_end, time_point drain_end);
 
     /// Stops all threads and waits for them. Called once, after start().
