Bound the memory of the answers that are being received

Bytes that are no answer may come without end. All transfers together were not: with bodies of 64 MiB, three endless answers exceed the 160 MB of the smallest VMs, and the process is killed. max_buffered_bytes now limits the bodies in flight together; a body beyond it is cut.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -159,6 +159,8 @@
     dispatch::server_http_options dialect;
     dialect.names = read_header_names(values);
     dialect.max_body_bytes = values.number("daemon", "max_body_bytes");
+    dialect.max_buffered_bytes =
+        static_cast<std::size_t>(values.number("daemon", "max_buffered_bytes"));
     dialect.accepts_undelimited =
         values.boolean("daemon", "undelimited_answers");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -104,6 +104,9 @@
         "here are still served"),
     number_setting("max_body_bytes", "1048576", 1024, 64 << 20,
                    "largest body of a request or an answer in bytes"),
+    number_setting("max_buffered_bytes", "268435456", 1024, 1e12,
+                   "largest size of all answers that are being received from "
+                   "the backend servers here, in bytes"),
     real_setting("floor_share", "0", 1,
                  "share of a service's slots that ejection leaves in use, with "
                  "platform_interface rows"),
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 #include <thread>
@@ -33,6 +34,9 @@
     std::atomic<int> connections = 0;
     std::atomic<int> closed = 0;
     std::atomic<bool> has_headers = false;
+    /// Bytes written of responses without an end.
+    std::atomic<std::size_t> endless_bytes = 0;
+    static constexpr std::size_t max_endless_bytes = std::size_t{64} << 20;
 
 private:
     using socket_ptr = std::shared_ptr<asio::ip::tcp::socket>;
@@ -80,6 +84,8 @@
         auto const begin = text.find(' ') + 1;
         std::string const path =
             text.substr(begin, text.find(' ', begin) - begin);
+        if (path.starts_with("/endless"))
+            return write_endlessly(*socket, path);
         bool keep_open = true;
         std::string const response =
             response_for(path, served_count, keep_open);
@@ -88,12 +94,28 @@
         if (keep_open)
             read(socket, served_count + 1);
     }
+    /// Writes until the client closes the connection, at most
+    /// max_endless_bytes.
+    void write_endlessly(asio::ip::tcp::socket& socket, std::string const& path)
+    {
+        std::string const line = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+        std::string start = "HTTP/1.1 200 OK\r\n";
+        if (path == "/endless_body")
+            start += "\r\n";
+        if (path == "/endless_noise")
+            start = "no answer";
+        asio::error_code failure;
+        asio::write(socket, asio::buffer(start), failure);
+        while (!failure && endless_bytes < max_endless_bytes)
+            endless_bytes += asio::write(socket, asio::buffer(line), failure);
+        ++closed;
+    }
     static std::string response_for(std::string const& path, int served_count,
                                     bool& keep_open)
     {
         std::string const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
         keep_open = path == "/ok" || path == "/healthz" || path == "/stall" ||
-                    path == "/chunked" ||
+                    path == "/chunked" || path == "/large_then_stall" ||
                     (path == "/once" && served_count == 0);
         if (path == "/drop" || (path == "/once" && served_count > 0))
             return {};
@@ -114,6 +136,10 @@
         if (path == "/shed")
             return "HTTP/1.1 503 No\r\nX-Outcome: not_run\r\n"
                    "Content-Length: 0\r\n\r\n";
+        // A body of 1 MiB without the last byte.
+        if (path == "/large_then_stall")
+            return "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" +
+                   std::string(1048575, 'x');
         if (path == "/big")
             return "HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" +
                    std::string(1048577, 'x');
@@ -132,8 +158,17 @@
     inbox requests{64};
     admission::inbox results{64};
     health::inbox probes{64};
-    std::thread duty{[this] { run(requests, {&results, &probes, {}}); }};
+    server_http_options options;
+    std::thread duty;
 
+    explicit fixture(server_http_options const& used_options = {})
+        : options(used_options),
+          duty(
+              [this] {
+                  run(requests, {&results, &probes, options});
+              })
+    {
+    }
     ~fixture()
     {
         requests.close();
@@ -154,11 +189,17 @@
     }
     finished wait_for_result()
     {
-        std::vector<admission::message> received;
-        results.pop_until(received, clock_now() + std::chrono::seconds(20));
-        REQUIRE(received.size() == 1);
-        return std::get<finished>(received.front());
+        if (m_received.empty())
+            results.pop_until(m_received,
+                              clock_now() + std::chrono::seconds(20));
+        REQUIRE(!m_received.empty());
+        finished const result = std::get<finished>(m_received.front());
+        m_received.erase(m_received.begin());
+        return result;
     }
+
+private:
+    std::vector<admission::message> m_received;
 };
 
 } // namespace
@@ -321,3 +362,40 @@
     CHECK(read({"Server-Leaving: yes"}).is_malformed);
     CHECK(read({"Server-Leaving: 1", "Server-Leaving: 1"}).is_malformed);
 }
+
+TEST_CASE("a response without an end is cut within bounds of memory and time")
+{
+    // Guards against a daemon that exceeds its memory: bytes may come without
+    // end in a head or a body, until the caller closes the connection.
+    for (char const* path :
+         {"/endless_head", "/endless_body", "/endless_noise"})
+    {
+        INFO(path);
+        test_server server;
+        fixture duty;
+        time_point const sent_at = clock_now();
+        duty.send(server.address(), path);
+        CHECK(duty.wait_for_result().result == result_class::cut);
+        CHECK(clock_now() - sent_at < std::chrono::seconds(2));
+        while (server.closed == 0)
+            std::this_thread::sleep_for(duration(1000));
+        // The limit of a body is 1 MiB; sockets buffer some MiB more.
+        CHECK(server.endless_bytes < std::size_t{16} << 20);
+    }
+}
+
+TEST_CASE("the responses that are received together share a limit of memory")
+{
+    test_server server;
+    server_http_options options;
+    // Each of the two bodies of 1 MiB is within its own limit.
+    options.max_body_bytes = 1'100'000;
+    options.max_buffered_bytes = 1'500'000;
+    fixture duty(options);
+    for (int ticket = 1; ticket <= 2; ++ticket)
+        duty.send(server.address(), "/large_then_stall", true, 2000, ticket);
+    std::vector<result_class> results;
+    for (int i = 0; i < 2; ++i)
+        results.push_back(duty.wait_for_result().result);
+    CHECK(std::ranges::count(results, result_class::cut) == 1);
+}
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -48,6 +48,8 @@
     std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers;
     std::unordered_map<std::uint64_t, CURL*> handle_by_ticket;
     std::vector<easy_ptr> spare_handles;
+    /// Size of the bodies that the transfers have received so far.
+    std::size_t buffered_bytes = 0;
     std::deque<admission::message> undelivered_results;
 };
 
@@ -89,6 +91,8 @@
     std::unique_ptr<transfer> removed = std::move(found->second);
     state.transfers.erase(found);
     state.handle_by_ticket.erase(removed->job.ticket);
+    if (removed->buffered_bytes)
+        state.buffered_bytes -= removed->body.size();
     return removed;
 }
 
@@ -149,8 +153,9 @@
 {
     if (job.request.deadline > now)
     {
-        add_transfer(state, make_transfer(acquire_handle(state), std::move(job),
-                                          setup.options, now));
+        add_transfer(state,
+                     make_transfer(acquire_handle(state), std::move(job),
+                                   setup.options, state.buffered_bytes, now));
         return;
     }
     finished result;
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -26,12 +26,17 @@
 {
     transfer& active = *static_cast<transfer*>(context);
     std::size_t const bytes = size * count;
-    if (active.body.size() + bytes > active.options->max_body_bytes)
+    std::size_t const others =
+        active.buffered_bytes ? *active.buffered_bytes : 0;
+    if (active.body.size() + bytes > active.options->max_body_bytes ||
+        others + bytes > active.options->max_buffered_bytes)
     {
         active.is_too_large = true;
         return CURL_WRITEFUNC_ERROR;
     }
     active.body.append(data, bytes);
+    if (active.buffered_bytes)
+        *active.buffered_bytes += bytes;
     return bytes;
 }
 
@@ -174,11 +179,13 @@
 
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
                                         server_http_options const& options,
+                                        std::size_t& buffered_bytes,
                                         time_point now)
 {
     auto created = std::make_unique<transfer>();
     created->easy = std::move(easy);
     created->options = &options;
+    created->buffered_bytes = &buffered_bytes;
     created->job = std::move(job);
     created->started = now;
     work_request const& request = created->job.request;
@@ -228,8 +235,9 @@
     if (code != CURLE_URL_MALFORMAT)
         result.latency = now - ended.started;
     if (ended.is_too_large)
-        result.detail = fmt::format("response body exceeds {} bytes",
-                                    ended.options->max_body_bytes);
+        result.detail = fmt::format(
+            "response body exceeds {} bytes, or all bodies {} bytes",
+            ended.options->max_body_bytes, ended.options->max_buffered_bytes);
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
     else if (result.result == result_class::cut)
--- a/src/dispatch/transfer.hpp
+++ b/src/dispatch/transfer.hpp
@@ -21,6 +21,8 @@
     /// A response without a length is complete when its connection is closed
     /// without an error.
     bool accepts_undelimited = false;
+    /// Maximum size of all response bodies that are being received.
+    std::size_t max_buffered_bytes = std::size_t{256} << 20;
 };
 
 struct easy_deleter
@@ -47,6 +49,9 @@
     response_head head;
     std::string body;
     bool is_too_large = false;
+    /// Size of the bodies of all transfers in flight; null for a probe, whose
+    /// body is not counted.
+    std::size_t* buffered_bytes = nullptr;
     /// How often libcurl was about to send the request.
     int send_count = 0;
     time_point started;
@@ -54,8 +59,10 @@
 
 /// Sets up \p easy for the job. The transfer times out at the deadline of the
 /// job's request.
+/// \param buffered_bytes  see transfer::buffered_bytes
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
                                         server_http_options const& options,
+                                        std::size_t& buffered_bytes,
                                         time_point now);
 
 /// Sets up a request to the probe endpoint.
