--- a/src/fake_server/http.cpp
+++ b/src/fake_server/http.cpp
@@ -119,6 +119,8 @@
     announce_inbox& m_announcer;
     evidence::history_log& m_history;
     duration m_min_drain_time;
+    double m_limit = 0;
+    bool m_is_leaving = false;
     time_point m_drain_start;
     std::uint64_t m_next_ticket = 1;
     std::size_t m_unfinished_writes = 0;
@@ -145,6 +147,7 @@
                        evidence::history_log& history)
     : m_work(make_work_state(limits, clock_now())), m_announcer(announcer),
       m_history(history), m_min_drain_time(options.min_drain_time),
+      m_limit(options.limit), m_is_leaving(options.is_leaving),
       m_server(make_server(options))
 {
 }
@@ -296,8 +299,12 @@
     if (result.is_truncated)
         return send_truncated(request, body);
     ++m_unfinished_writes;
-    request->create_response(status_of(result.kind))
-        .append_header("Content-Type", "application/json")
+    auto encoded = request->create_response(status_of(result.kind));
+    if (m_limit > 0)
+        encoded.append_header("Server-Limit", fmt::format("{}", m_limit));
+    if (m_is_leaving)
+        encoded.append_header("Server-Leaving", "1");
+    encoded.append_header("Content-Type", "application/json")
         .append_header("X-Request-Id", result.request_id)
         .append_header("X-Outcome", ran ? "ran" : "not_run")
         .set_body(std::move(body))
--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -36,6 +36,11 @@
             "requested lease in ms", false},
     setting{"server", "drain_ms", number, "2500", false, 0, 30000,
             "minimum time between SIGTERM and exit in ms", false},
+    setting{"server", "limit", real, "0", false, 0, 1e6,
+            "requests a second that answers name in Server-Limit; 0 for none",
+            false},
+    setting{"server", "leaving", boolean, "false", false, 0, 0,
+            "whether answers have the header Server-Leaving", false},
     setting{"server", "seed", number, "1", false, 0, 4294967295.0,
             "seed of the service times", false},
     setting{"server", "history", text, "", false, 0, 0,
@@ -112,7 +117,9 @@
         fake_server::run_http(
             {.listen = options.address,
              .connections = options.connections,
-             .min_drain_time = from_millis(values.real("server", "drain_ms"))},
+             .min_drain_time = from_millis(values.real("server", "drain_ms")),
+             .limit = values.real("server", "limit"),
+             .is_leaving = values.boolean("server", "leaving")},
             read_limits(values), inbox, history);
     }
     catch (std::exception const& failure)
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -3,8 +3,8 @@
 # bin (folder of the programs) and run (folder for settings and histories).
 
 declare -A listen admin peer peer_bind pid_of server_address start_counts
-# Further lines of a daemon's settings.
-declare -A daemon_settings
+# Further lines of the settings of a daemon or server.
+declare -A daemon_settings server_settings
 daemons=()
 servers=()
 admin_key=demo-admin-key
@@ -74,12 +74,13 @@
 announce_key_file = $run/announce.key
 platform = 127.0.0.1:$platform_port
 INI
-    if [ -n "${daemon_settings[$name]:-}" ]; then
-        echo "${daemon_settings[$name]}" >>"$run/$name.ini"
-    fi
     if [ -n "${peer_bind[$name]:-}" ]; then
         echo "peer_bind = ${peer_bind[$name]}" >>"$run/$name.ini"
     fi
+    # Last, because the lines may begin another section.
+    if [ -n "${daemon_settings[$name]:-}" ]; then
+        echo "${daemon_settings[$name]}" >>"$run/$name.ini"
+    fi
     run_daemon "$name"
 }
 
@@ -110,6 +111,7 @@
 connections = $server_connections
 mean_ms = 15
 seed = $seed
+${server_settings[$name]:-}
 INI
     run_server "$name"
 }
