Do not take over statements about servers without an incarnation

A server that announces no incarnation looks the same after each start, so a daemon's memory that it leaves would keep its next start out of use. Such statements hold at the home alone. The member that holds the limit is named stated_limit, beside the adaptive limit.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -45,6 +45,7 @@
         change.details.service = "shop";
         change.details.address = "127.0.0.1:1";
         change.details.slots = slots;
+        change.details.incarnation = 1;
         change.details.state = announced_state;
         on_homed_server(state, change, now, out);
     }
@@ -865,7 +866,8 @@
     on_tick(f.state, f.now, f.out);
     REQUIRE(!f.out.loads.empty());
     CHECK(f.out.loads.back().is_leaving);
-    server_statement const known = f.state.servers.at("s1").rate.statement;
+    server_statement const known =
+        f.state.servers.at("s1").stated_limit.statement;
 
     fixture restarted(1);
     work_request request = restarted.make_request(2);
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -107,7 +107,7 @@
                            work_request const& request, time_point now)
 {
     if (server.state == members::server_state::draining ||
-        server.rate.statement.is_leaving)
+        server.stated_limit.statement.is_leaving)
         return {error_kind::draining, "server_draining"};
     if (!accepts_work(server, request.repeatable))
         return {error_kind::no_server, "server_not_eligible"};
@@ -188,7 +188,7 @@
     if (refused.kind != error_kind::none)
         return refused;
     if (request.has_other_homes &&
-        time_to_start(found->second.rate, 0, now) > duration(0))
+        time_to_start(found->second.stated_limit, 0, now) > duration(0))
         return {error_kind::overloaded, "server_limit"};
     duration const wait = expected_wait(service, found->second, request, now);
     if (misses_deadline(service, request, now + wait))
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -159,7 +159,7 @@
 {
     priority_state& priority = service.priorities[ended.request.priority];
     if (finished_run.result == dispatch::result_class::refused_not_run &&
-        !has_rate_limit(server.rate))
+        !has_rate_limit(server.stated_limit))
         on_shed(server.limit, ended.concurrency);
     bool const has_succeeded =
         finished_run.result == dispatch::result_class::answered &&
@@ -238,7 +238,7 @@
         server.has_unreported_load = false;
         server.load_reported_at = now;
         out.loads.push_back({name, server.in_flight, server.queued,
-                             server.rate.statement.is_leaving,
+                             server.stated_limit.statement.is_leaving,
                              server.incarnation});
     }
 }
@@ -275,7 +275,7 @@
     // fault.
     bool const is_limit_refusal =
         finished_run.result == dispatch::result_class::refused_not_run &&
-        has_rate_limit(server.rate);
+        has_rate_limit(server.stated_limit);
     auto const observed = is_limit_refusal
                               ? std::nullopt
                               : observe_result(finished_run, estimate);
@@ -423,9 +423,9 @@
 }
 
 /// Refuses late entries and those that would outlast a shutdown, and starts
-/// others in slots that became free without a
-/// message, in the warm-up ramp or because the reserve may be used. Returns the
-/// number of entries that remain.
+/// others in slots that became free without a message: in the warm-up ramp,
+/// because the reserve may be used or because the server's own limit allows
+/// it. Returns the number of entries that remain.
 std::size_t check_queues(admission_state& state, time_point now, actions& out)
 {
     std::size_t queued = 0;
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -42,8 +42,8 @@
     status.in_flight = server.in_flight;
     status.queued = server.queued;
     status.failure_probability = server.failure.probability;
-    status.statement = server.rate.statement;
-    status.start_wait = time_to_start(server.rate, server.queued, now);
+    status.statement = server.stated_limit.statement;
+    status.start_wait = time_to_start(server.stated_limit, server.queued, now);
     return status;
 }
 
@@ -80,8 +80,8 @@
     result.detail = reason;
     auto const server = state.servers.find(request.server);
     if (server != state.servers.end())
-        result.retry_after =
-            time_to_start(server->second.rate, server->second.queued, now);
+        result.retry_after = time_to_start(server->second.stated_limit,
+                                           server->second.queued, now);
     out.decisions.push_back(make_decision(state, event::work_refused, request,
                                           request.server, reason));
     out.results.push_back(
--- a/src/admission/schedule.cpp
+++ b/src/admission/schedule.cpp
@@ -90,7 +90,7 @@
 {
     std::uint32_t const slots = slots_of(server, service.policy, now);
     if (server.in_flight >= slots ||
-        time_to_start(server.rate, 0, now) > duration(0))
+        time_to_start(server.stated_limit, 0, now) > duration(0))
         return false;
     if (priority == urgent_priority(service.policy) ||
         slots < min_slots_for_reserve)
@@ -121,7 +121,7 @@
     server.lower_in_flight += started.is_urgent ? 0 : 1;
     server.has_unreported_load = true;
     count_arrival(service.arrivals, entry.retry_weight, now);
-    count_start(server.rate, now);
+    count_start(server.stated_limit, now);
     if (!entry.claim.id.empty())
         mark_claim_running(state.claims, entry.claim);
     charge_start(service.credits, entry.priority, charged_time);
@@ -294,7 +294,7 @@
 bool accepts_work(homed_server_state const& server, bool repeatable)
 {
     return server.state == members::server_state::serving &&
-           !server.rate.statement.is_leaving &&
+           !server.stated_limit.statement.is_leaving &&
            (repeatable || server.status.health != health_state::probation);
 }
 
@@ -354,7 +354,8 @@
     if (has_slot(service, server, request.priority, now) &&
         service.priorities[request.priority].queue.entries.empty())
         return duration(0);
-    duration const limit_wait = time_to_start(server.rate, server.queued, now);
+    duration const limit_wait =
+        time_to_start(server.stated_limit, server.queued, now);
     duration const timely_wait =
         std::max(limit_wait, backlog_wait(service, server, request.priority,
                                           request.deadline, true, now));
--- a/src/admission/server_limit.cpp
+++ b/src/admission/server_limit.cpp
@@ -61,7 +61,10 @@
                            server_statement const& reported,
                            std::uint64_t incarnation, time_point now)
 {
-    if (!reported.is_known || reported.incarnation != incarnation)
+    // Without an incarnation, this start of the server cannot be told from
+    // another one.
+    if (!reported.is_known || incarnation == 0 ||
+        reported.incarnation != incarnation)
         return false;
     bool const is_newly_leaving =
         reported.is_leaving && !limit.statement.is_leaving;
--- a/src/admission/server_limit_test.cpp
+++ b/src/admission/server_limit_test.cpp
@@ -69,6 +69,7 @@
     server_limit limit;
     server_statement leaving{true, incarnation, 0, true};
     CHECK_FALSE(on_reported_statement(limit, leaving, incarnation + 1, start));
+    CHECK_FALSE(on_reported_statement(limit, {true, 0, 0, true}, 0, start));
     CHECK_FALSE(limit.statement.is_leaving);
     CHECK(on_reported_statement(limit, leaving, incarnation, start));
     CHECK(limit.statement.is_leaving);
--- a/src/admission/servers.cpp
+++ b/src/admission/servers.cpp
@@ -75,7 +75,7 @@
         server.warmup = details.warmup;
         server.status = {};
         server.limit = {};
-        server.rate = {};
+        server.stated_limit = {};
         server.failure = {};
     }
     server.name = details.server;
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -63,7 +63,7 @@
     server_status status;
     std::uint64_t incarnation = 0;
     adaptive_limit limit;
-    server_limit rate;
+    server_limit stated_limit;
     failure_estimate failure;
     time_point announced_at;
     /// Warm-up time that the server announced, counted from `announced_at`; 0
--- a/src/admission/statement.cpp
+++ b/src/admission/statement.cpp
@@ -12,7 +12,7 @@
 void on_statement_changed(admission_state& state, homed_server_state& server,
                           std::string_view source, time_point now, actions& out)
 {
-    server_statement const& statement = server.rate.statement;
+    server_statement const& statement = server.stated_limit.statement;
     out.log.push_back(event_line(event::server_stated)
                           .field("server", server.name)
                           .field("service", server.service)
@@ -35,7 +35,7 @@
 {
     auto const found = state.servers.find(request.server);
     if (found != state.servers.end() &&
-        on_reported_statement(found->second.rate, request.statement,
+        on_reported_statement(found->second.stated_limit, request.statement,
                               found->second.incarnation, now))
         on_statement_changed(state, found->second, "daemon", now, out);
 }
@@ -46,7 +46,7 @@
 {
     out.malformed_statements += answer.is_malformed ? 1 : 0;
     if (server.state != members::server_state::gone &&
-        on_answer(server.rate, answer, server.incarnation, began, now))
+        on_answer(server.stated_limit, answer, server.incarnation, began, now))
         on_statement_changed(state, server, "server", now, out);
 }
 
