Ignore late announcements after a departure told to a new home

The home had restarted 0.04 s before the departure came; a departure names no incarnation and the new run of the home knew none, so an announcement that was sent earlier and came 2 s later was taken for a new start. For 10 s after such a departure only announcements with the first sequence numbers are accepted.

--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -109,6 +109,24 @@
 /// restarts under its name is accepted, because its incarnation is higher.
 constexpr duration max_announcement_delay = std::chrono::minutes(2);
 
+/// A departure names no incarnation, and a home that has restarted does not
+/// know it either. For this time after such a departure, only the first
+/// announcements of a start are accepted; others were sent before the
+/// departure.
+constexpr duration unknown_departure_time = std::chrono::seconds(10);
+constexpr std::uint64_t max_first_sequence = 2;
+
+bool is_sent_before(announcement const& details,
+                    departed_server const& departed, time_point now)
+{
+    duration const age = now - departed.departed_at;
+    if (departed.incarnation == 0)
+        return age < unknown_departure_time &&
+               details.sequence > max_first_sequence;
+    return age < max_announcement_delay &&
+           details.incarnation <= departed.incarnation;
+}
+
 /// Whether a later announcement of the server, its departure or a later server
 /// at its address has already been recorded.
 bool is_outdated(membership_state const& state, announcement const& details,
@@ -120,8 +138,7 @@
     for (departed_server const& departed : state.departures)
     {
         if (departed.server == details.server &&
-            now - departed.departed_at < max_announcement_delay &&
-            details.incarnation <= departed.incarnation)
+            is_sent_before(details, departed, now))
             return true;
     }
     for (homed_server_state const& homed : state.homed_servers)
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -463,3 +463,28 @@
     on_server_load(daemon.state, load, daemon.now, daemon.out);
     CHECK(daemon.entry().state == server_state::serving);
 }
+
+TEST_CASE("a late announcement does not undo a departure told to a new home")
+{
+    // Guards against requests to a server whose home restarted before it
+    // departed: the departure names no incarnation, and the new run of the home
+    // knows none.
+    daemon_fixture daemon;
+    announcement details;
+    details.server = "server-1";
+    details.service = "orders";
+    details.address = "127.0.0.1:9";
+    details.state = server_state::gone;
+    on_announce_request(daemon.state, {details, {}}, daemon.now, daemon.out);
+    details.state = server_state::serving;
+    details.incarnation = 7;
+    details.sequence = 40;
+    daemon.now += seconds(2);
+    on_announce_request(daemon.state, {details, {}}, daemon.now, daemon.out);
+    CHECK(daemon.state.homed_servers.empty());
+    // The next start under the same name numbers its announcements anew.
+    details.incarnation = 8;
+    details.sequence = 1;
+    on_announce_request(daemon.state, {details, {}}, daemon.now, daemon.out);
+    CHECK(daemon.state.homed_servers.size() == 1);
+}
