--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -608,23 +608,32 @@
     CHECK(last_work_request(out).retry_weight == 1);
 }
 
+namespace
+{
+
+/// A result of the first home, with the status of its server.
+work_result result_stating(server_statement const& statement,
+                           duration start_wait = duration(0))
+{
+    server_status status;
+    status.server = "s1";
+    status.service = "orders";
+    status.statement = statement;
+    status.start_wait = start_wait;
+    work_result result;
+    result.home = {1, 1};
+    result.statuses.push_back(status);
+    return result;
+}
+
+} // namespace
+
 TEST_CASE("a server's statement is returned to a home that has forgotten it")
 {
     routing_state state = make_state();
     actions out;
-    work_result told;
-    told.home = {1, 1};
-    told.statuses.resize(1);
-    told.statuses[0].server = "s1";
-    told.statuses[0].service = "orders";
-    told.statuses[0].statement = {true, 5, 2, true};
-    on_result(state, std::move(told), start, out);
-    work_result forgot;
-    forgot.home = {1, 1};
-    forgot.statuses.resize(1);
-    forgot.statuses[0].server = "s1";
-    forgot.statuses[0].service = "orders";
-    on_result(state, std::move(forgot), start, out);
+    on_result(state, result_stating({true, 5, 2, true}), start, out);
+    on_result(state, result_stating({}), start, out);
     members::service_view only_s1 = four_servers();
     only_s1.candidates.resize(1);
     on_service_view(state, only_s1);
@@ -660,14 +669,7 @@
 {
     routing_state state = make_state();
     actions out;
-    work_result told;
-    told.home = {1, 1};
-    told.statuses.resize(1);
-    told.statuses[0].server = "s1";
-    told.statuses[0].service = "orders";
-    told.statuses[0].statement = {true, 5, 2, false};
-    told.statuses[0].start_wait = 1s;
-    on_result(state, std::move(told), start, out);
+    on_result(state, result_stating({true, 5, 2, false}, 1s), start, out);
     for (std::uint64_t i = 0; i < 20; ++i)
     {
         on_caller_request(state, request_number(100 + i), lookup_for(true),
--- a/testsuite/daemon_lost/run.sh
+++ b/testsuite/daemon_lost/run.sh
@@ -14,13 +14,7 @@
 start_platform
 assign_addresses d1
 assign_addresses d2
-for name in d1 d2; do
-    start_daemon "$name" dc-a
-done
-for name in d1 d2; do
-    wait_until 20 http_ok "http://${admin[$name]}/readyz" ||
-        fail "$name is not ready: $(cat "$run/$name.log")"
-done
+start_ready_daemons d1 d2
 start_server s1 catalogue 1 "${admin[d1]}" "${admin[d2]}"
 start_server s2 catalogue 2 "${admin[d1]}" "${admin[d2]}"
 
--- a/testsuite/daemon_notice/run.sh
+++ b/testsuite/daemon_notice/run.sh
@@ -14,13 +14,7 @@
 assign_addresses d1
 assign_addresses d2
 daemon_settings[d1]="drain_notice_ms = 4000"
-for name in d1 d2; do
-    start_daemon "$name" dc-a
-done
-for name in d1 d2; do
-    wait_until 20 http_ok "http://${admin[$name]}/readyz" ||
-        fail "$name is not ready: $(cat "$run/$name".*.log)"
-done
+start_ready_daemons d1 d2
 start_server s1 catalogue 1 "${admin[d1]}"
 
 hash=$(printf '%s' "$secret" | sha256sum | cut -c1-32)
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -84,6 +84,19 @@
     run_daemon "$name"
 }
 
+# start_ready_daemons NAME...: starts daemons, whose addresses are assigned, in
+# one data centre and waits until they are ready.
+start_ready_daemons() {
+    local name
+    for name in "$@"; do
+        start_daemon "$name" dc-a
+    done
+    for name in "$@"; do
+        wait_until 20 http_ok "http://${admin[$name]}/readyz" ||
+            fail "$name is not ready: $(cat "$run/$name".*.log)"
+    done
+}
+
 # run_daemon NAME: starts or restarts the daemon. Each start has its own log.
 run_daemon() {
     local count=$((${start_counts[$1]:-0} + 1))
--- a/testsuite/server_statement/run.sh
+++ b/testsuite/server_statement/run.sh
@@ -17,13 +17,7 @@
     daemon_settings[$name]=$'[headers]\nserver_limit = Server-Limit
 server_leaving = Server-Leaving'
 done
-for name in d1 d2; do
-    start_daemon "$name" dc-a
-done
-for name in d1 d2; do
-    wait_until 20 http_ok "http://${admin[$name]}/readyz" ||
-        fail "$name is not ready: $(cat "$run/$name".*.log)"
-done
+start_ready_daemons d1 d2
 server_settings[s1]="limit = 3"
 server_settings[s2]="leaving = true"
 start_server s1 catalogue 1 "${admin[d1]}"
