Use pop_all where a stop is awaited, and scan queues for retries only

The loops of the store and of dispatch used pop_until without a wait, which reports the closed ring only in the call after the one that empties it: a close between the push and that call cost one more poll, up to 60 s in the store. ring::pop_all tells both in one step. Each request scanned the queues for retries although only those with a weight are checked. The condition for a refusal by a server's own limit stood twice.

--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -299,6 +299,20 @@
     return retries;
 }
 
+bool exceeds_retry_limit(admission_state const& state,
+                         service_state const& service,
+                         work_request const& request, time_point now)
+{
+    // Most requests have no weight; they skip the scan of the queues.
+    if (!service.policy.retry_limit || request.retry_weight <= 0)
+        return false;
+    return !may_arrive(
+        service.arrivals, count_queued_retries(service),
+        *service.policy.retry_limit,
+        {request.is_retry, request.retry_weight, request.retry_limit_servers},
+        state.started, now);
+}
+
 refusal check_request(admission_state const& state, work_request const& request,
                       time_point now)
 {
@@ -310,12 +324,7 @@
     if (found == state.services.end())
         return {error_kind::no_server, "not_homed_here"};
     service_state const& service = found->second;
-    if (service.policy.retry_limit &&
-        !may_arrive(service.arrivals, count_queued_retries(service),
-                    *service.policy.retry_limit,
-                    {request.is_retry, request.retry_weight,
-                     request.retry_limit_servers},
-                    state.started, now))
+    if (exceeds_retry_limit(state, service, request, now))
         return {error_kind::overloaded, "repeat_limit"};
     return request.server.empty()
                ? check_any_server(state, found->second, request, now)
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -153,13 +153,22 @@
         static_cast<double>(latency.count()) / median_us));
 }
 
+/// Whether the server refused work for the limit that it names, which is no
+/// fault and does not show that it has fewer slots.
+bool is_limit_refusal(homed_server_state const& server,
+                      dispatch::finished const& finished_run)
+{
+    return finished_run.result == dispatch::result_class::refused_not_run &&
+           has_rate_limit(server.stated_limit);
+}
+
 void update_estimates(service_state& service, homed_server_state& server,
                       in_flight_request const& ended,
                       dispatch::finished const& finished_run, time_point now)
 {
     priority_state& priority = service.priorities[ended.request.priority];
     if (finished_run.result == dispatch::result_class::refused_not_run &&
-        !has_rate_limit(server.stated_limit))
+        !is_limit_refusal(server, finished_run))
         on_shed(server.limit, ended.concurrency);
     bool const has_succeeded =
         finished_run.result == dispatch::result_class::answered &&
@@ -271,12 +280,7 @@
                                run.started, now, out);
     service_time_estimate const& estimate =
         service.priorities[ended.request.priority].estimate;
-    // A server that names a limit refuses work for that reason, not for a
-    // fault.
-    bool const is_limit_refusal =
-        finished_run.result == dispatch::result_class::refused_not_run &&
-        has_rate_limit(server.stated_limit);
-    auto const observed = is_limit_refusal
+    auto const observed = is_limit_refusal(server, finished_run)
                               ? std::nullopt
                               : observe_result(finished_run, estimate);
     if (observed)
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -253,7 +253,7 @@
     time_point stop_at = time_point::max();
     for (time_point now = clock_now(); now < stop_at; now = clock_now())
     {
-        bool const is_open = requests.pop_until(batch, now);
+        bool const is_open = requests.pop_all(batch);
         if (!is_open)
             stop_at = std::min(stop_at, now + stop_grace);
         for (message& item : batch)
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -209,7 +209,7 @@
     if (state.transfers.size() >= inbox_capacity)
         return !requests.is_closed();
     std::vector<request> batch;
-    bool const is_open = requests.pop_until(batch, time_point{});
+    bool const is_open = requests.pop_all(batch);
     for (request& requested : batch)
         start_transfer(state, std::move(requested));
     return is_open;
