Close a pipelined connection with the response of its last request

Cause: in a shutdown each response was marked as the last of its connection. RESTinio closes after the first one, so the responses behind it were lost although their requests had been passed on and ran. The drain also counted a response as sent when it was handed to the library.

Change: the front keeps the requests of a connection in a pipeline (src/front/pipeline), delivers their responses in order and closes with that of the last request that was read. A request read after that is ignored, so that "not read" is true for it. A request is in flight until the last byte of its response is written. The limit of requests read ahead is an option of the listener.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -146,10 +146,12 @@
     handlers.on_request = [this](http::exchange_ptr const& exchange)
     { on_request(exchange); };
     m_listeners.push_back(std::make_unique<http::listener>(
-        m_context, m_setup.address, max_body_size, handlers));
+        m_context, http::listener_options{m_setup.address, max_body_size},
+        handlers));
     for (std::string const& address : m_setup.additional_addresses)
         m_listeners.push_back(std::make_unique<http::listener>(
-            m_context, address, max_body_size, handlers));
+            m_context, http::listener_options{address, max_body_size},
+            handlers));
     m_messages.set_waker([this] { m_context.stop(); });
     std::vector<std::monostate> ignored;
     if (!m_messages.pop_all(ignored))
--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -18,7 +18,8 @@
     MAKE_CONST_MOCK0(headers, std::vector<header_field>(), override);
     MAKE_CONST_MOCK0(body, std::string_view(), override);
     MAKE_CONST_MOCK0(connection, std::uint64_t(), override);
-    MAKE_MOCK1(respond, void(http::response const&), override);
+    MAKE_MOCK2(respond, void(http::response const&, std::function<void()>),
+               override);
 };
 
 error_kind read_error_kind(std::string_view header, std::string_view value,
--- /dev/null
+++ b/src/front/front_test.cpp
@@ -0,0 +1,275 @@
+#include "front_thread.hpp"
+#include <gooseberrycove/settings.hpp>
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <functional>
+#include <thread>
+
+using namespace gooseberrycove;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Limit of each wait in these tests.
+constexpr auto wait_limit = 10s;
+
+std::string free_address()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor const acceptor(
+        context, {asio::ip::make_address("127.0.0.1"), 0});
+    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+}
+
+bool wait_until(std::function<bool()> const& is_met)
+{
+    time_point const end = clock_now() + wait_limit;
+    while (clock_now() < end)
+    {
+        if (is_met())
+            return true;
+        std::this_thread::sleep_for(5ms);
+    }
+    return is_met();
+}
+
+/// The front duty on its own thread; the test takes the place of routing.
+class test_front
+{
+public:
+    explicit test_front(std::size_t max_pipelined = http::default_max_pipelined)
+    {
+        setup.address = free_address();
+        setup.counts = &counts;
+        setup.routing = &routing;
+        setup.in_flight = &in_flight;
+        setup.max_pipelined = max_pipelined;
+        m_thread = std::thread([this] { front::run(messages, setup); });
+    }
+
+    ~test_front()
+    {
+        messages.close();
+        m_thread.join();
+    }
+
+    /// Requests that have been passed on, in order; waits for \p count.
+    std::vector<routing::caller_request> take_requests(std::size_t count)
+    {
+        std::vector<routing::caller_request> taken;
+        time_point const end = clock_now() + wait_limit;
+        std::vector<routing::message> batch;
+        while (taken.size() < count && clock_now() < end)
+        {
+            routing.pop_until(batch, clock_now() + 10ms);
+            for (routing::message& item : batch)
+            {
+                if (auto* request = std::get_if<routing::caller_request>(&item))
+                    taken.push_back(std::move(*request));
+            }
+            batch.clear();
+        }
+        return taken;
+    }
+
+    void answer(routing::caller_request const& request, std::string body)
+    {
+        front::caller_response response;
+        response.id = request.id;
+        response.status = 200;
+        response.body = std::move(body);
+        messages.try_push(std::move(response));
+    }
+
+    front::inbox messages{request_ring_capacity};
+    routing::inbox routing{request_ring_capacity};
+    metrics counts;
+    std::atomic<std::size_t> in_flight{0};
+    front::wiring setup;
+
+private:
+    std::thread m_thread;
+};
+
+/// A caller with one connection.
+class test_caller
+{
+public:
+    explicit test_caller(std::string const& address)
+    {
+        auto const [host, port] = split_address(address);
+        asio::ip::tcp::endpoint const endpoint(asio::ip::make_address(host),
+                                               port);
+        wait_until(
+            [&]
+            {
+                asio::error_code failure;
+                m_socket = asio::ip::tcp::socket(m_context);
+                m_socket.connect(endpoint, failure);
+                return !failure;
+            });
+    }
+
+    /// Sends requests for the paths in one write.
+    void send(std::vector<std::string> const& paths)
+    {
+        std::string bytes;
+        for (std::string const& path : paths)
+            bytes += fmt::format("GET {0} HTTP/1.1\r\nHost: shop\r\n"
+                                 "X-Request-Id: id{0}\r\n\r\n",
+                                 path);
+        asio::write(m_socket, asio::buffer(bytes));
+    }
+
+    /// Reads until the daemon closes the connection.
+    std::string read_to_end()
+    {
+        std::string bytes;
+        asio::error_code failure;
+        asio::read(m_socket, asio::dynamic_buffer(bytes), failure);
+        return bytes;
+    }
+
+    std::string read_bytes(std::size_t count)
+    {
+        std::string bytes;
+        asio::error_code failure;
+        asio::read(m_socket, asio::dynamic_buffer(bytes),
+                   asio::transfer_exactly(count), failure);
+        return bytes;
+    }
+
+    void close() { m_socket.close(); }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket{m_context};
+};
+
+std::vector<std::size_t> positions(std::string const& text,
+                                   std::vector<std::string> const& parts)
+{
+    std::vector<std::size_t> found;
+    for (std::string const& part : parts)
+        found.push_back(text.find(part));
+    return found;
+}
+
+std::size_t count_of(std::string const& text, std::string const& part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != text.npos;
+         at = text.find(part, at + part.size()))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a shutdown delivers the responses of all requests that were read")
+{
+    // Guards against a response that closes the connection before those behind
+    // it: their requests had been passed on and ran.
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a", "/b", "/c"});
+    auto const requests = front.take_requests(3);
+    REQUIRE(requests.size() == 3);
+    front.messages.try_push(front::drain{});
+    // Out of order: the first request is the slowest.
+    front.answer(requests[1], "body of b");
+    front.answer(requests[2], "body of c");
+    front.answer(requests[0], "body of a");
+    std::string const bytes = caller.read_to_end();
+    auto const found =
+        positions(bytes, {"body of a", "body of b", "body of c"});
+    INFO(bytes);
+    CHECK(std::ranges::is_sorted(found));
+    CHECK(found.back() != bytes.npos);
+    CHECK(count_of(bytes, "HTTP/1.1 200") == 3);
+    CHECK(count_of(bytes, "Connection: close") == 1);
+    CHECK(bytes.find("Connection: close") > found[1]);
+    CHECK(wait_until([&] { return front.in_flight == 0; }));
+}
+
+TEST_CASE("a refusal in a row of requests does not end the row")
+{
+    // Guards against a refused request, in a shutdown, whose response closes
+    // the connection while the request before it is still at work.
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a"});
+    auto const first = front.take_requests(1);
+    REQUIRE(first.size() == 1);
+    front.messages.try_push(front::stop_accepting{});
+    std::this_thread::sleep_for(50ms);
+    caller.send({"/b"});
+    std::this_thread::sleep_for(50ms);
+    front.answer(first[0], "body of a");
+    std::string const bytes = caller.read_to_end();
+    INFO(bytes);
+    CHECK(count_of(bytes, "HTTP/1.1 200") == 1);
+    CHECK(bytes.find("HTTP/1.1 503") > bytes.find("body of a"));
+    CHECK(bytes.find("HTTP/1.1 503") != bytes.npos);
+    CHECK(bytes.find("Connection: close") > bytes.find("HTTP/1.1 503"));
+}
+
+TEST_CASE("a request is in flight until the last byte of its response is sent")
+{
+    // Guards against a shutdown that ends while a caller is still receiving.
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a"});
+    auto const requests = front.take_requests(1);
+    REQUIRE(requests.size() == 1);
+    std::string const body(std::size_t{48} << 20, 'x');
+    front.answer(requests[0], body);
+    std::this_thread::sleep_for(200ms);
+    CHECK(front.in_flight == 1);
+    CHECK(caller.read_bytes(body.size()).size() == body.size());
+    CHECK(wait_until([&] { return front.in_flight == 0; }));
+}
+
+TEST_CASE("a connection that ends cancels each of its requests")
+{
+    test_front front;
+    {
+        test_caller caller(front.setup.address);
+        caller.send({"/a", "/b", "/c"});
+        REQUIRE(front.take_requests(3).size() == 3);
+        caller.close();
+    }
+    std::size_t cancelled = 0;
+    std::vector<routing::message> batch;
+    wait_until(
+        [&]
+        {
+            front.routing.pop_until(batch, clock_now() + 10ms);
+            for (routing::message const& item : batch)
+                cancelled +=
+                    std::holds_alternative<routing::caller_disconnected>(item)
+                        ? 1
+                        : 0;
+            batch.clear();
+            return cancelled == 3;
+        });
+    CHECK(cancelled == 3);
+    CHECK(wait_until([&] { return front.in_flight == 0; }));
+}
+
+TEST_CASE("no more requests of a connection are read than its limit")
+{
+    test_front front(2);
+    test_caller caller(front.setup.address);
+    caller.send({"/a", "/b", "/c"});
+    auto const first = front.take_requests(2);
+    REQUIRE(first.size() == 2);
+    std::this_thread::sleep_for(100ms);
+    CHECK(front.in_flight == 2);
+    front.answer(first[0], "body of a");
+    CHECK(front.take_requests(1).size() == 1);
+}
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -1,11 +1,13 @@
 #include "front_thread.hpp"
 
 #include "caller_request.hpp"
+#include "pipeline.hpp"
 #include <gooseberrycove/event.hpp>
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 
@@ -27,12 +29,6 @@
 /// Time for the last responses to be sent before the io_context is stopped.
 constexpr std::chrono::milliseconds flush_wait{300};
 
-struct open_request
-{
-    http::exchange_ptr exchange;
-    std::string caller_id;
-};
-
 /// Size in bytes above which a body is not read and its connection is closed.
 std::size_t hard_body_limit(std::size_t max_body_bytes)
 {
@@ -55,10 +51,15 @@
 private:
     void on_request(http::exchange_ptr exchange);
     void on_closed(std::uint64_t connection);
+    void on_written(std::uint64_t connection);
     void on_caller_response(caller_response const& response);
     void handle_messages();
-    void refuse(http::exchange& exchange, std::string_view caller_id,
-                error_kind kind, char const* reason);
+    /// Refuses a request that is in its connection's pipeline.
+    void refuse(std::uint64_t connection, request_id id, error_kind kind,
+                char const* reason);
+    void respond(std::uint64_t connection, request_id id,
+                 caller_response const& response);
+    void publish_in_flight();
 
     inbox& m_messages;
     wiring const& m_setup;
@@ -66,9 +67,12 @@
     asio::steady_timer m_flush_timer{m_context};
     std::optional<http::listener> m_listener;
     std::mt19937_64 m_generator;
-    std::unordered_map<request_id, open_request, request_id_hash>
+    std::unordered_map<std::uint64_t, pipeline> m_pipelines;
+    /// Connections of the requests that have been passed on.
+    std::unordered_map<request_id, std::uint64_t, request_id_hash>
         m_open_requests;
-    std::unordered_multimap<std::uint64_t, request_id> m_requests_by_connection;
+    /// Sum of count_unanswered() over all connections.
+    std::size_t m_unanswered = 0;
     std::vector<message> m_batch;
     bool m_is_draining = false;
     bool m_has_stopped_accepting = false;
@@ -81,9 +85,10 @@
     { on_request(std::move(exchange)); };
     handlers.on_closed = [this](std::uint64_t connection)
     { on_closed(connection); };
-    m_listener.emplace(m_context, m_setup.address,
-                       hard_body_limit(m_setup.requests.max_body_bytes),
-                       std::move(handlers));
+    http::listener_options const options{
+        m_setup.address, hard_body_limit(m_setup.requests.max_body_bytes),
+        m_setup.max_pipelined};
+    m_listener.emplace(m_context, options, std::move(handlers));
     m_messages.set_waker(
         [this] { asio::post(m_context, [this] { handle_messages(); }); });
     asio::post(m_context, [this] { handle_messages(); });
@@ -92,7 +97,10 @@
 
 void front_loop::on_request(http::exchange_ptr exchange)
 {
+    std::uint64_t const connection = exchange->connection();
     routing::caller_request request;
+    error_kind failed = error_kind::none;
+    std::string reason;
     try
     {
         request =
@@ -100,53 +108,91 @@
     }
     catch (error const& failure)
     {
-        return refuse(*exchange,
-                      exchange->header(m_setup.requests.names.request_id),
-                      failure.kind(), failure.what());
+        failed = failure.kind();
+        reason = failure.what();
+        request.id = {m_generator(), m_generator()};
+        request.caller_id = exchange->header(m_setup.requests.names.request_id);
     }
     request_id const id = request.id;
-    std::string const caller_id = request.caller_id;
+    if (!add_request(m_pipelines[connection],
+                     {id, request.caller_id, std::move(exchange), {}}))
+        return;
+    ++m_unanswered;
+    publish_in_flight();
+    if (failed != error_kind::none)
+        return refuse(connection, id, failed, reason.c_str());
     if (m_has_stopped_accepting)
-        return refuse(*exchange, caller_id, error_kind::draining,
-                      "shutting down");
+        return refuse(connection, id, error_kind::draining, "shutting down");
     routing::message message(std::move(request));
     bool const accepted =
-        m_open_requests.size() < max_in_flight &&
+        m_open_requests.size() < m_setup.max_in_flight &&
         m_setup.routing->try_push(std::move(message), response_reserve);
     if (!accepted)
-        return refuse(*exchange, caller_id, error_kind::overloaded,
+        return refuse(connection, id, error_kind::overloaded,
                       "too many requests in flight at this daemon");
-    m_requests_by_connection.emplace(exchange->connection(), id);
-    m_open_requests.emplace(id, open_request{std::move(exchange), caller_id});
-    m_setup.in_flight->store(m_open_requests.size());
-    m_setup.counts->set_in_flight(m_open_requests.size());
+    m_open_requests.emplace(id, connection);
 }
 
-void front_loop::refuse(http::exchange& exchange, std::string_view caller_id,
+void front_loop::refuse(std::uint64_t connection, request_id id,
                         error_kind kind, char const* reason)
 {
+    std::string const& caller_id =
+        m_pipelines[connection].requests.back().caller_id;
     m_setup.counts->count_refusal("front", kind);
     log_info(event_line(event::request_refused)
                  .field("request", caller_id)
                  .field("kind", error_response_for(kind).name)
                  .field("detail", reason));
-    http::response encoded = to_response(make_refusal(caller_id, kind, reason),
-                                         caller_id, m_setup.requests.names);
-    encoded.close_connection = m_is_draining;
-    exchange.respond(encoded);
+    respond(connection, id, make_refusal(caller_id, kind, reason));
+}
+
+void front_loop::respond(std::uint64_t connection, request_id id,
+                         caller_response const& response)
+{
+    pipeline& state = m_pipelines[connection];
+    auto const found =
+        std::ranges::find(state.requests, id, &pipelined_request::id);
+    if (found == state.requests.end())
+        return;
+    std::vector<delivery> due;
+    add_response(
+        state, id,
+        to_response(response, found->caller_id, m_setup.requests.names),
+        m_is_draining, due);
+    for (delivery const& item : due)
+        item.exchange->respond(item.reply,
+                               [this, connection] { on_written(connection); });
+}
+
+void front_loop::publish_in_flight()
+{
+    m_setup.in_flight->store(m_unanswered);
+    m_setup.counts->set_in_flight(m_unanswered);
+}
+
+void front_loop::on_written(std::uint64_t connection)
+{
+    auto const found = m_pipelines.find(connection);
+    if (found == m_pipelines.end() || found->second.unwritten == 0)
+        return;
+    --found->second.unwritten;
+    --m_unanswered;
+    publish_in_flight();
 }
 
 void front_loop::on_closed(std::uint64_t connection)
 {
-    auto const [first, last] = m_requests_by_connection.equal_range(connection);
-    for (auto entry = first; entry != last; ++entry)
+    auto const found = m_pipelines.find(connection);
+    if (found == m_pipelines.end())
+        return;
+    for (pipelined_request const& request : found->second.requests)
     {
-        if (m_open_requests.erase(entry->second) > 0)
-            m_setup.routing->try_push(
-                routing::caller_disconnected{entry->second});
+        if (m_open_requests.erase(request.id) > 0)
+            m_setup.routing->try_push(routing::caller_disconnected{request.id});
     }
-    m_requests_by_connection.erase(first, last);
-    m_setup.in_flight->store(m_open_requests.size());
+    m_unanswered -= count_unanswered(found->second);
+    m_pipelines.erase(found);
+    publish_in_flight();
 }
 
 void front_loop::on_caller_response(caller_response const& response)
@@ -154,24 +200,9 @@
     auto const found = m_open_requests.find(response.id);
     if (found == m_open_requests.end())
         return;
-    open_request const request = std::move(found->second);
-    http::exchange_ptr const& exchange = request.exchange;
+    std::uint64_t const connection = found->second;
     m_open_requests.erase(found);
-    auto const [first, last] =
-        m_requests_by_connection.equal_range(exchange->connection());
-    for (auto entry = first; entry != last; ++entry)
-    {
-        if (entry->second != response.id)
-            continue;
-        m_requests_by_connection.erase(entry);
-        break;
-    }
-    http::response encoded =
-        to_response(response, request.caller_id, m_setup.requests.names);
-    encoded.close_connection = m_is_draining;
-    exchange->respond(encoded);
-    m_setup.in_flight->store(m_open_requests.size());
-    m_setup.counts->set_in_flight(m_open_requests.size());
+    respond(connection, response.id, response);
 }
 
 void front_loop::handle_messages()
--- a/src/front/front_thread.hpp
+++ b/src/front/front_thread.hpp
@@ -19,8 +19,14 @@
     request_options requests;
     metrics* counts = nullptr;
     routing::inbox* routing = nullptr;
-    /// Requests in flight. The main thread waits for zero during a drain.
+    /// Requests whose response is not written yet. The main thread waits for
+    /// zero during a drain.
     std::atomic<std::size_t>* in_flight = nullptr;
+    /// Largest number of requests without a response.
+    std::size_t max_in_flight = gooseberrycove::max_in_flight;
+    /// Largest number of requests of one connection that are read and have no
+    /// complete response.
+    std::size_t max_pipelined = http::default_max_pipelined;
 };
 
 /// Runs until \p messages is closed.
--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Maximum number of pipelined requests per connection; their responses are
-/// sent in order.
-constexpr std::size_t max_pipelined = 8;
 constexpr std::size_t max_url_bytes = 8192;
 constexpr std::size_t max_header_value_bytes = 16384;
 /// Time to receive one request or to send one response, so that a slow client
@@ -84,7 +81,10 @@
         return m_request->connection_id();
     }
 
-    void respond(response const& reply) override
+    using exchange::respond;
+
+    void respond(response const& reply,
+                 std::function<void()> on_written) override
     {
         if (m_has_responded)
             return;
@@ -102,7 +102,11 @@
         if (reply.close_connection)
             builder.connection_close();
         builder.set_body(reply.body);
-        builder.done();
+        if (on_written)
+            builder.done([callback = std::move(on_written)](
+                             asio::error_code const&) { callback(); });
+        else
+            builder.done();
     }
 
 private:
@@ -124,14 +128,14 @@
 {
     using server = restinio::http_server_t<server_traits>;
 
-    implementation(asio::io_context& context, std::string_view address,
-                   std::size_t max_body, handlers callbacks)
+    implementation(asio::io_context& context, listener_options const& given,
+                   handlers callbacks)
         : m_handlers(std::move(callbacks)),
           m_server(
               restinio::external_io_context(context),
               [&](auto& settings)
               {
-                  auto const [host, port] = split_address(address);
+                  auto const [host, port] = split_address(given.address);
                   settings.address(host).port(port);
                   settings.protocol(asio::ip::make_address(host).is_v6()
                                         ? asio::ip::tcp::v6()
@@ -151,7 +155,7 @@
                               if (m_handlers.on_closed)
                                   m_handlers.on_closed(connection);
                           }}));
-                  settings.max_pipelined_requests(max_pipelined);
+                  settings.max_pipelined_requests(given.max_pipelined);
                   settings.read_next_http_message_timelimit(io_timeout);
                   settings.write_http_response_timelimit(io_timeout);
                   settings.handle_request_timeout(response_timeout);
@@ -159,7 +163,7 @@
                       restinio::incoming_http_msg_limits_t{}
                           .max_url_size(max_url_bytes)
                           .max_field_value_size(max_header_value_bytes)
-                          .max_body_size(max_body));
+                          .max_body_size(given.max_body));
                   settings.acceptor_options_setter(
                       [](auto& options) {
                           options.set_option(
@@ -176,10 +180,10 @@
     server m_server;
 };
 
-listener::listener(asio::io_context& context, std::string_view address,
-                   std::size_t max_body, handlers callbacks)
-    : m_implementation(std::make_unique<implementation>(
-          context, address, max_body, std::move(callbacks)))
+listener::listener(asio::io_context& context, listener_options const& options,
+                   handlers callbacks)
+    : m_implementation(std::make_unique<implementation>(context, options,
+                                                        std::move(callbacks)))
 {
     std::exception_ptr failure;
     m_implementation->m_server.open_async(
@@ -197,7 +201,7 @@
         catch (std::exception const& cause)
         {
             throw error(error_kind::internal,
-                        std::string(address) + ": " + cause.what());
+                        options.address + ": " + cause.what());
         }
     }
 }
--- a/src/include/gooseberrycove/http.hpp
+++ b/src/include/gooseberrycove/http.hpp
@@ -15,6 +15,9 @@
 namespace gooseberrycove::http
 {
 
+/// Default of listener_options::max_pipelined.
+inline constexpr std::size_t default_max_pipelined = 8;
+
 struct response
 {
     int status = 200;
@@ -42,8 +45,12 @@
     /// Number of the connection, as passed to handlers::on_closed.
     virtual std::uint64_t connection() const = 0;
 
-    /// Sends the response; calls after the first are ignored.
-    virtual void respond(response const& reply) = 0;
+    /// Sends the response; calls after the first are ignored. \p on_written is
+    /// called when the last byte is written, or when it never will be.
+    virtual void respond(response const& reply,
+                         std::function<void()> on_written) = 0;
+
+    void respond(response const& reply) { respond(reply, {}); }
 };
 
 using exchange_ptr = std::shared_ptr<exchange>;
@@ -55,16 +62,24 @@
     std::function<void(std::uint64_t connection)> on_closed;
 };
 
+struct listener_options
+{
+    /// `ip:port`
+    std::string address;
+    /// Limit of a request body in bytes; a larger body ends the connection.
+    std::size_t max_body = 0;
+    /// Requests of one connection that are read and have no complete response.
+    /// Further ones stay unread until a response is written.
+    std::size_t max_pipelined = default_max_pipelined;
+};
+
 /// HTTP server on one thread's io_context.
 class listener
 {
 public:
-    /// \param address  `ip:port`
-    /// \param max_body  limit of a request body in bytes; a larger body ends
-    ///                  the connection
     /// \throws error of kind internal when the address cannot be bound
-    listener(asio::io_context& context, std::string_view address,
-             std::size_t max_body, handlers callbacks);
+    listener(asio::io_context& context, listener_options const& options,
+             handlers callbacks);
     ~listener();
 
     /// Stops accepting connections. Open requests can still be responded to.
