Derive the bounds of a shutdown and of memory from the deployment

Cause: the settings template had drain_seconds = 5.5, drain_notice_ms = 3000 and a buffer for answers of 96 MiB, right for a grace time of 6 s and VMs of 160 MB.

Change: src/deployment derives notice, drain limit, buffer and requests in flight from shutdown_seconds, memory_mb and descriptors; a line at start and reload gives them, conflicts end the start with exit code 2 and refuse a reload. src/daemon/shutdown holds the times of a shutdown; a further SIGTERM starts the time for requests in flight anew. An empty value of an optional number is its default, so that a template may name what a platform does not state.

Result: unit.deployment walks graces of 0.6 to 30 s and VMs of 128 MiB to 4 GiB; unit.daemon has the second SIGTERM.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -33,6 +33,8 @@
     GOOSEBERRYCOVE_EVENT(log_lines_left_out),
     GOOSEBERRYCOVE_EVENT(log_lines_dropped),
     GOOSEBERRYCOVE_EVENT(drain_ended),
+    GOOSEBERRYCOVE_EVENT(bounds_derived),
+    GOOSEBERRYCOVE_EVENT(drain_extended),
     GOOSEBERRYCOVE_EVENT(request_routed),
     GOOSEBERRYCOVE_EVENT(request_refused),
     GOOSEBERRYCOVE_EVENT(request_retried),
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -260,6 +260,10 @@
                                       : "unknown key, allowed:" + allowed);
             continue;
         }
+        // A template leaves a value empty that its platform does not state.
+        if (item.value.empty() && !declared->required &&
+            declared->type != setting_type::text)
+            continue;
         std::string const allowed = check_value(*declared, item.value);
         if (!allowed.empty())
         {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,13 +30,15 @@
 /// Maximum number of control messages in the ring of a duty.
 constexpr std::size_t control_ring_capacity = 8192;
 constexpr std::chrono::milliseconds drain_poll_interval{20};
-/// Requests that no server has begun are refused this long before the end of a
-/// shutdown; enough for a round trip to their homes.
-constexpr std::chrono::milliseconds refusal_lead_time{1000};
 /// Number of consecutive polls without requests in flight that end the wait;
 /// one poll could miss a request whose message is between two rings.
 constexpr int required_empty_polls = 5;
 
+std::int64_t to_milliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 bool uses_row_store(settings const& values)
 {
     return values.text("daemon", "platform_interface") == "rows";
@@ -116,6 +118,7 @@
 
     void make_wirings(settings const& values, daemon_ref own_daemon);
     void make_request_wirings(settings const& values, daemon_ref own_daemon);
+    bool is_idle() const;
     void make_control_wirings(settings const& values, daemon_ref own_daemon);
 };
 
@@ -140,12 +143,15 @@
     settings const& values, daemon_ref own_daemon)
 {
     std::string const& address = values.text("daemon", "peer");
+    deployment_bounds const bounds = derive_bounds(read_deployment(values));
     front_wiring = std::make_unique<front::wiring>(front::wiring{
         values.text("daemon", "listen"),
         {read_header_names(values), values.number("daemon", "max_body_bytes")},
         &counts,
         &routing,
-        &callers_in_flight});
+        &callers_in_flight,
+        bounds.max_in_flight,
+        values.number("daemon", "max_pipelined")});
     routing_wiring = std::make_unique<routing::wiring>(routing::wiring{
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
@@ -159,8 +165,7 @@
     dispatch::server_http_options dialect;
     dialect.names = read_header_names(values);
     dialect.max_body_bytes = values.number("daemon", "max_body_bytes");
-    dialect.max_buffered_bytes =
-        static_cast<std::size_t>(values.number("daemon", "max_buffered_bytes"));
+    dialect.max_buffered_bytes = bounds.max_buffered;
     dialect.accepts_undelimited =
         values.boolean("daemon", "undelimited_answers");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
@@ -254,35 +259,49 @@
     m_implementation->announce_keys.reload();
 }
 
-void daemon_process::drain(time_point notice_end, time_point drain_end)
+bool daemon_process::implementation::is_idle() const
+{
+    return callers_in_flight.load() == 0 && work_in_flight.load() == 0;
+}
+
+void daemon_process::drain(deployment_bounds const& bounds,
+                           shutdown_schedule schedule,
+                           termination_wait const& wait)
 {
     implementation& impl = *m_implementation;
     time_point const drain_start = clock_now();
     impl.is_draining = true;
     impl.front.try_push(front::drain{});
-    impl.admission.try_push(admission::shutdown_notice{drain_end});
-    std::this_thread::sleep_until(notice_end);
+    impl.admission.try_push(admission::shutdown_notice{schedule.drain_end});
+    auto const wait_until = [&](time_point end)
+    {
+        if (!wait(end))
+            return;
+        extend_shutdown(schedule, bounds, clock_now());
+        impl.admission.try_push(admission::shutdown_notice{schedule.drain_end});
+        log_info(event_line(event::drain_extended)
+                     .field("limit_ms", to_milliseconds(bounds.drain_limit)));
+    };
+    while (clock_now() < schedule.notice_end)
+        wait_until(schedule.notice_end);
     impl.members.try_push(members::leave{});
     impl.admission.try_push(admission::drain{});
     impl.front.try_push(front::stop_accepting{});
     int empty_polls = 0;
     bool can_still_start = true;
-    while (empty_polls < required_empty_polls && clock_now() < drain_end)
+    while (empty_polls < required_empty_polls &&
+           clock_now() < schedule.drain_end)
     {
-        if (can_still_start && clock_now() >= drain_end - refusal_lead_time)
+        if (can_still_start && clock_now() >= schedule.refusal_start)
         {
             impl.routing.try_push(routing::refuse_unstarted{});
             can_still_start = false;
         }
-        std::this_thread::sleep_for(drain_poll_interval);
-        bool const is_idle = impl.callers_in_flight.load() == 0 &&
-                             impl.work_in_flight.load() == 0;
-        empty_polls = is_idle ? empty_polls + 1 : 0;
+        wait_until(clock_now() + drain_poll_interval);
+        empty_polls = impl.is_idle() ? empty_polls + 1 : 0;
     }
-    auto const waited = std::chrono::duration_cast<std::chrono::milliseconds>(
-        clock_now() - drain_start);
     log_info(event_line(event::drain_ended)
-                 .field("waited_ms", std::int64_t{waited.count()})
+                 .field("waited_ms", to_milliseconds(clock_now() - drain_start))
                  .field("callers", std::uint64_t{impl.callers_in_flight})
                  .field("work", std::uint64_t{impl.work_in_flight}));
 }
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_DAEMON_DAEMON_HPP
 #define GOOSEBERRYCOVE_DAEMON_DAEMON_HPP
 
+#include "shutdown.hpp"
 #include <gooseberrycove/key_set.hpp>
 #include <gooseberrycove/settings.hpp>
 #include <gooseberrycove/types.hpp>
@@ -11,6 +12,10 @@
 namespace gooseberrycove
 {
 
+/// Waits until the given time at most. Returns true when a signal to terminate
+/// came meanwhile, and then returns at once.
+using termination_wait = std::function<bool(time_point end)>;
+
 /// All duties of one daemon, each on its own thread.
 class daemon_process
 {
@@ -26,13 +31,15 @@
     /// \throws settings_error when a key file is unusable
     void reload_keys();
 
-    /// Serves callers and the backend servers at this home until \p notice_end,
-    /// except for work that would not end by \p drain_end. Only this home can
-    /// reach its servers, so they stay in use for as long as possible. Then
-    /// notifies the peers that this daemon leaves and refuses new work as not
-    /// run. Returns when no request is in flight, at \p drain_end at the
-    /// latest.
-    void drain(time_point notice_end, time_point drain_end);
+    /// Serves callers and the backend servers at this home until the end of the
+    /// notice, except for work that would not end by the end of the drain. Only
+    /// this home can reach its servers, so they stay in use for as long as
+    /// possible. Then notifies the peers that this daemon leaves and refuses
+    /// new work as not run. Returns when no request is in flight, at the end of
+    /// the drain at the latest. A signal to terminate during the drain extends
+    /// it.
+    void drain(deployment_bounds const& bounds, shutdown_schedule schedule,
+               termination_wait const& wait);
 
     /// Stops all threads and waits for them. Called once, after start().
     void stop();
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -96,17 +96,28 @@
     optional_setting(
         "seeds", setting_type::addresses, "",
         "peer addresses of daemons to join, ip:port separated by blanks"),
-    real_setting("drain_seconds", "30", 3600,
-                 "seconds that a shutdown waits for requests in flight"),
+    real_setting("shutdown_seconds", "", 3600,
+                 "seconds from SIGTERM until the process is killed; reread on "
+                 "SIGHUP"),
+    number_setting("memory_mb", "", 16, 1e6,
+                   "MiB of memory at which the process is killed"),
+    number_setting("descriptors", "", 1, 1e9,
+                   "file descriptors that the process may have open"),
+    real_setting("drain_seconds", "", 3600,
+                 "seconds that a shutdown waits for requests in flight; "
+                 "derived when empty; reread on SIGHUP"),
     number_setting(
-        "drain_notice_ms", "0", 0, 60'000,
+        "drain_notice_ms", "", 0, 60'000,
         "milliseconds of a shutdown in which callers and the backend servers "
-        "here are still served"),
+        "here are still served; derived when empty; reread on SIGHUP"),
     number_setting("max_body_bytes", "1048576", 1024, 64 << 20,
                    "largest body of a request or an answer in bytes"),
-    number_setting("max_buffered_bytes", "268435456", 1024, 1e12,
+    number_setting("max_buffered_bytes", "", 1024, 1e12,
                    "largest size of all answers that are being received from "
-                   "the backend servers here, in bytes"),
+                   "the backend servers here, in bytes; derived when empty"),
+    number_setting("max_pipelined", "8", 1, 64,
+                   "requests of one connection of a caller that are read and "
+                   "have no complete response; further ones are read later"),
     real_setting("floor_share", "0", 1,
                  "share of a service's slots that ejection leaves in use, with "
                  "platform_interface rows"),
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,7 +7,9 @@
 #include <pthread.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <csignal>
 
 namespace
@@ -35,13 +37,46 @@
     set_log_level(static_cast<severity>(values.number("daemon", "log_level")));
 }
 
-void reload(daemon_process& process)
+/// \throws settings_error for settings that contradict each other
+void check_conflicts(settings const& values)
+{
+    std::string errors;
+    for (std::string const& conflict : find_conflicts(read_deployment(values)))
+        errors += conflict + '\n';
+    if (!errors.empty())
+        throw settings_error(errors);
+}
+
+void log_bounds(settings const& values)
+{
+    deployment const given = read_deployment(values);
+    deployment_bounds const bounds = derive_bounds(given);
+    auto const to_ms = [](duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time)
+            .count();
+    };
+    log_info(
+        event_line(event::bounds_derived)
+            .field("drain_notice_ms", std::int64_t{to_ms(bounds.drain_notice)})
+            .field("drain_limit_ms", std::int64_t{to_ms(bounds.drain_limit)})
+            .field("max_buffered", std::uint64_t{bounds.max_buffered})
+            .field("max_in_flight", std::uint64_t{bounds.max_in_flight})
+            .field("assumed", assumed_settings(given)));
+}
+
+/// Applies the settings file as it is now. \p bounds keeps its value when the
+/// file cannot be used.
+void reload(daemon_process& process, deployment_bounds& bounds)
 {
     try
     {
-        apply_log_level(tool_settings::read_settings(daemon_schema()));
+        settings const values = tool_settings::read_settings(daemon_schema());
+        check_conflicts(values);
+        apply_log_level(values);
         process.reload_keys();
+        bounds = derive_bounds(read_deployment(values));
         log_info(event_line(event::settings_reloaded));
+        log_bounds(values);
     }
     catch (settings_error const& failure)
     {
@@ -50,16 +85,50 @@
     }
 }
 
-void wait_for_termination(sigset_t const& signals, daemon_process& process)
+void wait_for_termination(sigset_t const& signals, daemon_process& process,
+                          deployment_bounds& bounds)
 {
     for (int number = SIGHUP; number == SIGHUP;)
     {
         sigwait(&signals, &number);
         if (number == SIGHUP)
-            reload(process);
+            reload(process, bounds);
     }
 }
 
+/// Waits for a signal of \p signals until \p end. Returns its number, or 0 when
+/// none came.
+int wait_for_signal(sigset_t const& signals, time_point end)
+{
+    while (true)
+    {
+        auto const left = std::max(std::chrono::nanoseconds(0),
+                                   std::chrono::nanoseconds(end - clock_now()));
+        auto const seconds =
+            std::chrono::duration_cast<std::chrono::seconds>(left);
+        timespec limit{};
+        limit.tv_sec = seconds.count();
+        limit.tv_nsec = (left - seconds).count();
+        int const number = sigtimedwait(&signals, nullptr, &limit);
+        if (number >= 0)
+            return number;
+        if (errno != EINTR)
+            return 0;
+    }
+}
+
+/// A SIGHUP during a shutdown is ignored.
+termination_wait make_termination_wait(sigset_t const& signals)
+{
+    return [signals](time_point end)
+    {
+        int number = SIGHUP;
+        while (number == SIGHUP)
+            number = wait_for_signal(signals, end);
+        return number != 0;
+    };
+}
+
 std::unique_ptr<daemon_process> make_daemon(settings const& values)
 {
     // The incarnation is read from the wall clock so that it increases over
@@ -73,10 +142,12 @@
         .build();
 }
 
-/// Checks the key files, which the schema cannot do, by reading them.
-/// \throws settings_error when a key file is unusable
-void check_key_files(settings const& values)
+/// Checks what the schema cannot: that settings do not contradict each other,
+/// and the key files, by reading them.
+/// \throws settings_error when they do or a key file is unusable
+void check_values(settings const& values)
 {
+    check_conflicts(values);
     make_daemon(values);
 }
 
@@ -85,10 +156,12 @@
     sigset_t const signals = block_signals();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     apply_log_level(values);
+    deployment_bounds bounds = derive_bounds(read_deployment(values));
     auto const process = make_daemon(values);
     std::atomic<bool> has_failed{false};
     log_info(event_line(event::process_started)
                  .field("name", values.text("daemon", "name")));
+    log_bounds(values);
     process->start(
         [&has_failed](std::string_view reason)
         {
@@ -96,15 +169,12 @@
             has_failed = true;
             ::kill(::getpid(), SIGTERM);
         });
-    wait_for_termination(signals, *process);
+    wait_for_termination(signals, *process, bounds);
     log_info(event_line(event::process_draining));
-    auto const drain_limit = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(values.real("daemon", "drain_seconds")));
-    std::chrono::milliseconds const drain_notice(
-        values.number("daemon", "drain_notice_ms"));
     time_point const now = clock_now();
-    process->drain(has_failed ? now : now + drain_notice,
-                   has_failed ? now : now + drain_limit);
+    process->drain(bounds,
+                   has_failed ? stop_at_once(now) : begin_shutdown(bounds, now),
+                   make_termination_wait(signals));
     process->stop();
     log_info(event_line(event::process_stopped));
     return has_failed ? exit_failed : 0;
@@ -120,7 +190,8 @@
         "  gcove_daemon --settings=daemon.ini\n"
         "  gcove_daemon --settings=daemon.ini --check_settings\n"
         "  gcove_daemon --settings=daemon.ini --set=daemon.log_level=1\n"
-        "SIGTERM drains, SIGHUP rereads key files and the log level.\n"
+        "SIGTERM drains, SIGHUP rereads key files, the log level and the times "
+        "of a shutdown.\n"
         "Exit codes: 0 stopped, 1 failed, 2 bad settings.",
-        daemon_schema(), run, check_key_files);
+        daemon_schema(), run, check_values);
 }
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -24,6 +24,8 @@
     log_lines_left_out = 107,
     log_lines_dropped = 108,
     drain_ended = 109,
+    bounds_derived = 110,
+    drain_extended = 111,
 
     request_routed = 200,
     request_refused = 201,
