Suspect a server that fails from the start of its home on

Cause: a failure counts as fast, and so as evidence, when it comes within a quarter of the expected service time. Without a success there is no expected time, so nothing was fast: a home that starts beside a failing server never learned of it and sent it all that it was given.

Change: a failure within 20 ms, before a run counts as progress, is fast whatever the samples say.

--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -53,10 +53,6 @@
                                });
 }
 
-/// Time after which a running request counts as progress. At the users' sites a
-/// failing server responds within 2 ms.
-constexpr duration min_progress_time = std::chrono::milliseconds(20);
-
 /// Records requests that have run for longer than failures take as evidence
 /// that the server is sound, so that the estimate is right before the first
 /// long run has ended.
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -46,6 +46,17 @@
 /// attributed to the server itself, which did not attempt the work.
 constexpr double max_fast_share = 0.25;
 
+/// Whether a failure came before the server can have attempted the work. The
+/// minimum also holds without samples: a server that fails from the start of
+/// its home on gives none.
+bool is_fast(duration latency, service_time_estimate const& estimate)
+{
+    return latency < min_progress_time ||
+           static_cast<double>(latency.count()) <
+               max_fast_share *
+                   static_cast<double>(expected_time(estimate).count());
+}
+
 /// Returns what a result shows about the present state of the server, or
 /// std::nullopt when it is no evidence of that state.
 std::optional<observation>
@@ -53,15 +64,12 @@
                service_time_estimate const& estimate)
 {
     using dispatch::result_class;
-    auto const expected_us =
-        static_cast<double>(expected_time(estimate).count());
     switch (finished_run.result)
     {
     case result_class::answered:
         if (finished_run.status < 500)
             return observation::success;
-        return static_cast<double>(finished_run.latency.count()) <
-                       max_fast_share * expected_us
+        return is_fast(finished_run.latency, estimate)
                    ? observation::fast_failure
                    : observation::late_failure;
     case result_class::refused_not_run:
--- a/src/admission/failure_estimate.hpp
+++ b/src/admission/failure_estimate.hpp
@@ -22,6 +22,11 @@
     time_point last_failure;
 };
 
+/// Time after which a running request counts as progress, and up to which a
+/// failure counts as fast. At the users' sites a failing server responds within
+/// 2 ms.
+inline constexpr duration min_progress_time = std::chrono::milliseconds(20);
+
 /// Evidence about the state of a server.
 enum class observation : std::uint8_t
 {
--- a/src/admission/failure_estimate_test.cpp
+++ b/src/admission/failure_estimate_test.cpp
@@ -1,3 +1,4 @@
+#include "admission_test.hpp"
 #include "failure_estimate.hpp"
 
 #include <catch2/catch.hpp>
@@ -104,3 +105,26 @@
     CHECK(probability_after({fast_failure, progress, completion}) ==
           Approx(probability_after({fast_failure, success})).margin(0.01));
 }
+
+TEST_CASE("a server that fails from its first request on is suspected at once")
+{
+    // Guards against a home that cannot tell a fast failure before it has seen
+    // a success: after each start of a daemon beside a failing server, every
+    // order that it was sent was lost.
+    test::fixture f;
+    f.submit(f.make_request(1));
+    f.finish(dispatch::result_class::answered, 2ms, 500);
+    CHECK(f.state.servers.at("s1").failure.probability >=
+          failure_probability_limit);
+}
+
+TEST_CASE("a failure after work is no evidence, also before the first success")
+{
+    // Guards against sound servers that are suspected because the service that
+    // their first runs call fails.
+    test::fixture f;
+    f.submit(f.make_request(1));
+    f.finish(dispatch::result_class::answered, 200ms, 500);
+    CHECK(f.state.servers.at("s1").failure.probability <
+          failure_probability_limit);
+}
