Queue work only briefly while other homes may have a free slot

Cause: 113 daemons place lookups on ten homes by loads that they learned a second ago.

Change: admission/queue_bound: with another home to try, a request queues only while its expected wait is within an eighth of its target, more for each KiB of its body, which crosses the network again. Up to ten homes are tried on an open route instead of six; a hop costs about 1 ms.

--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -1,5 +1,6 @@
 #include "decide.hpp"
 #include "miss_probability.hpp"
+#include "queue_bound.hpp"
 #include "refuse.hpp"
 #include "schedule.hpp"
 #include "statement.hpp"
@@ -195,6 +196,8 @@
                       now + wait) &&
         is_late_backlog_full(service, found->second, now))
         return {error_kind::overloaded, "late_backlog"};
+    if (wait > max_queue_wait(service.policy, request))
+        return {error_kind::overloaded, "queue_bound"};
     if (should_spill(service, found->second, request, now))
         return {error_kind::overloaded, "target_at_entry"};
     return {};
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -25,7 +25,7 @@
 
 /// Homes that may be tried for a request on an open route. Such a request is
 /// never claimed, and a home that refuses costs about 1 ms.
-inline constexpr std::size_t max_homes_open_route = 6;
+inline constexpr std::size_t max_homes_open_route = 10;
 
 /// Time after the deadline in which the home's own timeout result can still
 /// arrive. It states the outcome more precisely than the `timed_out` that
