Deliver ready responses when a shutdown gives up slow requests

Change: at the end of a drain the front responds to requests without a response as outcome unknown (504), which promises nothing, and so delivers what is ready behind them.

Result: the new case of unit.front got nothing before the change and gets 504 and the ready response after it.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -300,6 +300,7 @@
         wait_until(clock_now() + drain_poll_interval);
         empty_polls = impl.is_idle() ? empty_polls + 1 : 0;
     }
+    impl.front.try_push(front::give_up{});
     log_info(event_line(event::drain_ended)
                  .field("waited_ms", to_milliseconds(clock_now() - drain_start))
                  .field("callers", std::uint64_t{impl.callers_in_flight})
--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -218,6 +218,28 @@
     CHECK(bytes.find("Connection: close") > bytes.find("HTTP/1.1 503"));
 }
 
+TEST_CASE("the end of a shutdown delivers ready responses behind a slow one")
+{
+    // Guards against a response that was ready for seconds and is lost because
+    // the request before it on the connection does not end (hanbit-hq, mix,
+    // seed 239441091400).
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a", "/b"});
+    auto const requests = front.take_requests(2);
+    REQUIRE(requests.size() == 2);
+    front.messages.try_push(front::drain{});
+    front.answer(requests[1], "body of b");
+    front.messages.try_push(front::give_up{});
+    front.messages.close();
+    std::string const bytes = caller.read_to_end();
+    INFO(bytes);
+    CHECK(bytes.starts_with("HTTP/1.1 504"));
+    CHECK(bytes.find("X-Outcome: unknown") != bytes.npos);
+    CHECK(bytes.find("body of b") != bytes.npos);
+    CHECK(bytes.find("Connection: close") > bytes.find("HTTP/1.1 200"));
+}
+
 TEST_CASE("a request is in flight until the last byte of its response is sent")
 {
     // Guards against a shutdown that ends while a caller is still receiving.
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace gooseberrycove::front
 {
@@ -53,6 +54,7 @@
     void on_closed(std::uint64_t connection);
     void on_written(std::uint64_t connection);
     void on_caller_response(caller_response const& response);
+    void on_give_up();
     void handle_messages();
     /// Refuses a request that is in its connection's pipeline.
     void refuse(std::uint64_t connection, request_id id, error_kind kind,
@@ -205,6 +207,22 @@
     respond(connection, response.id, response);
 }
 
+void front_loop::on_give_up()
+{
+    auto const unanswered = std::exchange(m_open_requests, {});
+    for (auto const& [id, connection] : unanswered)
+    {
+        auto const& requests = m_pipelines[connection].requests;
+        auto const found =
+            std::ranges::find(requests, id, &pipelined_request::id);
+        if (found == requests.end())
+            continue;
+        respond(connection, id,
+                make_refusal(found->caller_id, error_kind::outcome_unknown,
+                             "the daemon stops before the request has ended"));
+    }
+}
+
 void front_loop::handle_messages()
 {
     bool const is_open = m_messages.pop_all(m_batch);
@@ -214,6 +232,8 @@
             on_caller_response(*response);
         if (std::holds_alternative<drain>(item))
             m_is_draining = true;
+        if (std::holds_alternative<give_up>(item))
+            on_give_up();
         if (!std::holds_alternative<stop_accepting>(item) ||
             m_has_stopped_accepting)
             continue;
--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -40,9 +40,16 @@
 {
 };
 
+/// Responds to all requests that still have no response as outcome unknown, at
+/// the end of a shutdown. Ready responses that wait for them are delivered
+/// behind theirs.
+struct give_up
+{
+};
+
 /// Messages that the front duty handles.
-using message =
-    std::variant<std::monostate, caller_response, drain, stop_accepting>;
+using message = std::variant<std::monostate, caller_response, drain,
+                             stop_accepting, give_up>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::front
