Let a stopping front write its last responses

Each message that woke the front after its ring was closed armed the flush timer again; that cancels the earlier wait, whose handler stopped the loop at once.

Change: the timer is armed once.

--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -240,6 +240,25 @@
     CHECK(bytes.find("Connection: close") > bytes.find("HTTP/1.1 200"));
 }
 
+TEST_CASE("a stopping daemon writes its last responses")
+{
+    // Guards against a flush that ends at once because several messages wake
+    // the front after its ring is closed (hanbit-hq-grown, mix, seed
+    // 280363810741).
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a"});
+    auto const requests = front.take_requests(1);
+    REQUIRE(requests.size() == 1);
+    std::string const body(std::size_t{8} << 20, 'x');
+    front.answer(requests[0], body);
+    front.messages.try_push(front::give_up{});
+    front.messages.try_push(front::give_up{});
+    front.messages.close();
+    front.messages.close();
+    CHECK(caller.read_bytes(body.size()).size() == body.size());
+}
+
 TEST_CASE("a request is in flight until the last byte of its response is sent")
 {
     // Guards against a shutdown that ends while a caller is still receiving.
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -78,6 +78,7 @@
     std::vector<message> m_batch;
     bool m_is_draining = false;
     bool m_has_stopped_accepting = false;
+    bool m_is_flushing = false;
 };
 
 void front_loop::run()
@@ -242,8 +243,10 @@
         m_listener->stop();
     }
     m_batch.clear();
-    if (is_open)
+    // A second call would cancel the timer and so end the flush at once.
+    if (is_open || m_is_flushing)
         return;
+    m_is_flushing = true;
     m_flush_timer.expires_after(flush_wait);
     m_flush_timer.async_wait([this](asio::error_code) { m_context.stop(); });
 }
