Close the ring of the front tests once

Cause: AddressSanitizer found a use after free in unit.front: the new cases closed the ring a second time after the front's thread had ended, and close() calls the waker of that thread. A daemon closes each ring once. Change: the test's front closes its ring once; the checks are the same.

--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -53,10 +53,17 @@
 
     ~test_front()
     {
-        messages.close();
+        stop();
         m_thread.join();
     }
 
+    /// Closes the ring, once: the front's thread may have ended afterwards.
+    void stop()
+    {
+        if (!messages.is_closed())
+            messages.close();
+    }
+
     /// Requests that have been passed on, in order; waits for \p count.
     std::vector<routing::caller_request> take_requests(std::size_t count)
     {
@@ -231,7 +238,7 @@
     front.messages.try_push(front::drain{});
     front.answer(requests[1], "body of b");
     front.messages.try_push(front::give_up{});
-    front.messages.close();
+    front.stop();
     std::string const bytes = caller.read_to_end();
     INFO(bytes);
     CHECK(bytes.starts_with("HTTP/1.1 504"));
@@ -254,8 +261,7 @@
     front.answer(requests[0], body);
     front.messages.try_push(front::give_up{});
     front.messages.try_push(front::give_up{});
-    front.messages.close();
-    front.messages.close();
+    front.stop();
     CHECK(caller.read_bytes(body.size()).size() == body.size());
 }
 
