Look up a pipelined request, and derive the bounds, in one place

The search for a request in its pipeline stood three times, and a refusal relied on it being the last one; the bounds were derived again for their log line; milliseconds were converted in main.cpp and daemon.cpp; waiting for a signal had two nested loops to skip SIGHUP.

Two doc comments that the formatter had joined are whole again.

--- a/src/admission/retry_limit.hpp
+++ b/src/admission/retry_limit.hpp
@@ -49,8 +49,7 @@
 /// coordination. Calls of retried runs may use more of it than retries, because
 /// the work of the run that waits for them would be lost.
 /// \param queued      retries that were admitted and have not started
-/// \param started     when this home began to count. The run of the daemon
-/// before
+/// \param started     when this home began to count. The daemon's earlier run
 ///                    may have used this home's part of the slack, so there is
 ///                    none until that is outside of the limit's window.
 bool may_arrive(arrival_counts const& counts, double queued,
--- a/src/admission/server_limit.hpp
+++ b/src/admission/server_limit.hpp
@@ -22,9 +22,9 @@
 
 /// Applies the statement of an answer. An answer without a limit ends it,
 /// unless its request began before the limit was last named: answers may arrive
-/// in another order. A malformed statement changes nothing. \param began  when
-/// the request was sent to the server Returns whether the limit or the leaving
-/// has changed.
+/// in another order. A malformed statement changes nothing. Returns whether the
+/// limit or the leaving has changed.
+/// \param began  when the request was sent to the server
 bool on_answer(server_limit& limit, dispatch::answer_statement const& answer,
                std::uint64_t incarnation, time_point began, time_point now);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,11 +34,6 @@
 /// one poll could miss a request whose message is between two rings.
 constexpr int required_empty_polls = 5;
 
-std::int64_t to_milliseconds(duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 bool uses_row_store(settings const& values)
 {
     return values.text("daemon", "platform_interface") == "rows";
@@ -118,8 +113,8 @@
 
     void make_wirings(settings const& values, daemon_ref own_daemon);
     void make_request_wirings(settings const& values, daemon_ref own_daemon);
-    bool is_idle() const;
     void make_control_wirings(settings const& values, daemon_ref own_daemon);
+    bool is_idle() const;
 };
 
 daemon_process::implementation::implementation(settings const& values)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <csignal>
 
 namespace
@@ -38,30 +37,23 @@
 }
 
 /// \throws settings_error for settings that contradict each other
-void check_conflicts(settings const& values)
+void check_conflicts(deployment const& given)
 {
     std::string errors;
-    for (std::string const& conflict : find_conflicts(read_deployment(values)))
+    for (std::string const& conflict : find_conflicts(given))
         errors += conflict + '\n';
     if (!errors.empty())
         throw settings_error(errors);
 }
 
-void log_bounds(settings const& values)
+void log_bounds(deployment const& given, deployment_bounds const& bounds)
 {
-    deployment const given = read_deployment(values);
-    deployment_bounds const bounds = derive_bounds(given);
-    auto const to_ms = [](duration time) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(time)
-            .count();
-    };
-    log_info(
-        event_line(event::bounds_derived)
-            .field("drain_notice_ms", std::int64_t{to_ms(bounds.drain_notice)})
-            .field("drain_limit_ms", std::int64_t{to_ms(bounds.drain_limit)})
-            .field("max_buffered", std::uint64_t{bounds.max_buffered})
-            .field("max_in_flight", std::uint64_t{bounds.max_in_flight})
-            .field("assumed", assumed_settings(given)));
+    log_info(event_line(event::bounds_derived)
+                 .field("drain_notice_ms", to_milliseconds(bounds.drain_notice))
+                 .field("drain_limit_ms", to_milliseconds(bounds.drain_limit))
+                 .field("max_buffered", bounds.max_buffered)
+                 .field("max_in_flight", bounds.max_in_flight)
+                 .field("assumed", assumed_settings(given)));
 }
 
 /// Applies the settings file as it is now. \p bounds keeps its value when the
@@ -71,12 +63,13 @@
     try
     {
         settings const values = tool_settings::read_settings(daemon_schema());
-        check_conflicts(values);
+        deployment const given = read_deployment(values);
+        check_conflicts(given);
         apply_log_level(values);
         process.reload_keys();
-        bounds = derive_bounds(read_deployment(values));
+        bounds = derive_bounds(given);
         log_info(event_line(event::settings_reloaded));
-        log_bounds(values);
+        log_bounds(given, bounds);
     }
     catch (settings_error const& failure)
     {
@@ -96,36 +89,19 @@
     }
 }
 
-/// Waits for a signal of \p signals until \p end. Returns its number, or 0 when
-/// none came.
-int wait_for_signal(sigset_t const& signals, time_point end)
+/// A SIGHUP during a shutdown is ignored.
+termination_wait make_termination_wait(sigset_t signals)
 {
-    while (true)
+    sigdelset(&signals, SIGHUP);
+    return [signals](time_point end)
     {
-        auto const left = std::max(std::chrono::nanoseconds(0),
-                                   std::chrono::nanoseconds(end - clock_now()));
+        duration const left = std::max(duration(0), end - clock_now());
         auto const seconds =
             std::chrono::duration_cast<std::chrono::seconds>(left);
         timespec limit{};
         limit.tv_sec = seconds.count();
-        limit.tv_nsec = (left - seconds).count();
-        int const number = sigtimedwait(&signals, nullptr, &limit);
-        if (number >= 0)
-            return number;
-        if (errno != EINTR)
-            return 0;
-    }
-}
-
-/// A SIGHUP during a shutdown is ignored.
-termination_wait make_termination_wait(sigset_t const& signals)
-{
-    return [signals](time_point end)
-    {
-        int number = SIGHUP;
-        while (number == SIGHUP)
-            number = wait_for_signal(signals, end);
-        return number != 0;
+        limit.tv_nsec = std::chrono::nanoseconds(left - seconds).count();
+        return sigtimedwait(&signals, nullptr, &limit) >= 0;
     };
 }
 
@@ -147,7 +123,7 @@
 /// \throws settings_error when they do or a key file is unusable
 void check_values(settings const& values)
 {
-    check_conflicts(values);
+    check_conflicts(read_deployment(values));
     make_daemon(values);
 }
 
@@ -156,12 +132,13 @@
     sigset_t const signals = block_signals();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     apply_log_level(values);
-    deployment_bounds bounds = derive_bounds(read_deployment(values));
+    deployment const given = read_deployment(values);
+    deployment_bounds bounds = derive_bounds(given);
     auto const process = make_daemon(values);
     std::atomic<bool> has_failed{false};
     log_info(event_line(event::process_started)
                  .field("name", values.text("daemon", "name")));
-    log_bounds(values);
+    log_bounds(given, bounds);
     process->start(
         [&has_failed](std::string_view reason)
         {
--- a/src/daemon/shutdown.hpp
+++ b/src/daemon/shutdown.hpp
@@ -6,6 +6,12 @@
 namespace gooseberrycove
 {
 
+/// For log lines.
+inline std::int64_t to_milliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 /// Times of a shutdown.
 struct shutdown_schedule
 {
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -7,7 +7,6 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -56,10 +55,10 @@
     void on_caller_response(caller_response const& response);
     void on_give_up();
     void handle_messages();
-    /// Refuses a request that is in its connection's pipeline.
-    void refuse(std::uint64_t connection, request_id id, error_kind kind,
-                char const* reason);
-    void respond(std::uint64_t connection, request_id id,
+    /// Refuses a request before it is passed on.
+    void refuse(std::uint64_t connection, pipelined_request& request,
+                error_kind kind, char const* reason);
+    void respond(std::uint64_t connection, pipelined_request& request,
                  caller_response const& response);
     void publish_in_flight();
 
@@ -117,50 +116,44 @@
         request.caller_id = exchange->header(m_setup.requests.names.request_id);
     }
     request_id const id = request.id;
-    if (!add_request(m_pipelines[connection],
-                     {id, request.caller_id, std::move(exchange), {}}))
+    pipeline& state = m_pipelines[connection];
+    if (!add_request(state, {id, request.caller_id, std::move(exchange), {}}))
         return;
+    pipelined_request& added = state.requests.back();
     ++m_unanswered;
     publish_in_flight();
     if (failed != error_kind::none)
-        return refuse(connection, id, failed, reason.c_str());
+        return refuse(connection, added, failed, reason.c_str());
     if (m_has_stopped_accepting)
-        return refuse(connection, id, error_kind::draining, "shutting down");
+        return refuse(connection, added, error_kind::draining, "shutting down");
     routing::message message(std::move(request));
     bool const accepted =
         m_open_requests.size() < m_setup.max_in_flight &&
         m_setup.routing->try_push(std::move(message), response_reserve);
     if (!accepted)
-        return refuse(connection, id, error_kind::overloaded,
+        return refuse(connection, added, error_kind::overloaded,
                       "too many requests in flight at this daemon");
     m_open_requests.emplace(id, connection);
 }
 
-void front_loop::refuse(std::uint64_t connection, request_id id,
+void front_loop::refuse(std::uint64_t connection, pipelined_request& request,
                         error_kind kind, char const* reason)
 {
-    std::string const& caller_id =
-        m_pipelines[connection].requests.back().caller_id;
     m_setup.counts->count_refusal("front", kind);
     log_info(event_line(event::request_refused)
-                 .field("request", caller_id)
+                 .field("request", request.caller_id)
                  .field("kind", error_response_for(kind).name)
                  .field("detail", reason));
-    respond(connection, id, make_refusal(caller_id, kind, reason));
+    respond(connection, request, make_refusal(request.caller_id, kind, reason));
 }
 
-void front_loop::respond(std::uint64_t connection, request_id id,
+void front_loop::respond(std::uint64_t connection, pipelined_request& request,
                          caller_response const& response)
 {
-    pipeline& state = m_pipelines[connection];
-    auto const found =
-        std::ranges::find(state.requests, id, &pipelined_request::id);
-    if (found == state.requests.end())
-        return;
     std::vector<delivery> due;
     add_response(
-        state, id,
-        to_response(response, found->caller_id, m_setup.requests.names),
+        m_pipelines[connection], request,
+        to_response(response, request.caller_id, m_setup.requests.names),
         m_is_draining, due);
     for (delivery const& item : due)
         item.exchange->respond(item.reply,
@@ -205,7 +198,9 @@
         return;
     std::uint64_t const connection = found->second;
     m_open_requests.erase(found);
-    respond(connection, response.id, response);
+    if (pipelined_request* const request =
+            find_request(m_pipelines[connection], response.id))
+        respond(connection, *request, response);
 }
 
 void front_loop::on_give_up()
@@ -213,13 +208,12 @@
     auto const unanswered = std::exchange(m_open_requests, {});
     for (auto const& [id, connection] : unanswered)
     {
-        auto const& requests = m_pipelines[connection].requests;
-        auto const found =
-            std::ranges::find(requests, id, &pipelined_request::id);
-        if (found == requests.end())
+        pipelined_request* const request =
+            find_request(m_pipelines[connection], id);
+        if (!request)
             continue;
-        respond(connection, id,
-                make_refusal(found->caller_id, error_kind::outcome_unknown,
+        respond(connection, *request,
+                make_refusal(request->caller_id, error_kind::outcome_unknown,
                              "the daemon stops before the request has ended"));
     }
 }
--- a/src/front/pipeline.cpp
+++ b/src/front/pipeline.cpp
@@ -10,6 +10,13 @@
     return state.requests.size() + state.unwritten;
 }
 
+pipelined_request* find_request(pipeline& state, request_id id)
+{
+    auto const found =
+        std::ranges::find(state.requests, id, &pipelined_request::id);
+    return found == state.requests.end() ? nullptr : &*found;
+}
+
 bool add_request(pipeline& state, pipelined_request&& request)
 {
     if (state.is_closing)
@@ -18,14 +25,11 @@
     return true;
 }
 
-void add_response(pipeline& state, request_id id, http::response&& reply,
-                  bool is_draining, std::vector<delivery>& out)
+void add_response(pipeline& state, pipelined_request& request,
+                  http::response&& reply, bool is_draining,
+                  std::vector<delivery>& out)
 {
-    auto const found =
-        std::ranges::find(state.requests, id, &pipelined_request::id);
-    if (found == state.requests.end())
-        return;
-    found->reply = std::move(reply);
+    request.reply = std::move(reply);
     while (!state.requests.empty() && state.requests.front().reply)
     {
         pipelined_request ready = std::move(state.requests.front());
--- a/src/front/pipeline.hpp
+++ b/src/front/pipeline.hpp
@@ -46,15 +46,20 @@
 /// Requests of the connection that are not completely answered.
 std::size_t count_unanswered(pipeline const& state);
 
+/// The request of the connection with this id, or null.
+pipelined_request* find_request(pipeline& state, request_id id);
+
 /// Adds a request that has been read. Returns false when the connection is
 /// closing and the request must be ignored.
 bool add_request(pipeline& state, pipelined_request&& request);
 
-/// Stores the response of a request and appends to \p out those that are due.
-/// In a shutdown the response of the last request that was read closes the
-/// connection: an earlier close would discard the responses behind it.
-void add_response(pipeline& state, request_id id, http::response&& reply,
-                  bool is_draining, std::vector<delivery>& out);
+/// Stores the response of \p request, one of \p state, and appends to \p out
+/// those that are due. In a shutdown the response of the last request that was
+/// read closes the connection: an earlier close would discard the responses
+/// behind it.
+void add_response(pipeline& state, pipelined_request& request,
+                  http::response&& reply, bool is_draining,
+                  std::vector<delivery>& out);
 
 } // namespace gooseberrycove::front
 
--- a/src/front/pipeline_test.cpp
+++ b/src/front/pipeline_test.cpp
@@ -26,7 +26,8 @@
     http::response reply;
     reply.status = static_cast<int>(number);
     std::vector<delivery> out;
-    add_response(state, make_id(number), std::move(reply), is_draining, out);
+    if (pipelined_request* const request = find_request(state, make_id(number)))
+        add_response(state, *request, std::move(reply), is_draining, out);
     std::vector<int> statuses;
     for (delivery const& item : out)
         statuses.push_back(item.reply.close_connection ? -item.reply.status
