--- a/src/include/gooseberrycove/deployment.hpp
+++ b/src/include/gooseberrycove/deployment.hpp
@@ -48,7 +48,7 @@
 /// Reads the fields from checked settings.
 deployment read_deployment(settings const& values);
 
-/// Derives the bounds. The formulas are in docs/settings.md.
+/// Derives the bounds. The formulas are in docs/deployment.md.
 deployment_bounds derive_bounds(deployment const& given);
 
 /// Returns one message for each combination of settings that cannot hold; each
--- a/testsuite/daemon_notice/run.sh
+++ b/testsuite/daemon_notice/run.sh
@@ -17,16 +17,7 @@
 start_ready_daemons d1 d2
 start_server s1 catalogue 1 "${admin[d1]}"
 
-hash=$(printf '%s' "$secret" | sha256sum | cut -c1-32)
-cat >"$run/config.json" <<JSON
-{"priorities": {"urgent": {"rank": 0, "target_ms": 500}},
- "services": {"catalogue": {"floor_slots": 4, "priorities": {"urgent": {}}}},
- "routes": {"all": {"service": "catalogue", "method": "*", "path": "/*",
-   "priority": "urgent", "repeatable": true, "timeout_ms": 10000}},
- "accounts": {"demo": {"key_hash": "$hash"}}}
-JSON
-accept_patch d1 0 "$run/config.json" || fail "patch: $(cat "$run/patch.out")"
-wait_until 10 all_have_version 1 || fail "the configuration is not active"
+activate_catalogue d1 10000
 d2_lists_s1() {
     admin_get d2 /servers | jq -e '.servers | length == 1' >/dev/null
 }
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -183,6 +183,24 @@
     done
 }
 
+# activate_catalogue DAEMON TIMEOUT_MS: submits the first configuration, with
+# one repeatable route to the service catalogue and the account demo, and waits
+# until it is active everywhere.
+activate_catalogue() {
+    local hash
+    hash=$(printf '%s' "$secret" | sha256sum | cut -c1-32)
+    cat >"$run/config.json" <<JSON
+{"priorities": {"urgent": {"rank": 0, "target_ms": 500}},
+ "services": {"catalogue": {"floor_slots": 4, "priorities": {"urgent": {}}}},
+ "routes": {"all": {"service": "catalogue", "method": "*", "path": "/*",
+   "priority": "urgent", "repeatable": true, "timeout_ms": $2}},
+ "accounts": {"demo": {"key_hash": "$hash"}}}
+JSON
+    accept_patch "$1" 0 "$run/config.json" ||
+        fail "patch: $(cat "$run/patch.out")"
+    wait_until 10 all_have_version 1 || fail "the configuration is not active"
+}
+
 # directory_entry NAME: prints the entry of the server in the directory of the
 # first daemon.
 directory_entry() {
