--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -605,6 +605,8 @@
     int store_port = 0;
     pid_t pid = 0;
     int starts = 0;
+    /// Set for the process in addition to what this program has.
+    std::map<std::string, std::string> environment;
 
     void assign()
     {
@@ -667,6 +669,8 @@
             ::dup2(out, 2);
             if (::chdir(root.c_str()) != 0)
                 ::_exit(127);
+            for (auto const& [variable, value] : environment)
+                ::setenv(variable.c_str(), value.c_str(), 1);
             std::string const program = root + "/target/bin/gcove_daemon";
             std::string const argument = "--settings=" + file;
             ::execl(program.c_str(), "gcove_daemon", argument.c_str(),
