--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -77,7 +77,7 @@
 
 inline recorder record;
 
-/// Listens on a free port of 127.0.0.1 that is below the ephemeral range.
+/// Listens on a port of 127.0.0.1; returns -1 when it is in use.
 inline int listen_on(int port)
 {
     int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -97,9 +97,10 @@
     return fd;
 }
 
+/// A free port below the ephemeral range, where no connection begins.
 inline int free_port()
 {
-    static int next = 12000 + (static_cast<int>(::getpid()) * 37) % 18000;
+    static int next = 12000 + (static_cast<int>(::getpid()) * 997) % 18000;
     while (true)
     {
         int const port = next++;
