--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -100,7 +100,7 @@
 /// A free port below the ephemeral range, where no connection begins.
 inline int free_port()
 {
-    static int next = 12000 + (static_cast<int>(::getpid()) * 997) % 18000;
+    static int next = 12000 + static_cast<int>(::getpid() % 18000L * 997 % 18000);
     while (true)
     {
         int const port = next++;
