--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -51,7 +51,6 @@
                 {
                     std::lock_guard lock(mutex);
                     arrivals_at_leaver.push_back(now_s());
-                    record.line("i-0 runs " + request.header("X-Request-Id"));
                 }
                 sleep_s(0.15);
                 return self.answer(request, 200, "done");
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# run_case.sh FOLDER: runs the case of the folder after the build of the deploy
-# file and of review/build.sh. TROUBLE=0 leaves the disruption out.
+# run_case.sh FOLDER TROUBLE: runs the case of the folder after the build of the
+# deploy file and of review/build.sh; without the disruption if TROUBLE is 0.
 set -uo pipefail
+export TROUBLE=$2
 folder=$(cd "$1" && pwd)
 root=$(cd "$(dirname "$0")/.." && pwd)
 driver=$root/review/bin/case$(basename "$folder")
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -668,6 +668,9 @@
                 ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
+            sigset_t none;
+            sigemptyset(&none);
+            ::sigprocmask(SIG_SETMASK, &none, nullptr);
             if (::chdir(root.c_str()) != 0)
                 ::_exit(127);
             for (auto const& [variable, value] : environment)
@@ -839,6 +842,9 @@
         std::string const target = request.header("X-Target-Instance");
         if (!target.empty() && target != m_id)
             return make_response(421, "", {{"X-Instance-Id", m_id}});
+        record.line("run: " + m_id + " runs " + request.word(0) + " " +
+                    request.word(1) + " " + request.header("X-Request-Id") +
+                    ", body " + std::to_string(request.body.size()));
         return m_run(request, *this);
     }
 
@@ -882,15 +888,25 @@
 /// ends or the time is over without a complete answer.
 inline std::optional<message> ask(int port, call const& request)
 {
+    record.line("sent: " + request.method + " " + request.path + " " +
+                request.id + " to port " + std::to_string(port) + ", body " +
+                std::to_string(request.body.size()));
     int const fd = connect_to(port);
     if (fd < 0)
+    {
+        record.line("answered: " + request.id + " no connection");
         return std::nullopt;
+    }
     send_all(fd, make_request(request));
     reader in(fd);
     message reply;
     bool const is_ok = in.read(reply, request.timeout_ms / 1000.0, true,
                                request.method != "HEAD");
     ::close(fd);
+    std::string const stamp = reply.header("X-Server-Stamp");
+    record.line("answered: " + request.id + " " +
+                (is_ok ? reply.first : std::string("no complete answer")) +
+                (stamp.empty() ? "" : ", " + stamp));
     if (!is_ok)
         return std::nullopt;
     return reply;
@@ -938,6 +954,7 @@
         if (argc < 3)
             std::exit(2);
         ::signal(SIGPIPE, SIG_IGN);
+        end_with_children();
         root = argv[1];
         folder = argv[2];
         char const* const trouble = std::getenv("TROUBLE");
@@ -950,6 +967,25 @@
         record.line(std::string("TROUBLE=") + (has_trouble ? "1" : "0"));
     }
 
+    /// Ends the processes also when this one is told to stop.
+    static void end_with_children()
+    {
+        sigset_t stops;
+        sigemptyset(&stops);
+        sigaddset(&stops, SIGTERM);
+        sigaddset(&stops, SIGINT);
+        ::pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+        std::thread(
+            [stops]
+            {
+                int number = 0;
+                ::sigwait(&stops, &number);
+                end_children();
+                ::_exit(2);
+            })
+            .detach();
+    }
+
     /// Ends all processes and exits.
     [[noreturn]] void finish(int code, std::string const& text)
     {
