A stopped daemon without callers ends in order

Cause: the front's event loop had no work left once its listener was closed, returned and was destroyed. Its ring kept the waker, and the last messages of the shutdown posted to the destroyed io_context. The same race exists with callers: close() called the waker after the reader could have ended.

Change: set_waker() returns a scope. Its end removes the waker and waits for a call that runs, so what a waker refers to can't be destroyed under it; peer, admin, dispatch, store and load use it as well. The front holds a work guard until its ring is closed, then flushes for 300 ms or until no connection is left.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -120,6 +120,7 @@
     asio::io_context m_context;
     std::vector<std::unique_ptr<http::listener>> m_listeners;
     std::mt19937_64 m_generator;
+    waker_scope m_waker;
 };
 
 std::array<admin_loop::endpoint,
@@ -152,7 +153,7 @@
         m_listeners.push_back(std::make_unique<http::listener>(
             m_context, http::listener_options{address, max_body_size},
             handlers));
-    m_messages.set_waker([this] { m_context.stop(); });
+    m_waker = m_messages.set_waker([this] { m_context.stop(); });
     std::vector<std::monostate> ignored;
     if (!m_messages.pop_all(ignored))
         return;
--- a/src/core/core_test.cpp
+++ b/src/core/core_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <future>
 #include <thread>
 
 using namespace gooseberrycove;
@@ -140,6 +142,41 @@
     ring<int> queue(4);
     CHECK(queue.try_push(1));
     int calls = 0;
-    queue.set_waker([&] { ++calls; });
+    waker_scope const waker = queue.set_waker([&] { ++calls; });
+    CHECK(calls == 1);
+}
+
+TEST_CASE("the end of a waker's scope waits for its calls and ends them")
+{
+    // Guards against a push or close of another thread that uses the event loop
+    // of a duty whose thread has ended (review/5).
+    ring<int> queue(4);
+    std::atomic<int> calls{0};
+    std::promise<void> release;
+    waker_scope waker = queue.set_waker(
+        [&]
+        {
+            ++calls;
+            release.get_future().wait();
+        });
+    std::thread writer([&] { queue.try_push(1); });
+    while (calls == 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::atomic<bool> is_removed{false};
+    std::thread reader(
+        [&]
+        {
+            waker.reset();
+            is_removed = true;
+        });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(is_removed);
+    release.set_value();
+    writer.join();
+    reader.join();
+    std::vector<int> out;
+    queue.pop_all(out);
+    CHECK(queue.try_push(2));
+    queue.close();
     CHECK(calls == 1);
 }
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -40,11 +40,10 @@
     void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
 };
 
-/// Transfers in flight. The multi handle is shared with the waker of the ring,
-/// because another thread may still call the waker when the loop ends.
 struct dispatch_state
 {
-    std::shared_ptr<CURLM> multi;
+    std::unique_ptr<CURLM, multi_deleter> multi;
+    /// Transfers in flight.
     std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers;
     std::unordered_map<std::uint64_t, CURL*> handle_by_ticket;
     std::vector<easy_ptr> spare_handles;
@@ -56,7 +55,7 @@
 dispatch_state make_state()
 {
     dispatch_state state;
-    state.multi.reset(curl_multi_init(), multi_deleter{});
+    state.multi.reset(curl_multi_init());
     if (!state.multi)
         throw std::bad_alloc();
     curl_multi_setopt(state.multi.get(), CURLMOPT_MAXCONNECTS,
@@ -247,8 +246,8 @@
 void run(inbox& requests, wiring const& setup)
 {
     dispatch_state state = make_state();
-    requests.set_waker([multi = state.multi]
-                       { curl_multi_wakeup(multi.get()); });
+    waker_scope const waker = requests.set_waker([multi = state.multi.get()]
+                                                 { curl_multi_wakeup(multi); });
     std::vector<message> batch;
     time_point stop_at = time_point::max();
     for (time_point now = clock_now(); now < stop_at; now = clock_now())
--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -48,7 +48,12 @@
         setup.routing = &routing;
         setup.in_flight = &in_flight;
         setup.max_pipelined = max_pipelined;
-        m_thread = std::thread([this] { front::run(messages, setup); });
+        m_thread = std::thread(
+            [this]
+            {
+                front::run(messages, setup);
+                has_ended = true;
+            });
     }
 
     ~test_front()
@@ -57,12 +62,7 @@
         m_thread.join();
     }
 
-    /// Closes the ring, once: the front's thread may have ended afterwards.
-    void stop()
-    {
-        if (!messages.is_closed())
-            messages.close();
-    }
+    void stop() { messages.close(); }
 
     /// Requests that have been passed on, in order; waits for \p count.
     std::vector<routing::caller_request> take_requests(std::size_t count)
@@ -96,6 +96,7 @@
     routing::inbox routing{request_ring_capacity};
     metrics counts;
     std::atomic<std::size_t> in_flight{0};
+    std::atomic<bool> has_ended{false};
     front::wiring setup;
 
 private:
@@ -265,6 +266,20 @@
     CHECK(caller.read_bytes(body.size()).size() == body.size());
 }
 
+TEST_CASE("a front without callers runs until its ring is closed")
+{
+    // Guards against a stopped daemon that crashes or hangs: the messages of a
+    // shutdown woke an event loop that had ended and been destroyed (review/5).
+    test_front front;
+    test_caller(front.setup.address).close();
+    front.messages.try_push(front::stop_accepting{});
+    std::this_thread::sleep_for(300ms);
+    CHECK_FALSE(front.has_ended);
+    CHECK(front.messages.try_push(front::give_up{}));
+    front.stop();
+    CHECK(wait_until([&] { return front.has_ended.load(); }));
+}
+
 TEST_CASE("a request is in flight until the last byte of its response is sent")
 {
     // Guards against a shutdown that ends while a caller is still receiving.
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -4,8 +4,8 @@
 #include "pipeline.hpp"
 #include <gooseberrycove/event.hpp>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <optional>
 #include <unordered_map>
@@ -26,7 +26,7 @@
 /// many MiB.
 constexpr std::size_t max_excess_body_bytes = std::size_t{8} << 20;
 
-/// Time for the last responses to be sent before the io_context is stopped.
+/// Time for the last responses to be sent after the ring is closed.
 constexpr std::chrono::milliseconds flush_wait{300};
 
 /// Size in bytes above which a body is not read and its connection is closed.
@@ -65,7 +65,9 @@
     inbox& m_messages;
     wiring const& m_setup;
     asio::io_context m_context;
-    asio::steady_timer m_flush_timer{m_context};
+    /// Keeps the loop running without callers until the ring is closed.
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{
+        m_context.get_executor()};
     std::optional<http::listener> m_listener;
     std::mt19937_64 m_generator;
     std::unordered_map<std::uint64_t, pipeline> m_pipelines;
@@ -77,7 +79,7 @@
     std::vector<message> m_batch;
     bool m_is_draining = false;
     bool m_has_stopped_accepting = false;
-    bool m_is_flushing = false;
+    waker_scope m_waker;
 };
 
 void front_loop::run()
@@ -91,10 +93,13 @@
         m_setup.address, hard_body_limit(m_setup.requests.max_body_bytes),
         m_setup.max_pipelined};
     m_listener.emplace(m_context, options, std::move(handlers));
-    m_messages.set_waker(
+    m_waker = m_messages.set_waker(
         [this] { asio::post(m_context, [this] { handle_messages(); }); });
     asio::post(m_context, [this] { handle_messages(); });
+    // Returns when handle_messages() finds the ring closed.
     m_context.run();
+    m_context.restart();
+    m_context.run_for(flush_wait);
 }
 
 void front_loop::on_request(http::exchange_ptr exchange)
@@ -237,12 +242,11 @@
         m_listener->stop();
     }
     m_batch.clear();
-    // A second call would cancel the timer and so end the flush at once.
-    if (is_open || m_is_flushing)
+    // A second stop would end the flush of the last responses at once.
+    if (is_open || !m_work.owns_work())
         return;
-    m_is_flushing = true;
-    m_flush_timer.expires_after(flush_wait);
-    m_flush_timer.async_wait([this](asio::error_code) { m_context.stop(); });
+    m_work.reset();
+    m_context.stop();
 }
 
 } // namespace
--- a/src/include/gooseberrycove/ring.hpp
+++ b/src/include/gooseberrycove/ring.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <iterator>
+#include <memory>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -16,6 +17,40 @@
 namespace gooseberrycove
 {
 
+/// Function that wakes a loop which waits for sockets. Called from any thread.
+class waker_slot
+{
+public:
+    void set(std::function<void()> waker)
+    {
+        std::lock_guard lock(m_mutex);
+        m_waker = std::move(waker);
+    }
+
+    /// Waits for a call that runs on another thread.
+    void clear() { set({}); }
+
+    void call()
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_waker)
+            m_waker();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::function<void()> m_waker;
+};
+
+struct waker_remover
+{
+    void operator()(waker_slot* slot) const { slot->clear(); }
+};
+
+/// Removes a waker at the end of its scope. Afterwards no thread calls it, so
+/// what it refers to may be destroyed. The ring must outlive the scope.
+using waker_scope = std::unique_ptr<waker_slot, waker_remover>;
+
 /// Bounded queue of messages from many threads to the thread of one duty.
 ///
 /// Uses a mutex and a condition variable, so that a waiting thread sleeps in
@@ -34,16 +69,22 @@
     ring& operator=(ring const&) = delete;
 
     /// Sets the function that is called, outside the lock, after a push into
-    /// an empty ring. May be called once, also after other threads have pushed:
-    /// \p waker is then called at once.
-    void set_waker(std::function<void()> waker)
+    /// an empty ring and after close(). May be called once, also after other
+    /// threads have pushed: \p waker is then called at once. It must not use
+    /// the ring.
+    [[nodiscard]] waker_scope set_waker(std::function<void()> waker)
     {
-        std::unique_lock lock(m_mutex);
-        m_waker = std::move(waker);
-        bool const queued = !m_queue.empty() || m_closed;
-        lock.unlock();
-        if (queued)
-            m_waker();
+        m_waker.set(std::move(waker));
+        waker_scope scope(&m_waker);
+        bool is_due = false;
+        {
+            std::lock_guard lock(m_mutex);
+            m_has_waker = true;
+            is_due = !m_queue.empty() || m_closed;
+        }
+        if (is_due)
+            m_waker.call();
+        return scope;
     }
 
     /// Returns false, and leaves \p message unchanged, when fewer than
@@ -59,11 +100,11 @@
             m_queue.push_back(std::move(message));
             if (m_queue.size() > 1)
                 return true;
-            has_waker = static_cast<bool>(m_waker);
+            has_waker = m_has_waker;
         }
         m_ready.notify_one();
         if (has_waker)
-            m_waker();
+            m_waker.call();
         return true;
     }
 
@@ -96,11 +137,11 @@
         {
             std::lock_guard lock(m_mutex);
             m_closed = true;
-            has_waker = static_cast<bool>(m_waker);
+            has_waker = m_has_waker;
         }
         m_ready.notify_all();
         if (has_waker)
-            m_waker();
+            m_waker.call();
     }
 
     bool is_closed() const
@@ -123,7 +164,8 @@
     std::size_t m_capacity;
     std::deque<Message> m_queue;
     bool m_closed = false;
-    std::function<void()> m_waker;
+    bool m_has_waker = false;
+    waker_slot m_waker;
 };
 
 /// Limit of requests in flight at one daemon, from callers and from peers.
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -151,8 +151,7 @@
 /// Calls that can be queued for the store; further calls are refused.
 inline constexpr std::size_t inbox_capacity = 1024;
 
-/// Client of the platform's service. The constructor installs the waker of the
-/// ring, so it must run before other threads push into the ring.
+/// Client of the platform's service.
 class client
 {
 public:
@@ -175,10 +174,10 @@
     protocol m_protocol;
     /// Handle of libcurl's multi interface.
     std::shared_ptr<void> m_multi;
+    waker_scope m_waker;
 };
 
-/// Constructs a client and runs it. No other thread may push into \p requests
-/// before this call.
+/// Constructs a client and runs it.
 void run(inbox& requests, std::string_view base_url, std::string_view client,
          protocol const& http_protocol = fake_platform_protocol());
 
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -111,11 +111,8 @@
                                       values.text("load", "secret");
     load::transfer_inbox transfers(load::max_open_transfers);
     load::result_inbox results(load::max_open_transfers);
-    load::multi_handle const multi = load::make_multi(transfers);
     std::thread sender(
-        [&] {
-            load::run_transfers(multi.get(), transfers, results, authorization);
-        });
+        [&] { load::run_transfers(transfers, results, authorization); });
     load::plan_state plan = load::make_plan(options, clock_now());
     run_plan(plan, transfers, results, history);
     transfers.close();
--- a/src/load/transfer.hpp
+++ b/src/load/transfer.hpp
@@ -53,16 +53,10 @@
 using transfer_inbox = ring<transfer>;
 using result_inbox = ring<transfer_result>;
 
-using multi_handle = std::unique_ptr<CURLM, decltype(&curl_multi_cleanup)>;
-
-/// Creates a multi handle that wakes up on each push to \p requests. The handle
-/// must outlive all use of the ring, because closing the ring wakes it as well.
-multi_handle make_multi(transfer_inbox& requests);
-
 /// Sends transfers until \p requests is closed and every transfer has ended.
 /// \param authorization  value of the Authorization header
-void run_transfers(CURLM* multi, transfer_inbox& requests,
-                   result_inbox& results, std::string_view authorization);
+void run_transfers(transfer_inbox& requests, result_inbox& results,
+                   std::string_view authorization);
 
 } // namespace gooseberrycove::load
 
--- a/src/load/transfer_test.cpp
+++ b/src/load/transfer_test.cpp
@@ -64,9 +64,7 @@
         });
     transfer_inbox requests(4);
     result_inbox results(4);
-    multi_handle const multi = make_multi(requests);
-    std::thread sender([&]
-                       { run_transfers(multi.get(), requests, results, ""); });
+    std::thread sender([&] { run_transfers(requests, results, ""); });
     transfer const first = make_get(listener, 1);
     transfer second = first;
     second.ticket = 2;
--- a/src/load/transfer_thread.cpp
+++ b/src/load/transfer_thread.cpp
@@ -193,17 +193,15 @@
 
 } // namespace
 
-multi_handle make_multi(transfer_inbox& requests)
-{
-    multi_handle multi(curl_multi_init(), curl_multi_cleanup);
-    curl_multi_setopt(multi.get(), CURLMOPT_MAXCONNECTS, max_idle_connections);
-    requests.set_waker([handle = multi.get()] { curl_multi_wakeup(handle); });
-    return multi;
-}
-
-void run_transfers(CURLM* multi, transfer_inbox& requests,
-                   result_inbox& results, std::string_view authorization)
+void run_transfers(transfer_inbox& requests, result_inbox& results,
+                   std::string_view authorization)
 {
+    std::unique_ptr<CURLM, decltype(&curl_multi_cleanup)> const handle(
+        curl_multi_init(), curl_multi_cleanup);
+    CURLM* const multi = handle.get();
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, max_idle_connections);
+    waker_scope const waker =
+        requests.set_waker([multi] { curl_multi_wakeup(multi); });
     transfer_set transfers(multi, results, authorization);
     std::vector<transfer> batch;
     bool is_ring_open = true;
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -113,6 +113,7 @@
     std::unordered_map<attempt_key, sent_work, attempt_key_hash> m_sent_work;
     std::vector<message> m_batch;
     bool m_is_finishing = false;
+    waker_scope m_waker;
 };
 
 peer_loop::peer_loop(inbox& messages, wiring const& to)
@@ -143,8 +144,8 @@
 void peer_loop::run()
 {
     bind();
-    m_messages.set_waker([this]
-                         { asio::post(m_context, [this] { drain_inbox(); }); });
+    m_waker = m_messages.set_waker(
+        [this] { asio::post(m_context, [this] { drain_inbox(); }); });
     asio::post(m_context, [this] { drain_inbox(); });
     accept();
     receive();
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -227,11 +227,9 @@
         throw std::runtime_error("curl_multi_init failed");
     curl_multi_setopt(static_cast<CURLM*>(m_multi.get()),
                       CURLMOPT_MAX_TOTAL_CONNECTIONS, max_connections);
-    // The waker shares ownership, because another thread that closes the ring
-    // may call it after this client is destroyed.
-    requests.set_waker(
-        [multi = m_multi]
-        { curl_multi_wakeup(static_cast<CURLM*>(multi.get())); });
+    m_waker = requests.set_waker(
+        [multi = m_multi.get()]
+        { curl_multi_wakeup(static_cast<CURLM*>(multi)); });
 }
 
 void client::run()
