Replies to the administration port go through the ring of the admin duty

Cause: the reply callback posted to the admin thread's io_context from the thread of the duty that replied. The admin thread is stopped before members, config and routing, so a late reply used a destroyed io_context and released the exchange on another thread.

Evidence: unit.admin "a reply that comes after the admin thread has ended is dropped" hung before; AddressSanitizer reported a heap-use-after-free in make_reply_callback().

Change: a reply is a message in the admin duty's ring, which outlives all threads, with the number of its request. The exchange stays on the admin thread.

Measured: unit.admin passes.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 namespace gooseberrycove::admin
 {
@@ -64,6 +65,7 @@
     };
 
     void on_request(http::exchange_ptr const& exchange);
+    void handle_messages();
     bool is_authorized(http::exchange const& exchange,
                        access required_access) const;
     void refuse(http::exchange_ptr const& exchange, error_kind kind,
@@ -91,24 +93,31 @@
     void push_request(Inbox& duty, http::exchange_ptr const& exchange,
                       Request request)
     {
-        if (!duty.try_push(std::move(request)))
-            refuse(exchange, error_kind::overloaded,
-                   "the ring of the duty that handles this request is full");
+        if (duty.try_push(std::move(request)))
+            return;
+        m_open_requests.erase(m_last_request);
+        refuse(exchange, error_kind::overloaded,
+               "the ring of the duty that handles this request is full");
     }
 
     /// Returns a callback for the reply of another duty. It may be called on
-    /// any thread: \p make_response runs, and its result is sent, on this
-    /// thread.
+    /// any thread, also after this loop has ended: \p make_response runs, and
+    /// its result is sent, on this thread.
     template <class MakeResponse>
     auto make_reply_callback(http::exchange_ptr const& exchange,
                              MakeResponse make_response)
     {
-        return [this, exchange, make_response](auto&&... values)
+        m_open_requests.emplace(++m_last_request, exchange);
+        return [&messages = m_messages, number = m_last_request,
+                make_response](auto&&... values)
         {
-            asio::post(m_context, [exchange, make_response,
-                                   ... held = std::decay_t<decltype(values)>(
-                                       values)]() mutable
-                       { exchange->respond(make_response(held...)); });
+            bool const is_queued = messages.try_push(
+                {number, [make_response,
+                          ... held = std::decay_t<decltype(values)>(values)]
+                 { return make_response(held...); }});
+            if (!is_queued && !messages.is_closed())
+                log_warning(
+                    event_line(event::ring_full).field("duty", "admin"));
         };
     }
 
@@ -120,6 +129,10 @@
     asio::io_context m_context;
     std::vector<std::unique_ptr<http::listener>> m_listeners;
     std::mt19937_64 m_generator;
+    /// Requests that wait for the reply of another duty.
+    std::unordered_map<std::uint64_t, http::exchange_ptr> m_open_requests;
+    std::uint64_t m_last_request = 0;
+    std::vector<reply> m_batch;
     waker_scope m_waker;
 };
 
@@ -153,13 +166,25 @@
         m_listeners.push_back(std::make_unique<http::listener>(
             m_context, http::listener_options{address, max_body_size},
             handlers));
-    m_waker = m_messages.set_waker([this] { m_context.stop(); });
-    std::vector<std::monostate> ignored;
-    if (!m_messages.pop_all(ignored))
-        return;
+    m_waker = m_messages.set_waker(
+        [this] { asio::post(m_context, [this] { handle_messages(); }); });
     m_context.run();
 }
 
+void admin_loop::handle_messages()
+{
+    bool const is_open = m_messages.pop_all(m_batch);
+    for (reply const& item : m_batch)
+    {
+        auto const request = m_open_requests.extract(item.request);
+        if (!request.empty())
+            request.mapped()->respond(item.make_response());
+    }
+    m_batch.clear();
+    if (!is_open)
+        m_context.stop();
+}
+
 void admin_loop::on_request(http::exchange_ptr const& exchange)
 {
     std::string_view const path = uri::path_of(exchange->target());
--- a/src/admin/admin_thread.hpp
+++ b/src/admin/admin_thread.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_ADMIN_THREAD_HPP
 
 #include <gooseberrycove/config.hpp>
+#include <gooseberrycove/http.hpp>
 #include <gooseberrycove/key_set.hpp>
 #include <gooseberrycove/members.hpp>
 #include <gooseberrycove/metrics.hpp>
@@ -9,15 +10,24 @@
 #include <gooseberrycove/routing.hpp>
 
 #include <atomic>
+#include <cstdint>
+#include <functional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace gooseberrycove::admin
 {
 
-/// The admin duty receives no messages; closing the ring stops it.
-using inbox = ring<std::monostate>;
+/// Reply of another duty to a request of an operator or backend server.
+struct reply
+{
+    /// Number of the request at the admin thread.
+    std::uint64_t request = 0;
+    /// Called on the admin thread.
+    std::function<http::response()> make_response;
+};
+
+using inbox = ring<reply>;
 
 struct wiring
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -90,7 +90,7 @@
     members::inbox members{control_ring_capacity};
     config::inbox config{control_ring_capacity};
     store::inbox store{store::inbox_capacity};
-    admin::inbox admin{1};
+    admin::inbox admin{control_ring_capacity};
 
     std::atomic<bool> is_ready{false};
     std::atomic<bool> is_draining{false};
