Drop what was read on a peer's connection that has ended

Cause: a read may complete and its handler be queued before another handler closes the connection. The frame was then handled after on_end(), and the peer thread entered the ended connection as that of its peer's address.

Evidence: unit.peer "a frame that was read before the connection ended is dropped" brings about that order; it failed before (the frame was handled).

Change: each handler of a connection does nothing once it has ended.

--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -49,7 +49,7 @@
     m_socket.async_connect(target,
                            [self = shared_from_this()](asio::error_code failure)
                            {
-                               if (failure)
+                               if (failure || self->m_has_ended)
                                    return self->report_end();
                                self->start();
                                self->write_next();
@@ -97,7 +97,7 @@
         m_socket, asio::buffer(m_length_prefix),
         [self = shared_from_this()](asio::error_code failure, std::size_t)
         {
-            if (failure)
+            if (failure || self->m_has_ended)
                 return self->report_end();
             std::size_t const length = frame_length(self->m_length_prefix);
             if (length == 0 || length > wire::max_frame_size)
@@ -113,7 +113,9 @@
         m_socket, asio::buffer(m_incoming),
         [self = shared_from_this()](asio::error_code failure, std::size_t)
         {
-            if (failure)
+            // A read may complete before close() and its handler run after it.
+            // The owner has then dropped the connection.
+            if (failure || self->m_has_ended)
                 return self->report_end();
             self->m_last_use = clock_now();
             self->m_handlers.on_frame(*self, self->m_incoming);
@@ -131,7 +133,7 @@
         m_socket, asio::buffer(m_queue.front()),
         [self = shared_from_this()](asio::error_code failure, std::size_t)
         {
-            if (failure)
+            if (failure || self->m_has_ended)
                 return self->report_end();
             self->m_queue.pop_front();
             if (self->m_queue.empty() && self->m_is_finishing)
