The weights of a split may be fractions

Cause: the schema took whole weights only, and one refused entry refuses its document.

Change: a weight is a number from 0 to 1e9, in the schema, the packed tables and the round-robin. Whole weights give the same shares as before.

Measured: unit.config and unit.routing pass.

--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -137,6 +137,29 @@
     }
 }
 
+TEST_CASE("the weights of a split may be fractions")
+{
+    // Guards against a configuration that never takes effect because one of its
+    // routes is split by weights such as 0.9 and 0.1 (review/3).
+    constexpr std::string_view document = R"({
+        "priorities":{"p":{"rank":0,"target_ms":50}},
+        "services":{"a":{"floor_slots":0,"priorities":{"p":{}}},
+                    "b":{"floor_slots":0,"priorities":{"p":{}}}},
+        "routes":{"r":{"split":{"a":0.9,"b":0.1},"method":"*","path":"/*",
+            "priority":"p","repeatable":true,"timeout_ms":100}}})";
+    parse_result const read = parse_document(document, 1);
+    REQUIRE(read.data != nullptr);
+    // The text that daemons send to each other keeps them.
+    parse_result const again = parse_document(render_document(*read.data), 1);
+    REQUIRE(again.data != nullptr);
+    tables const in_force(again.data);
+    auto const route = in_force.match("GET", "", "/x");
+    REQUIRE(route.has_value());
+    REQUIRE(route->split.size() == 2);
+    CHECK(route->split[0].weight == 0.9);
+    CHECK(route->split[1].weight == 0.1);
+}
+
 TEST_CASE("deep nesting is refused before it can exhaust the stack")
 {
     std::string deep;
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -18,6 +18,9 @@
 /// One hour; a longer time most likely has a wrong unit and is refused.
 constexpr double max_time_ms = 3'600'000;
 
+/// Allows weights in parts per billion, whose sum is still exact.
+constexpr double max_split_weight = 1e9;
+
 /// An entry being read.
 struct entry_reader
 {
@@ -185,6 +188,14 @@
     return std::strtod(fmt::format("{}", value).c_str(), nullptr);
 }
 
+/// An integer where the value is one, so that 90.0 is rendered as 90.
+json to_json_number(double value)
+{
+    if (value == std::floor(value) && std::abs(value) <= max_split_weight)
+        return static_cast<std::int64_t>(value);
+    return value;
+}
+
 std::int64_t to_ms(duration time)
 {
     return time.count() / 1000;
@@ -273,7 +284,8 @@
     for (auto const& [name, weight] : parts.items())
     {
         weighted_service part{name, 0};
-        read_number(list, name, {0, 1e6, true}, true, part.weight);
+        read_number(list, name, {0, max_split_weight, false}, true,
+                    part.weight);
         result.split.push_back(std::move(part));
     }
     result.service = result.split.front().service;
@@ -351,7 +363,7 @@
     if (value.split.empty())
         result["service"] = value.service;
     for (weighted_service const& part : value.split)
-        result["split"][part.service] = part.weight;
+        result["split"][part.service] = to_json_number(part.weight);
     if (!value.host.empty())
         result["host"] = value.host;
     if (value.attempts != default_attempts)
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -1,7 +1,10 @@
 #include "config/table_data.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <tuple>
 
 namespace gooseberrycove::config
@@ -63,7 +66,8 @@
     for (weighted_service const& part : parts)
     {
         text += text.empty() ? "" : " ";
-        text += part.service + '=' + std::to_string(part.weight);
+        fmt::format_to(std::back_inserter(text), "{}={}", part.service,
+                       part.weight);
     }
     return text;
 }
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -44,7 +44,7 @@
 struct weighted_service
 {
     std::string service;
-    std::uint32_t weight = 1;
+    double weight = 1;
 };
 
 struct route
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -66,7 +66,8 @@
 struct split_part
 {
     std::string_view service;
-    std::uint32_t weight = 1;
+    /// In proportion to the sum of the weights.
+    double weight = 1;
 };
 
 /// Default of route_view::attempts.
--- a/src/routing/split.cpp
+++ b/src/routing/split.cpp
@@ -8,23 +8,23 @@
 namespace
 {
 
-split_position start_position(std::vector<std::uint32_t> weights,
+split_position start_position(std::vector<double> weights,
                               std::mt19937_64& random)
 {
     split_position position;
     position.weights = std::move(weights);
-    std::int64_t total = 0;
-    for (std::uint32_t const weight : position.weights)
+    double total = 0;
+    for (double const weight : position.weights)
         total += weight;
     position.credits.resize(position.weights.size());
     if (total == 0)
         return position;
     // Moves a random number of credits from one part to another; the sum of all
     // credits stays 0.
-    std::uniform_int_distribution<std::int64_t> lead(0, total - 1);
+    std::uniform_real_distribution<double> lead(0, total);
     std::uniform_int_distribution<std::size_t> part(0, position.credits.size() -
                                                            1);
-    std::int64_t const shift = lead(random);
+    double const shift = lead(random);
     position.credits[part(random)] += shift;
     position.credits[part(random)] -= shift;
     return position;
@@ -36,8 +36,8 @@
                            config::route_view const& route,
                            std::mt19937_64& random)
 {
-    std::vector<std::uint32_t> weights;
-    std::int64_t total = 0;
+    std::vector<double> weights;
+    double total = 0;
     for (config::split_part const& part : route.split)
     {
         weights.push_back(part.weight);
--- a/src/routing/split.hpp
+++ b/src/routing/split.hpp
@@ -3,7 +3,6 @@
 
 #include <gooseberrycove/config.hpp>
 
-#include <cstdint>
 #include <map>
 #include <random>
 #include <string>
@@ -16,10 +15,10 @@
 /// Round-robin state of one split route.
 struct split_position
 {
-    std::vector<std::uint32_t> weights;
+    std::vector<double> weights;
     /// Requests due to each part minus those that it received, multiplied by
     /// the sum of the weights.
-    std::vector<std::int64_t> credits;
+    std::vector<double> credits;
 };
 
 /// Keyed by route name.
--- a/src/routing/split_test.cpp
+++ b/src/routing/split_test.cpp
@@ -37,6 +37,21 @@
     }
 }
 
+TEST_CASE("the shares of fractional weights are those of the weights")
+{
+    // Guards against a split that treats fractional weights as 0 (review/3).
+    std::mt19937_64 random(3);
+    split_positions positions;
+    config::route_view const route =
+        split_route({{"a", 0.9}, {"b", 0.075}, {"c", 0.025}});
+    std::map<std::string_view, int> chosen;
+    for (int i = 0; i < 4000; ++i)
+        ++chosen[next_part(positions, route, random)];
+    CHECK(std::abs(chosen["a"] - 3600) <= 1);
+    CHECK(std::abs(chosen["b"] - 300) <= 1);
+    CHECK(std::abs(chosen["c"] - 100) <= 1);
+}
+
 TEST_CASE(
     "a part with weight 0 gets no requests, and new weights apply at once")
 {
