A stored document that cannot be used does not delay readiness

Cause: a daemon is ready when it holds the highest version it has seen, and the version of a stored document counted before it was known to be usable.

Evidence: unit.config "a daemon is ready with its peers' version when the store's is unusable" failed before.

Change: only a version in force, here or at a peer, counts. The daemon pulls its peers' version and is ready with it.

Measured: unit.config passes.

--- a/src/config/document_watch.cpp
+++ b/src/config/document_watch.cpp
@@ -57,8 +57,6 @@
     auto const stored = parse_stored_document(row.value);
     if (!stored)
         return refuse_document(row.version, "", "cannot be parsed", out);
-    duty.highest_seen_version =
-        std::max(duty.highest_seen_version, stored->version);
     if (stored->version <= duty.current->version())
         return;
     parse_result parsed = parse_document(stored->text, stored->version);
--- a/src/config/document_watch_test.cpp
+++ b/src/config/document_watch_test.cpp
@@ -91,6 +91,26 @@
     CHECK(daemon.out.log.size() == 1);
 }
 
+TEST_CASE(
+    "a daemon is ready with its peers' version when the store's is unusable")
+{
+    // Guards against daemons that never become ready after a restart because
+    // the store holds a document that no daemon can use.
+    daemon_fixture daemon;
+    daemon.next_call();
+    daemon.reply(store::status::ok, 12,
+                 R"({"version":9,"document":{"routes":{"r":{}}}})");
+    CHECK_FALSE(daemon.duty.is_ready);
+    on_peer_version(daemon.duty, {"peer", 5}, daemon.now, daemon.out);
+    REQUIRE(!daemon.out.sends.empty());
+    CHECK(std::holds_alternative<pull>(daemon.out.sends.back().content));
+    auto const earlier = parse_stored_document(stored_text(5));
+    on_deltas(daemon.duty, {"peer", 5, earlier->text, {}}, daemon.now,
+              daemon.out);
+    CHECK(daemon.duty.current->version() == 5);
+    CHECK(daemon.duty.is_ready);
+}
+
 TEST_CASE("a daemon is not ready before the store holds a document")
 {
     // Guards against responses with 404 for routes that exist: the first
