One unusable entry does not keep a version from taking effect

Cause: a stored document was read like a patch, whose author gets every error and corrects them. The author of a stored document gets no reply.

Change: parse_usable_entries() leaves out what cannot be used. A route keeps its host and path and refuses its requests with 503, because without it they would reach the service of a shorter path. The result depends on the document alone, so all daemons agree. Event E0705 and the gauge gcove_config_entry_errors name it.

--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -51,7 +51,8 @@
     // only after the check above.
     std::uint64_t const version = current->version();
     if (thread.wires.counters)
-        thread.wires.counters->set_config_version(version);
+        thread.wires.counters->set_config_version(version,
+                                                  thread.duty.entry_errors);
     if (thread.last_sent.members != version &&
         thread.wires.members.try_push(members::active_config_version{version}))
         thread.last_sent.members = version;
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -231,6 +231,8 @@
 /// Receives the entries of a document one by one from json::parse().
 struct document_reader
 {
+    /// Continues without the entries that cannot be used.
+    bool keeps_usable_entries = false;
     table_edit edit;
     table_data const empty_base{};
     json priorities = json::object();
@@ -255,13 +257,68 @@
         if (section == "priorities")
             priorities[name] = value;
         else
-            set_entry(edit, empty_base, section, name, value, errors);
+            read_entry(value);
         if (edit.accounts.size() + edit.routes.size() >= flush_threshold)
             flush(edit);
         return false;
     }
+
+    void read_entry(json const& value)
+    {
+        std::size_t const errors_before = errors.size();
+        set_entry(edit, empty_base, section, name, value, errors);
+        if (errors.size() == errors_before || !keeps_usable_entries ||
+            section != "routes" || !is_name(name))
+            return;
+        if (auto refusing = parse_refusing_route(value, name))
+            edit.routes.push_back({name, std::move(refusing)});
+    }
 };
 
+/// Reads the sections of a document. Adds an error for each one that is no
+/// object of objects.
+void read_sections(document_reader& reader, std::string_view document)
+{
+    json const remainder = json::parse(
+        document,
+        [&](int depth, json::parse_event_t event, json& value)
+        { return reader.on_event(depth, event, value); },
+        false);
+    if (!remainder.is_object())
+        return reader.errors.push_back({"", "must be a JSON object"});
+    check_sections(remainder, reader.errors);
+    for (auto const& [name, unread] : remainder.items())
+    {
+        // The reader has removed all entries that are objects.
+        if (!unread.is_object() || !unread.empty())
+            reader.errors.push_back(
+                {pointer_to("", name), "must be an object of objects"});
+    }
+    flush(reader.edit);
+}
+
+/// Replaces the routes whose service or priority does not exist by routes that
+/// refuse their requests. Returns whether any other route is left.
+bool refuse_unresolved_routes(table_edit& edit, error_list& errors)
+{
+    bool has_usable_route = false;
+    for_each_route(edit.data,
+                   [&](route const& checked)
+                   {
+                       if (refuses_requests(checked))
+                           return;
+                       std::size_t const errors_before = errors.size();
+                       check_route(edit.data, checked, errors);
+                       if (errors.size() == errors_before)
+                           has_usable_route = true;
+                       else
+                           edit.routes.push_back(
+                               {checked.name, make_refusing_route(checked)});
+                   });
+    flush(edit);
+    return has_usable_route;
+}
+
 /// Appends `"name":value` with a comma before all but the first.
 void append_entry(std::string& out, bool& first, std::string_view name,
                   json const& value)
@@ -319,22 +376,7 @@
 parse_result parse_document(std::string_view document, std::uint64_t version)
 {
     document_reader reader;
-    json const remainder = json::parse(
-        document,
-        [&](int depth, json::parse_event_t event, json& value)
-        { return reader.on_event(depth, event, value); },
-        false);
-    if (!remainder.is_object())
-        return {nullptr, {{"", "must be a JSON object"}}};
-    check_sections(remainder, reader.errors);
-    for (auto const& [name, unread] : remainder.items())
-    {
-        // The reader has removed all entries that are objects.
-        if (!unread.is_object() || !unread.empty())
-            reader.errors.push_back(
-                {pointer_to("", name), "must be an object of objects"});
-    }
-    flush(reader.edit);
+    read_sections(reader, document);
     change_summary everything;
     everything.requires_full_check = true;
     if (reader.errors.empty())
@@ -344,6 +386,21 @@
                        version);
 }
 
+parse_result parse_usable_entries(std::string_view document,
+                                  std::uint64_t version)
+{
+    document_reader reader;
+    reader.keeps_usable_entries = true;
+    read_sections(reader, document);
+    bool const has_usable_route =
+        refuse_unresolved_routes(reader.edit, reader.errors);
+    if (!has_usable_route && !reader.errors.empty())
+        return {nullptr, std::move(reader.errors)};
+    parse_result result = make_result(std::move(reader.edit), {}, version);
+    result.errors = std::move(reader.errors);
+    return result;
+}
+
 std::string render_document(table_data const& data)
 {
     std::string out = "{\"priorities\":{";
--- a/src/config/document_watch.cpp
+++ b/src/config/document_watch.cpp
@@ -4,6 +4,7 @@
 #include "config/versions.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace gooseberrycove::config
 {
@@ -15,6 +16,9 @@
 constexpr duration initial_retry_delay = std::chrono::milliseconds(250);
 constexpr duration max_retry_delay = std::chrono::seconds(2);
 
+/// Log lines for the errors of one version.
+constexpr std::size_t max_logged_entry_errors = 16;
+
 bool has_pending_call(state const& duty, call_purpose purpose)
 {
     return std::ranges::any_of(duty.calls, [purpose](store_call const& pending)
@@ -59,11 +63,11 @@
         return refuse_document(row.version, "", "cannot be parsed", out);
     if (stored->version <= duty.current->version())
         return;
-    parse_result parsed = parse_document(stored->text, stored->version);
+    parse_result parsed = parse_usable_entries(stored->text, stored->version);
     if (!parsed.data)
         return refuse_document(row.version, parsed.errors.front().path,
                                parsed.errors.front().detail, out);
-    duty.current = std::make_shared<tables const>(std::move(parsed.data));
+    replace_version(duty, std::move(parsed), out);
     on_version_increase(duty, now, out);
 }
 
@@ -83,6 +87,20 @@
 
 } // namespace
 
+void replace_version(state& duty, parse_result&& parsed, actions& out)
+{
+    std::size_t const logged =
+        std::min(parsed.errors.size(), max_logged_entry_errors);
+    for (patch_error const& failure : std::span(parsed.errors).first(logged))
+        out.log.push_back({true, event_line(event::config_entry_unusable)
+                                     .field("version", parsed.data->version)
+                                     .field("path", failure.path)
+                                     .field("why", failure.detail)
+                                     .field("errors", parsed.errors.size())});
+    duty.entry_errors = parsed.errors.size();
+    duty.current = std::make_shared<tables const>(std::move(parsed.data));
+}
+
 void on_newer_version_reported(state& duty, std::uint64_t version,
                                time_point now)
 {
--- a/src/config/document_watch_test.cpp
+++ b/src/config/document_watch_test.cpp
@@ -1,3 +1,4 @@
+#include "config/document.hpp"
 #include "config/document_watch.hpp"
 #include "config/records.hpp"
 #include "config/versions.hpp"
@@ -111,6 +112,42 @@
     CHECK(daemon.duty.is_ready);
 }
 
+TEST_CASE("an entry that cannot be used does not affect the other entries")
+{
+    // Guards against a version that never takes effect, and daemons that never
+    // become ready, because of one entry (review/3).
+    daemon_fixture daemon;
+    daemon.next_call();
+    daemon.reply(store::status::ok, 12, R"({"version":6,"document":{
+        "priorities":{"p":{"rank":0,"target_ms":50}},
+        "services":{"s":{"floor_slots":0,"priorities":{"p":{}}},
+                    "unusable":{"floor_slots":-1,"priorities":{"p":{}}}},
+        "routes":{
+            "good":{"service":"s","method":"*","path":"/*","priority":"p",
+                "repeatable":true,"timeout_ms":100},
+            "weight":{"split":{"s":-1},"method":"*","path":"/weight/*",
+                "priority":"p","repeatable":true,"timeout_ms":100},
+            "service":{"service":"unusable","method":"*","path":"/service/*",
+                "priority":"p","repeatable":true,"timeout_ms":100},
+            "pattern":{"service":"s","method":"*","path":"x","priority":"p",
+                "repeatable":true,"timeout_ms":100}}}})");
+    CHECK(daemon.duty.is_ready);
+    tables const& current = *daemon.duty.current;
+    REQUIRE(current.version() == 6);
+    CHECK(current.match("GET", "", "/x")->service == "s");
+    // Not those of "good", whose pattern matches them too.
+    CHECK(current.match("GET", "", "/weight/x")->service.empty());
+    CHECK(current.match("GET", "", "/service/x")->service.empty());
+    CHECK(daemon.duty.entry_errors == 4);
+    // A peer that receives this version uses the same routes.
+    daemon_fixture peer;
+    on_deltas(peer.duty, {"self", 6, render_document(current.data()), {}},
+              peer.now, peer.out);
+    REQUIRE(peer.duty.current->version() == 6);
+    CHECK(peer.duty.current->match("GET", "", "/x")->service == "s");
+    CHECK(peer.duty.current->match("GET", "", "/weight/x")->service.empty());
+}
+
 TEST_CASE("a daemon is not ready before the store holds a document")
 {
     // Guards against responses with 404 for routes that exist: the first
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -468,6 +468,41 @@
     return result;
 }
 
+bool refuses_requests(route const& checked)
+{
+    return checked.service.empty() && checked.split.empty();
+}
+
+route make_refusing_route(route const& unusable)
+{
+    route result;
+    result.name = unusable.name;
+    result.method = unusable.method;
+    result.host = unusable.host;
+    result.path = unusable.path;
+    result.repeatable = false;
+    result.timeout_ms = 1;
+    result.is_open = true;
+    return result;
+}
+
+std::optional<route> parse_refusing_route(json const& value,
+                                          std::string_view name)
+{
+    error_list ignored;
+    entry_reader in{value, "", ignored};
+    route result;
+    result.name = name;
+    result.method = read_text(in, "method");
+    result.host = read_text(in, "host", false);
+    result.path = read_text(in, "path");
+    if (!ignored.empty() || !is_method(result.method) ||
+        (!result.host.empty() && !is_host(result.host)) ||
+        !is_path(result.path))
+        return std::nullopt;
+    return make_refusing_route(result);
+}
+
 std::optional<account> parse_account(json const& value, std::string_view name,
                                      std::string_view path, error_list& errors)
 {
--- a/src/config/entry_json.hpp
+++ b/src/config/entry_json.hpp
@@ -50,6 +50,19 @@
                                  std::string_view name,
                                  std::span<priority const> priorities,
                                  std::string_view path, error_list& errors);
+
+/// Whether the route refuses every request, because its entry could not be
+/// used.
+bool refuses_requests(route const& checked);
+
+/// A route with the pattern of \p unusable that refuses every request.
+route make_refusing_route(route const& unusable);
+
+/// Returns such a route for an entry that parse_route() refuses, or nothing
+/// when its host, path or method cannot be read either.
+std::optional<route> parse_refusing_route(nlohmann::json const& value,
+                                          std::string_view name);
+
 std::optional<account> parse_account(nlohmann::json const& value,
                                      std::string_view name,
                                      std::string_view path, error_list& errors);
--- a/src/config/references.cpp
+++ b/src/config/references.cpp
@@ -63,20 +63,8 @@
 void check_set_route(table_data const& data, route const& checked,
                      std::vector<patch_error>& errors)
 {
+    check_route(data, checked, errors);
     std::string const path = pointer_to("/routes", checked.name);
-    for (std::string const& name : target_services(checked))
-    {
-        service const* const target = find_service(data, name);
-        if (target == nullptr)
-            errors.push_back(
-                {pointer_to(path, checked.split.empty() ? "service" : "split"),
-                 fmt::format("no service named '{}'", name)});
-        else if (!accepts_priority(*target, checked.priority))
-            errors.push_back(
-                {pointer_to(path, "priority"),
-                 fmt::format("service '{}' does not accept this priority",
-                             name)});
-    }
     std::string const conflicting = find_conflicting_route(data, checked);
     if (!conflicting.empty())
         errors.push_back({pointer_to(path, "path"),
@@ -127,6 +115,25 @@
 
 } // namespace
 
+void check_route(table_data const& data, route const& checked,
+                 std::vector<patch_error>& errors)
+{
+    std::string const path = pointer_to("/routes", checked.name);
+    for (std::string const& name : target_services(checked))
+    {
+        service const* const target = find_service(data, name);
+        if (target == nullptr)
+            errors.push_back(
+                {pointer_to(path, checked.split.empty() ? "service" : "split"),
+                 fmt::format("no service named '{}'", name)});
+        else if (!accepts_priority(*target, checked.priority))
+            errors.push_back(
+                {pointer_to(path, "priority"),
+                 fmt::format("service '{}' does not accept this priority",
+                             name)});
+    }
+}
+
 change_summary summarise_changes(table_edit const& edit, table_data const& base,
                                  bool sections_cleared)
 {
--- a/src/config/references.hpp
+++ b/src/config/references.hpp
@@ -20,6 +20,11 @@
     bool requires_full_check = false;
 };
 
+/// Adds an error for each service or priority of the route that does not exist
+/// in \p data.
+void check_route(table_data const& data, route const& checked,
+                 std::vector<patch_error>& errors);
+
 /// Must be called before flush(), which empties the queued changes.
 /// \param sections_cleared  the patch removes all services or priorities
 change_summary summarise_changes(table_edit const& edit, table_data const& base,
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -147,6 +147,8 @@
     std::uint64_t random_state = 0;
 
     tables_ptr current = std::make_shared<tables const>();
+    /// Errors of the entries of this version that cannot be used.
+    std::size_t entry_errors = 0;
     /// Patches up to the version in force, without gaps.
     std::deque<delta> history;
     std::size_t history_bytes = 0;
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -332,14 +332,23 @@
     if (received.snapshot_version > version_before)
     {
         parse_result parsed =
-            parse_document(received.snapshot, received.snapshot_version);
+            duty.follows_document
+                ? parse_usable_entries(received.snapshot,
+                                       received.snapshot_version)
+                : parse_document(received.snapshot, received.snapshot_version);
         if (parsed.data)
         {
-            duty.current =
-                std::make_shared<tables const>(std::move(parsed.data));
+            replace_version(duty, std::move(parsed), out);
             duty.history.clear();
             duty.history_bytes = 0;
         }
+        else
+            out.log.push_back(
+                {true, event_line(event::config_patch_refused)
+                           .field("from", received.sender_address)
+                           .field("version", received.snapshot_version)
+                           .field("path", parsed.errors.front().path)
+                           .field("why", parsed.errors.front().detail)});
     }
     for (delta const& entry : received.entries)
     {
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -86,6 +86,11 @@
         add_gauge(registry, "gcove_config_version",
                   "Version of the configuration in force")
             .Add({});
+    prometheus::Gauge& config_entry_errors =
+        add_gauge(registry, "gcove_config_entry_errors",
+                  "Errors of entries of the version in force that cannot be "
+                  "used")
+            .Add({});
     prometheus::Gauge& members_alive =
         add_gauge(registry, "gcove_members", "Daemons known to be alive")
             .Add({});
@@ -169,9 +174,11 @@
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
 }
 
-void metrics::set_config_version(std::uint64_t version)
+void metrics::set_config_version(std::uint64_t version,
+                                 std::size_t entry_errors)
 {
     m_families->config_version.Set(static_cast<double>(version));
+    m_families->config_entry_errors.Set(static_cast<double>(entry_errors));
 }
 
 void metrics::set_members(std::size_t alive, std::size_t servers,
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -58,6 +58,7 @@
     config_patch_refused = 702,
     config_pulled = 703,
     config_ambiguous = 704,
+    config_entry_unusable = 705,
 
     claim_taken = 800,
     claim_refused = 801,
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -45,7 +45,9 @@
     void count_malformed_statements(std::uint64_t count);
     /// Counts a server homed here that entered \p state.
     void count_health_change(std::string_view state);
-    void set_config_version(std::uint64_t version);
+    /// \param entry_errors  errors of entries of this version that cannot be
+    ///                      used
+    void set_config_version(std::uint64_t version, std::size_t entry_errors);
     void set_members(std::size_t alive, std::size_t servers,
                      std::size_t services);
     void set_in_flight(std::size_t requests);
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -25,7 +25,7 @@
         return {no_configuration, "no configuration was read yet"};
     if (lookup.route && lookup.route->is_open)
         return lookup.route->service.empty()
-                   ? refusal{no_server, "all parts of the split have weight 0"}
+                   ? refusal{no_server, "the route has no usable service"}
                    : refusal{};
     if (!lookup.route && !lookup.has_accounts)
         return {no_route, "no route matches"};
