--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -26,8 +26,9 @@
 /// Longest host of a route in bytes; the limit of DNS names.
 inline constexpr std::size_t max_host_size = 253;
 
-/// Maximum number of parts of a split route.
-inline constexpr std::size_t max_split_parts = 16;
+/// Maximum number of parts of a split route. Their text must fit into
+/// route_entry::split_size.
+inline constexpr std::size_t max_split_parts = 128;
 
 /// Marks a priority that the patch being applied removes: this plus its former
 /// index. Never part of a version in force.
