A restarted home does not list a withdrawn server again

Cause: departures were kept in the memory of the home that received them. Its next run took a late announcement of a server that it did not know, and its record replaced the entry `gone` everywhere: records did not carry what orders announcements.

Change: a record names the announcement on which its state is based (optional fields on the wire). Every daemon keeps the last withdrawal of a server for 2 min, does not apply a record based on an earlier announcement, and answers its home with the withdrawal. A restarted home gets those of its former runs with its first synchronisation. A withdrawal goes to 16 peers at once.

--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -7,7 +7,9 @@
 #include <gooseberrycove/types.hpp>
 #include <gooseberrycove/work.hpp>
 
+#include <compare>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -46,6 +48,21 @@
     gone
 };
 
+/// Position of an announcement in the order in which its server made them.
+struct announcement_number
+{
+    /// Start of the server; 0 when unknown.
+    std::uint64_t incarnation = 0;
+    /// Announcement since the start.
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(announcement_number const&) const = default;
+};
+
+/// Sequence of a departure, which follows all announcements of the start.
+inline constexpr std::uint64_t departure_sequence =
+    std::numeric_limits<std::uint64_t>::max();
+
 /// Directory entry of one backend server, owned by its home.
 struct server_record
 {
@@ -62,6 +79,8 @@
     /// odd number means drained. Kept when the server moves to another home,
     /// where the higher number wins.
     std::uint32_t drain_changes = 0;
+    /// Announcement that the state comes from; unknown for a lapsed lease.
+    announcement_number announced;
 };
 
 /// Announcement of a backend server to its home.
--- a/src/members/directory.cpp
+++ b/src/members/directory.cpp
@@ -3,6 +3,7 @@
 #include "members/gossip.hpp"
 #include "members/lease.hpp"
 #include "members/peers.hpp"
+#include "members/withdrawal.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -167,7 +168,7 @@
             find_homed_server(state, record.server))
         publish_entry(state, *homed, now);
     else if (record.state != server_state::gone && entry == nullptr)
-        publish_gone(state, record.server, record.service, now);
+        publish_gone(state, record.server, record.service, {}, now);
 }
 
 } // namespace
@@ -227,6 +228,7 @@
     record.home = entry.home;
     record.sequence = entry.sequence;
     record.drain_changes = drain_changes_of(state, record.server);
+    record.announced = entry.announced;
     return record;
 }
 
@@ -257,6 +259,7 @@
     }
     entry.is_used = true;
     entry.home = record.home;
+    entry.announced = record.announced;
     entry.sequence = record.sequence;
     entry.slots = record.slots;
     entry.state = record.state;
@@ -281,6 +284,7 @@
                   bool should_spread, time_point now, actions& out)
 {
     merge_drain_changes(state, record, now, out);
+    merge_withdrawal(state, record, now, out);
     if (record.home.id == state.own_record.daemon.id)
     {
         correct_own_record(state, record, now);
@@ -288,6 +292,14 @@
     }
     if (has_home_left(state, record.home))
         return false;
+    // The home restarted, or the server moved, and a late announcement has
+    // reached a daemon that does not know of the withdrawal.
+    if (record.state == server_state::serving &&
+        is_before_withdrawal(state, record.server, record.announced, now))
+    {
+        correct_home(state, record, out);
+        return false;
+    }
     server_entry const* const entry = find_entry(state, record.server);
     // A record of a home that left is replaced whatever its sequence is.
     if (entry != nullptr && !has_home_left(state, entry->home) &&
@@ -308,6 +320,7 @@
         if (state.servers.entries[id].is_used)
             sweep_entry(state, id, now);
     }
+    expire_withdrawals(state, now);
     if (state.servers.server_names.size() >
         2 * state.servers.used_entries + 1024)
         compact_directory(state);
--- a/src/members/gossip.cpp
+++ b/src/members/gossip.cpp
@@ -16,7 +16,7 @@
 /// takes 20 bytes, a 64-bit number 10, a double 8, and each field one byte of
 /// header.
 constexpr std::size_t peer_fixed_bytes = 60;
-constexpr std::size_t server_fixed_bytes = 66;
+constexpr std::size_t server_fixed_bytes = 88;
 constexpr std::size_t status_fixed_bytes = 84;
 
 /// Appends the record that an update refers to when it fits. Returns its size
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -3,6 +3,7 @@
 #include "members/directory.hpp"
 #include "members/gossip.hpp"
 #include "members/peers.hpp"
+#include "members/withdrawal.hpp"
 
 #include <algorithm>
 
@@ -12,9 +13,9 @@
 namespace
 {
 
-/// Peers that receive a drain at once. 16 covers a small fleet; at the target
-/// size drains are rare.
-constexpr int max_drain_messages = 16;
+/// Peers that receive a withdrawal at once. 16 covers a small fleet; at the
+/// target size withdrawals at one home are rare.
+constexpr int max_withdrawal_messages = 16;
 
 bool is_drained(membership_state const& state, std::string_view server)
 {
@@ -88,12 +89,13 @@
 }
 
 void remove_homed_server(membership_state& state, std::string_view server,
-                         std::string_view reason, time_point now, actions& out)
+                         std::string_view reason, announcement_number departed,
+                         time_point now, actions& out)
 {
     std::string const name(server);
     std::string const service = find_homed_server(state, name)->details.service;
     drop_homed_server(state, name, reason, out);
-    publish_gone(state, name, service, now);
+    publish_gone(state, name, service, departed, now);
 }
 
 duration granted_lease(membership_state const& state, duration requested)
@@ -104,29 +106,6 @@
                       state.parameters.max_lease);
 }
 
-/// Expected maximum delay of an announcement in the network. A departure is
-/// kept for this time, to reject announcements sent before it. A server that
-/// restarts under its name is accepted, because its incarnation is higher.
-constexpr duration max_announcement_delay = std::chrono::minutes(2);
-
-/// A departure names no incarnation, and a home that has restarted does not
-/// know it either. For this time after such a departure, only the first
-/// announcements of a start are accepted; others were sent before the
-/// departure.
-constexpr duration unknown_departure_time = std::chrono::seconds(10);
-constexpr std::uint64_t max_first_sequence = 2;
-
-bool is_sent_before(announcement const& details,
-                    departed_server const& departed, time_point now)
-{
-    duration const age = now - departed.departed_at;
-    if (departed.incarnation == 0)
-        return age < unknown_departure_time &&
-               details.sequence > max_first_sequence;
-    return age < max_announcement_delay &&
-           details.incarnation <= departed.incarnation;
-}
-
 /// Whether a later announcement of the server, its departure or a later server
 /// at its address has already been recorded.
 bool is_outdated(membership_state const& state, announcement const& details,
@@ -135,12 +114,9 @@
     // A server without an incarnation number cannot be ordered.
     if (details.incarnation == 0)
         return false;
-    for (departed_server const& departed : state.departures)
-    {
-        if (departed.server == details.server &&
-            is_sent_before(details, departed, now))
-            return true;
-    }
+    if (is_before_withdrawal(state, details.server, number_of(details), now) ||
+        may_precede_unnumbered_departure(state, details, now))
+        return true;
     for (homed_server_state const& homed : state.homed_servers)
     {
         bool const is_same_server = homed.details.server == details.server;
@@ -156,38 +132,42 @@
     return false;
 }
 
-/// Names of the homed servers whose address the announced server, which
-/// started later, now uses.
-std::vector<std::string> servers_replaced_by(membership_state const& state,
-                                             announcement const& details)
+/// The homed servers whose address the announced server, which started later,
+/// now uses.
+std::vector<announcement> servers_replaced_by(membership_state const& state,
+                                              announcement const& details)
 {
-    std::vector<std::string> names;
+    std::vector<announcement> replaced;
     for (homed_server_state const& homed : state.homed_servers)
     {
         if (homed.details.server != details.server &&
             homed.details.address == details.address &&
             homed.details.incarnation < details.incarnation)
-            names.push_back(homed.details.server);
+            replaced.push_back(homed.details);
     }
-    return names;
+    return replaced;
 }
 
-void record_departure(membership_state& state, announcement const& details,
-                      time_point now)
+/// The departure of the latest start of the server that is known.
+announcement_number departure_of(membership_state& state,
+                                 announcement const& details)
 {
-    std::erase_if(state.departures,
-                  [&](departed_server const& departed)
-                  {
-                      return departed.server == details.server ||
-                             now - departed.departed_at >=
-                                 max_announcement_delay;
-                  });
-    homed_server_state const* const homed =
-        find_homed_server(state, details.server);
-    std::uint64_t const last_incarnation =
-        homed != nullptr ? homed->details.incarnation : 0;
-    state.departures.push_back(
-        {details.server, std::max(last_incarnation, details.incarnation), now});
+    announcement_number departed{details.incarnation, departure_sequence};
+    if (auto const* const homed = find_homed_server(state, details.server))
+        departed.incarnation =
+            std::max(departed.incarnation, homed->details.incarnation);
+    auto const known = state.withdrawals.find(details.server);
+    if (known != state.withdrawals.end())
+        departed.incarnation =
+            std::max(departed.incarnation, known->second.number.incarnation);
+    return departed;
+}
+
+void note_own_withdrawal(membership_state& state, std::string_view server,
+                         withdrawal noted, time_point now)
+{
+    noted.home = state.own_record.daemon;
+    note_withdrawal(state, server, noted, now);
 }
 
 /// Records the announcement and sets \p homed to its server. Returns whether
@@ -219,6 +199,11 @@
 
 } // namespace
 
+announcement_number number_of(announcement const& details)
+{
+    return {details.incarnation, details.sequence};
+}
+
 std::uint32_t drain_changes_of(membership_state const& state,
                                std::string_view server)
 {
@@ -267,19 +252,27 @@
     record.score = homed.status.score;
     record.home = state.own_record.daemon;
     record.sequence = next_sequence(state, record.server, now);
+    record.announced = number_of(homed.details);
+    if (homed.details.state == server_state::draining)
+        note_own_withdrawal(state, record.server,
+                            {record.announced, server_state::draining}, now);
     add_update(state, subject_kind::server, write_entry(state, record, now));
 }
 
 void publish_gone(membership_state& state, std::string_view server,
-                  std::string_view service, time_point now)
+                  std::string_view service, announcement_number departed,
+                  time_point now)
 {
-    server_entry const* const entry = find_entry(state, server);
-    if (entry != nullptr && entry->home != state.own_record.daemon)
-        return;
     server_record record;
     record.server = server;
     record.service = service;
+    if (departed.incarnation != 0)
+        note_own_withdrawal(state, server, {departed, server_state::gone}, now);
+    server_entry const* const entry = find_entry(state, server);
+    if (entry != nullptr && entry->home != state.own_record.daemon)
+        return;
     record.state = server_state::gone;
+    record.announced = departed;
     record.home = state.own_record.daemon;
     record.sequence = next_sequence(state, record.server, now);
     add_update(state, subject_kind::server, write_entry(state, record, now));
@@ -309,7 +302,19 @@
             lapsed.push_back(homed.details.server);
     }
     for (std::string const& server : lapsed)
-        remove_homed_server(state, server, "lease lapsed", now, out);
+        remove_homed_server(state, server, "lease lapsed", {}, now, out);
+}
+
+void withdraw_homed_server(membership_state& state, server_record const& record,
+                           time_point now, actions& out)
+{
+    if (record.state == server_state::gone)
+        return remove_homed_server(state, record.server,
+                                   "departed before this start of the daemon",
+                                   record.announced, now, out);
+    homed_server_state* const homed = find_homed_server(state, record.server);
+    homed->details.state = server_state::draining;
+    publish_change(state, *homed, now, out);
 }
 
 void on_announce_request(membership_state& state,
@@ -328,21 +333,32 @@
         if (homed != nullptr && request.details.incarnation != 0 &&
             homed->details.incarnation > request.details.incarnation)
             return;
-        record_departure(state, request.details, now);
+        announcement_number const departed =
+            departure_of(state, request.details);
+        note_own_withdrawal(state, request.details.server,
+                            {departed, server_state::gone}, now);
         if (homed != nullptr)
-            remove_homed_server(state, request.details.server, "announced", now,
-                                out);
+            remove_homed_server(state, request.details.server, "announced",
+                                departed, now, out);
+        // The peers must know before this daemon can restart.
+        push_updates(state, max_withdrawal_messages, out);
         return;
     }
     if (is_outdated(state, request.details, now))
         return;
-    for (std::string const& name : servers_replaced_by(state, request.details))
-        remove_homed_server(state, name, "replaced at its address", now, out);
+    for (announcement const& replaced :
+         servers_replaced_by(state, request.details))
+        remove_homed_server(state, replaced.server, "replaced at its address",
+                            {replaced.incarnation, departure_sequence}, now,
+                            out);
     homed_server_state* homed = nullptr;
     bool const is_changed = store_announcement(state, request.details, homed);
     homed->lease_until = now + lease;
-    if (is_changed)
-        publish_change(state, *homed, now, out);
+    if (!is_changed)
+        return;
+    publish_change(state, *homed, now, out);
+    if (request.details.state == server_state::draining)
+        push_updates(state, max_withdrawal_messages, out);
 }
 
 void set_leaving(membership_state& state, homed_server_state& homed,
@@ -353,7 +369,7 @@
     homed.is_leaving = true;
     publish_change(state, homed, now, out);
     // Sent at once, like the operator's drain: other daemons must stop too.
-    push_updates(state, max_drain_messages, out);
+    push_updates(state, max_withdrawal_messages, out);
 }
 
 void on_drain_request(membership_state& state, drain_request const& request,
@@ -370,7 +386,7 @@
     ++state.drain_changes[request.server];
     publish_change(state, *homed, now, out);
     // Sent at once, because this daemon may stop before its next pings.
-    push_updates(state, max_drain_messages, out);
+    push_updates(state, max_withdrawal_messages, out);
 }
 
 } // namespace gooseberrycove::members
--- a/src/members/lease.hpp
+++ b/src/members/lease.hpp
@@ -29,8 +29,17 @@
 
 /// Publishes that a server of this home is gone. Does nothing when the entry
 /// names another home.
+/// \param departed  see server_record::announced
 void publish_gone(membership_state& state, std::string_view server,
-                  std::string_view service, time_point now);
+                  std::string_view service, announcement_number departed,
+                  time_point now);
+
+announcement_number number_of(announcement const& details);
+
+/// Drains or removes a server homed here, which \p record states to have
+/// withdrawn from another run of its home.
+void withdraw_homed_server(membership_state& state, server_record const& record,
+                           time_point now, actions& out);
 
 /// Removes a server from the servers homed here and notifies admission. The
 /// directory entry stays unchanged.
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -100,6 +100,7 @@
 struct server_entry
 {
     daemon_ref home;
+    announcement_number announced;
     std::uint64_t sequence = 0;
     std::uint64_t status_sequence = 0;
     /// Start of the time without a live home, or of the state gone; else the
@@ -171,12 +172,15 @@
     time_point next_status;
 };
 
-/// A backend server that announced its departure to this daemon.
-struct departed_server
+/// The last announcement by which a backend server stopped taking work: it
+/// drains or has departed.
+struct withdrawal
 {
-    std::string server;
-    std::uint64_t incarnation = 0;
-    time_point departed_at;
+    announcement_number number;
+    server_state state = server_state::draining;
+    /// Home that received the announcement.
+    daemon_ref home{};
+    time_point recorded_at{};
 };
 
 /// A daemon that requested the present statuses of a service.
@@ -208,8 +212,9 @@
     digest local_digest;
     std::vector<pending_update> updates;
     std::vector<homed_server_state> homed_servers;
-    /// Recent departures, to reject delayed announcements of these servers.
-    std::vector<departed_server> departures;
+    /// Recent withdrawals by server, to reject delayed announcements. Those at
+    /// other homes are kept too: a home that restarts has lost its own.
+    std::map<std::string, withdrawal, std::less<>> withdrawals;
     std::vector<status_requester> status_requesters;
     /// server_record::drain_changes of each server that an operator has
     /// drained, at any home; kept when a lease lapses.
--- a/src/members/sync.cpp
+++ b/src/members/sync.cpp
@@ -2,6 +2,7 @@
 
 #include "members/directory.hpp"
 #include "members/peers.hpp"
+#include "members/withdrawal.hpp"
 
 #include <algorithm>
 
@@ -52,6 +53,7 @@
                       bool requests_reply, actions& out)
 {
     sync part = make_sync(state, false);
+    append_withdrawals(state, remote.sender, part);
     for (member const& peer : state.peers)
     {
         if (is_live(peer.record) &&
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -365,6 +365,13 @@
     out.home = to_gen(value.home);
     out.sequence = static_cast<std::int64_t>(value.sequence);
     out.drains = static_cast<std::int32_t>(value.drain_changes);
+    if (value.announced.incarnation != 0)
+    {
+        out.__set_server_incarnation(
+            static_cast<std::int64_t>(value.announced.incarnation));
+        out.__set_announcement_sequence(
+            static_cast<std::int64_t>(value.announced.sequence));
+    }
     return out;
 }
 
@@ -380,6 +387,8 @@
     out.home = from_gen(in.home);
     out.sequence = static_cast<std::uint64_t>(in.sequence);
     out.drain_changes = to_count(in.drains);
+    out.announced = {static_cast<std::uint64_t>(in.server_incarnation),
+                     static_cast<std::uint64_t>(in.announcement_sequence)};
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -3241,6 +3241,16 @@
 void ServerRecord::__set_drains(const int32_t val) {
   this->drains = val;
 }
+
+void ServerRecord::__set_server_incarnation(const int64_t val) {
+  this->server_incarnation = val;
+__isset.server_incarnation = true;
+}
+
+void ServerRecord::__set_announcement_sequence(const int64_t val) {
+  this->announcement_sequence = val;
+__isset.announcement_sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -3341,6 +3351,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server_incarnation);
+          this->__isset.server_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->announcement_sequence);
+          this->__isset.announcement_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3394,6 +3420,16 @@
   xfer += oprot->writeI32(this->drains);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.server_incarnation) {
+    xfer += oprot->writeFieldBegin("server_incarnation", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->server_incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.announcement_sequence) {
+    xfer += oprot->writeFieldBegin("announcement_sequence", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->announcement_sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3410,6 +3446,8 @@
   swap(a.home, b.home);
   swap(a.sequence, b.sequence);
   swap(a.drains, b.drains);
+  swap(a.server_incarnation, b.server_incarnation);
+  swap(a.announcement_sequence, b.announcement_sequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -3423,6 +3461,8 @@
   home = other54.home;
   sequence = other54.sequence;
   drains = other54.drains;
+  server_incarnation = other54.server_incarnation;
+  announcement_sequence = other54.announcement_sequence;
   __isset = other54.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other55) {
@@ -3435,6 +3475,8 @@
   home = other55.home;
   sequence = other55.sequence;
   drains = other55.drains;
+  server_incarnation = other55.server_incarnation;
+  announcement_sequence = other55.announcement_sequence;
   __isset = other55.__isset;
   return *this;
 }
@@ -3450,6 +3492,8 @@
   out << ", " << "home=" << to_string(home);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "drains=" << to_string(drains);
+  out << ", " << "server_incarnation="; (__isset.server_incarnation ? (out << to_string(server_incarnation)) : (out << "<null>"));
+  out << ", " << "announcement_sequence="; (__isset.announcement_sequence ? (out << to_string(announcement_sequence)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -1299,7 +1299,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerRecord& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : server(false), service_name(false), slots(false), state(false), health(false), score(false), home(false), sequence(false), drains(false) {}
+  _ServerRecord__isset() : server(false), service_name(false), slots(false), state(false), health(false), score(false), home(false), sequence(false), drains(false), server_incarnation(false), announcement_sequence(false) {}
   bool server :1;
   bool service_name :1;
   bool slots :1;
@@ -1309,6 +1309,8 @@
   bool home :1;
   bool sequence :1;
   bool drains :1;
+  bool server_incarnation :1;
+  bool announcement_sequence :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -1324,7 +1326,9 @@
                  health(0),
                  score(0),
                  sequence(0),
-                 drains(0) {
+                 drains(0),
+                 server_incarnation(0),
+                 announcement_sequence(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -1337,6 +1341,8 @@
   Daemon home;
   int64_t sequence;
   int32_t drains;
+  int64_t server_incarnation;
+  int64_t announcement_sequence;
 
   _ServerRecord__isset __isset;
 
@@ -1358,6 +1364,10 @@
 
   void __set_drains(const int32_t val);
 
+  void __set_server_incarnation(const int64_t val);
+
+  void __set_announcement_sequence(const int64_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -1378,6 +1388,14 @@
       return false;
     if (!(drains == rhs.drains))
       return false;
+    if (__isset.server_incarnation != rhs.__isset.server_incarnation)
+      return false;
+    else if (__isset.server_incarnation && !(server_incarnation == rhs.server_incarnation))
+      return false;
+    if (__isset.announcement_sequence != rhs.__isset.announcement_sequence)
+      return false;
+    else if (__isset.announcement_sequence && !(announcement_sequence == rhs.announcement_sequence))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -159,6 +159,8 @@
   7: Daemon home
   8: i64 sequence
   9: i32 drains
+  10: optional i64 server_incarnation
+  11: optional i64 announcement_sequence
 }
 
 struct Sync {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -114,6 +114,22 @@
     CHECK(std::get<members::sync>(decoded.content).buckets == sync.buckets);
 }
 
+TEST_CASE("a server record keeps the announcement on which it is based")
+{
+    // Guards against daemons that list a departed server again because they
+    // cannot order a record and the departure.
+    members::packet packet;
+    packet.servers.resize(2);
+    packet.servers[0].announced = {1'700'000'000'123,
+                                   members::departure_sequence};
+    auto const frame = wire::encode("new key", {1, 1}, packet, now);
+    auto const decoded = wire::decode(frame, keys, now);
+    auto const& servers = std::get<members::packet>(decoded.content).servers;
+    REQUIRE(servers.size() == 2);
+    CHECK(servers[0].announced == packet.servers[0].announced);
+    CHECK(servers[1].announced == members::announcement_number{});
+}
+
 TEST_CASE("unknown senders, newer versions and corrupted frames are refused")
 {
     std::string const valid =
