A daemon that starts without the store joins by its peers' pings

What callers saw: after a restart while the store is out, and without seeds, a daemon knew no server but its own for up to a minute and refused its callers.

Cause: join() contacted seeds and the addresses of the store's rows only. The peers ping the daemon at once, but it did not synchronise with them before the regular period of 60 s.

Evidence: unit.members "a home that restarts without the store gets the directory from peers" failed before: 1 of 8 servers after 5 s.

Change: a daemon that has not joined contacts a peer that it knows as well.

Measured: unit.members passes.

--- a/src/members/sync.cpp
+++ b/src/members/sync.cpp
@@ -116,6 +116,10 @@
         add_contact(contacts, state, address);
     for (std::string const& address : state.rendezvous_addresses)
         add_contact(contacts, state, address);
+    // A daemon that restarts while the store is out is known to its peers, and
+    // their pings reach it before any address does.
+    if (member const* const peer = random_live_peer(state))
+        add_contact(contacts, state, peer->record.address);
     std::ranges::shuffle(contacts, state.random);
     if (contacts.size() > max_join_contacts)
         contacts.resize(max_join_contacts);
--- a/src/members/withdrawal_test.cpp
+++ b/src/members/withdrawal_test.cpp
@@ -58,6 +58,13 @@
         fleet.start(home, run);
     }
 
+    void restart_home_without_store()
+    {
+        restart_home();
+        fleet.nodes[home].state.seeds.clear();
+        fleet.rows.clear();
+    }
+
     /// Number of daemons, without \p ignored, that may send work to the server.
     std::size_t count_sending(std::size_t ignored) const
     {
@@ -132,3 +139,35 @@
     fixture.fleet.run(2);
     CHECK(fixture.count_sending(daemon_count) == daemon_count);
 }
+
+TEST_CASE(
+    "a home that restarts without the store gets the directory from peers")
+{
+    // Guards against a daemon that knows no other servers for a minute: it had
+    // joined nobody, because no seed and no row of the store named a peer, and
+    // took the pings of its peers for a sign that it had.
+    fleet_fixture fixture;
+    fixture.restart_home_without_store();
+    fixture.fleet.run(5);
+    CHECK(fixture.fleet.listed(home, true) == fixture.fleet.servers.size());
+}
+
+TEST_CASE("a restarted home keeps the operator's drain of a server")
+{
+    // Guards against requests to a drained server because its home forgot the
+    // drain and publishes the next announcement as serving.
+    fleet_fixture fixture;
+    actions out;
+    on_drain_request(fixture.fleet.nodes[home].state, {"leaver", true, {}},
+                     fixture.fleet.now, out);
+    fixture.fleet.perform(home, out);
+    fixture.fleet.run(1);
+    // The peers learn of the new run before it synchronises.
+    fixture.restart_home_without_store();
+    fixture.fleet.nodes[home].state.next_join =
+        fixture.fleet.now + duration(3'000'000);
+    fixture.fleet.run(5);
+    fixture.announce(numbered(9));
+    CHECK(fixture.max_sending_during(500) == 0);
+    CHECK(fixture.count_sending(daemon_count) == 0);
+}
