A restarted home keeps that a server leaves by its answers

What callers saw: requests to a server that leaves, after its home restarted, until one from a daemon that knew better reached the home.

Cause: the home keeps for the server's start that it leaves, although it announces that it serves. The next run of the home took the next announcement.

Evidence: unit.members "a restarted home keeps that a server leaves by its answers" failed before: the home and all 4 peers listed the server as serving.

Change: the record of a leaving server is based on the last announcement that this start can make, so its peers keep a withdrawal of the whole start.

Measured: unit.members passes.

--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -253,6 +253,9 @@
     record.home = state.own_record.daemon;
     record.sequence = next_sequence(state, record.server, now);
     record.announced = number_of(homed.details);
+    // No announcement of this start of the server means that it serves again.
+    if (homed.is_leaving)
+        record.announced.sequence = departure_sequence;
     if (homed.details.state == server_state::draining)
         note_own_withdrawal(state, record.server,
                             {record.announced, server_state::draining}, now);
--- a/src/members/withdrawal_test.cpp
+++ b/src/members/withdrawal_test.cpp
@@ -171,3 +171,21 @@
     CHECK(fixture.max_sending_during(500) == 0);
     CHECK(fixture.count_sending(daemon_count) == 0);
 }
+
+TEST_CASE("a restarted home keeps that a server leaves by its answers")
+{
+    // Guards against requests to a server that leaves and still announces that
+    // it serves: its home forgot the statement of its answers.
+    fleet_fixture fixture;
+    actions out;
+    on_server_load(fixture.fleet.nodes[home].state,
+                   {"leaver", 0, 0, true, start_of_server}, fixture.fleet.now,
+                   out);
+    fixture.fleet.perform(home, out);
+    fixture.fleet.run(1);
+    fixture.restart_home();
+    fixture.fleet.run(1);
+    fixture.announce(numbered(9));
+    CHECK(fixture.max_sending_during(500) == 0);
+    CHECK(fixture.count_sending(daemon_count) == 0);
+}
