The front's state outlives the callbacks of unwritten responses

Cause: the HTTP library reports a response that was not written when its connection is destroyed, which happens with the front's io_context. The callback then used a table that had been destroyed before it.

Change: the state that the callback uses is declared before the io_context and so destroyed after it. The pipelines are emptied first, because their requests refer to connections. Also formats store_thread.cpp.

--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -266,6 +266,21 @@
     CHECK(caller.read_bytes(body.size()).size() == body.size());
 }
 
+TEST_CASE("a front that ends drops the responses that are not written")
+{
+    // Guards against a use of the front's state after its end: the HTTP library
+    // reports unwritten responses when their connections are destroyed.
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a", "/b"});
+    auto const requests = front.take_requests(2);
+    REQUIRE(requests.size() == 2);
+    // Larger than the buffers of the sockets; the caller does not read.
+    front.answer(requests[0], std::string(std::size_t{48} << 20, 'x'));
+    front.stop();
+    CHECK(wait_until([&] { return front.has_ended.load(); }));
+}
+
 TEST_CASE("a front without callers runs until its ring is closed")
 {
     // Guards against a stopped daemon that crashes or hangs: the messages of a
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -46,6 +46,10 @@
     {
     }
 
+    front_loop(front_loop const&) = delete;
+    front_loop& operator=(front_loop const&) = delete;
+    ~front_loop();
+
     void run();
 
 private:
@@ -64,24 +68,32 @@
 
     inbox& m_messages;
     wiring const& m_setup;
+    // The members down to the io_context are used by on_written(), which is
+    // also called when the io_context is destroyed.
+    std::unordered_map<std::uint64_t, pipeline> m_pipelines;
+    /// Sum of count_unanswered() over all connections.
+    std::size_t m_unanswered = 0;
     asio::io_context m_context;
     /// Keeps the loop running without callers until the ring is closed.
     asio::executor_work_guard<asio::io_context::executor_type> m_work{
         m_context.get_executor()};
     std::optional<http::listener> m_listener;
     std::mt19937_64 m_generator;
-    std::unordered_map<std::uint64_t, pipeline> m_pipelines;
     /// Connections of the requests that have been passed on.
     std::unordered_map<request_id, std::uint64_t, request_id_hash>
         m_open_requests;
-    /// Sum of count_unanswered() over all connections.
-    std::size_t m_unanswered = 0;
     std::vector<message> m_batch;
     bool m_is_draining = false;
     bool m_has_stopped_accepting = false;
     waker_scope m_waker;
 };
 
+front_loop::~front_loop()
+{
+    // The requests refer to connections, which need the io_context.
+    auto const released = std::exchange(m_pipelines, {});
+}
+
 void front_loop::run()
 {
     http::handlers handlers;
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -227,9 +227,9 @@
         throw std::runtime_error("curl_multi_init failed");
     curl_multi_setopt(static_cast<CURLM*>(m_multi.get()),
                       CURLMOPT_MAX_TOTAL_CONNECTIONS, max_connections);
-    m_waker = requests.set_waker(
-        [multi = m_multi.get()]
-        { curl_multi_wakeup(static_cast<CURLM*>(multi)); });
+    m_waker =
+        requests.set_waker([multi = m_multi.get()]
+                           { curl_multi_wakeup(static_cast<CURLM*>(multi)); });
 }
 
 void client::run()
