--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -95,6 +95,7 @@
     {
         if (duty.try_push(std::move(request)))
             return;
+        // Added by make_reply_callback() for this request.
         m_open_requests.erase(m_last_request);
         refuse(exchange, error_kind::overloaded,
                "the ring of the duty that handles this request is full");
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -7,11 +7,11 @@
 #include <gooseberrycove/types.hpp>
 #include <gooseberrycove/work.hpp>
 
-#include <compare>
 #include <functional>
 #include <limits>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -56,7 +56,12 @@
     /// Announcement since the start.
     std::uint64_t sequence = 0;
 
-    auto operator<=>(announcement_number const&) const = default;
+    bool operator==(announcement_number const&) const = default;
+    bool operator<(announcement_number const& other) const
+    {
+        return std::tie(incarnation, sequence) <
+               std::tie(other.incarnation, other.sequence);
+    }
 };
 
 /// Sequence of a departure, which follows all announcements of the start.
--- a/src/members/withdrawal.cpp
+++ b/src/members/withdrawal.cpp
@@ -37,7 +37,7 @@
 {
     auto const [position, is_new] =
         state.withdrawals.try_emplace(std::string(server), noted);
-    if (!is_new && position->second.number >= noted.number)
+    if (!is_new && !(position->second.number < noted.number))
         return false;
     position->second = noted;
     position->second.recorded_at = now;
