A server that leaves and drains keeps its lease

Evidence: unit.members "a server that leaves and drains keeps its lease" failed before (no server homed after 18 s).

Change: the home notes its own withdrawal under the number of the announcement; only the record for the peers covers the whole start.

Measured: unit.members passes.

--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -258,7 +258,8 @@
         record.announced.sequence = departure_sequence;
     if (homed.details.state == server_state::draining)
         note_own_withdrawal(state, record.server,
-                            {record.announced, server_state::draining}, now);
+                            {number_of(homed.details), server_state::draining},
+                            now);
     add_update(state, subject_kind::server, write_entry(state, record, now));
 }
 
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -464,6 +464,31 @@
     CHECK(daemon.entry().state == server_state::serving);
 }
 
+TEST_CASE("a server that leaves and drains keeps its lease")
+{
+    // Guards against a home that removes a server while it still runs requests:
+    // the announcements after the one that drains were taken for late ones.
+    daemon_fixture daemon;
+    announcement details;
+    details.server = "server-1";
+    details.service = "orders";
+    details.address = "127.0.0.1:9";
+    details.incarnation = 7;
+    details.lease = seconds(6);
+    for (details.sequence = 1; details.sequence < 10; ++details.sequence)
+    {
+        if (details.sequence == 2)
+            on_server_load(daemon.state, {"server-1", 0, 0, true, 7},
+                           daemon.now, daemon.out);
+        if (details.sequence == 3)
+            details.state = server_state::draining;
+        on_announce_request(daemon.state, {details, {}}, daemon.now,
+                            daemon.out);
+        daemon.wait(seconds(2));
+    }
+    CHECK(daemon.state.homed_servers.size() == 1);
+}
+
 TEST_CASE("a late announcement does not undo a departure told to a new home")
 {
     // Guards against requests to a server whose home restarted before it
