Log and count what shows that a response belongs to its request

Connections of libcurl are numbered and the requests on each are counted (src/http_client); E0400 names both. E0401 tells of a response that nothing attributes to its request, E0402 of a connection with unread bytes, and gcove_server_responses_total and gcove_unusable_connections_total count them. The setting headers.server_stamp names the header that each success bears. No decision uses any of it yet.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -44,6 +44,8 @@
     GOOSEBERRYCOVE_EVENT(work_started),
     GOOSEBERRYCOVE_EVENT(server_stated),
     GOOSEBERRYCOVE_EVENT(dispatch_finished),
+    GOOSEBERRYCOVE_EVENT(response_unattributed),
+    GOOSEBERRYCOVE_EVENT(connection_unusable),
     GOOSEBERRYCOVE_EVENT(server_alarm),
     GOOSEBERRYCOVE_EVENT(server_ejected),
     GOOSEBERRYCOVE_EVENT(server_probation),
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -79,6 +79,14 @@
                     "Answers of backend servers whose limit or leaving could "
                     "not be read")
             .Add({});
+    counter_family& server_responses =
+        add_counter(registry, "gcove_server_responses_total",
+                    "Responses of backend servers homed here by what shows "
+                    "that they belong to their request");
+    counter_family& unusable_connections =
+        add_counter(registry, "gcove_unusable_connections_total",
+                    "Connections found unusable before a request was sent on "
+                    "them");
     counter_family& health_changes =
         add_counter(registry, "gcove_health_changes_total",
                     "State changes of backend servers homed here");
@@ -169,6 +177,19 @@
     m_families->malformed_statements.Increment(static_cast<double>(count));
 }
 
+void metrics::count_server_response(std::string_view identified_by)
+{
+    m_families->server_responses
+        .Add({{"identified_by", std::string(identified_by)}})
+        .Increment();
+}
+
+void metrics::count_unusable_connection(std::string_view state)
+{
+    m_families->unusable_connections.Add({{"state", std::string(state)}})
+        .Increment();
+}
+
 void metrics::count_health_change(std::string_view state)
 {
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -61,6 +61,7 @@
     names.expected_server = values.text("headers", "expected_server");
     names.caller_service = values.text("headers", "caller_service");
     names.not_run = values.text("headers", "not_run");
+    names.server_stamp = values.text("headers", "server_stamp");
     names.server_limit = values.text("headers", "server_limit");
     names.server_leaving = values.text("headers", "server_leaving");
     return names;
@@ -164,7 +165,7 @@
     dialect.accepts_undelimited =
         values.boolean("daemon", "undelimited_answers");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
-        dispatch::wiring{&admission, &health, std::move(dialect)});
+        dispatch::wiring{&admission, &health, std::move(dialect), &counts});
     peer_wiring = std::make_unique<peer::wiring>(peer::wiring{
         own_daemon, address, values.text("daemon", "peer_bind"), &peer_keys,
         &counts, &routing, &admission, &claims, &config, &members});
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -149,6 +149,10 @@
         "not_run", "",
         "header whose presence on an answer states that the request was "
         "not run; besides it `X-Outcome: not_run` does"),
+    header_setting(
+        "server_stamp", "",
+        "header that each success of a backend server bears; a success "
+        "without it counts as cut; not expected when empty"),
     header_setting(
         "server_limit", "",
         "header of an answer with the requests a second that the backend "
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Responses with a lower status are interim.
+constexpr int first_final_status = 200;
+
 std::string_view trim(std::string_view text)
 {
     auto const first = text.find_first_not_of(" \t\r\n");
@@ -66,6 +69,8 @@
                             head.status);
         return;
     }
+    if (trim(line).empty())
+        head.is_complete = head.status >= first_final_status;
     auto const colon = line.find(':');
     if (colon == line.npos)
         return;
@@ -81,6 +86,9 @@
             head.states_not_run || is_same_header(value, "not_run");
     else if (!names.not_run.empty() && is_same_header(name, names.not_run))
         head.states_not_run = true;
+    else if (!names.server_stamp.empty() &&
+             is_same_header(name, names.server_stamp))
+        head.has_stamp = !value.empty();
     else if (!names.server_limit.empty() &&
              is_same_header(name, names.server_limit))
         read_rate_limit(head.statement, value);
@@ -93,6 +101,43 @@
         head.content_type = value;
 }
 
+std::string_view to_string(attribution found)
+{
+    switch (found)
+    {
+    case attribution::by_id:
+        return "id";
+    case attribution::by_connection:
+        return "connection";
+    case attribution::other_id:
+        return "other_id";
+    case attribution::unidentified:
+        return "unidentified";
+    case attribution::unstamped_success:
+        return "unstamped_success";
+    }
+    return "unidentified";
+}
+
+bool is_attributed(attribution found)
+{
+    return found == attribution::by_id || found == attribution::by_connection;
+}
+
+attribution attribute(response_head const& head, sent_request const& sent)
+{
+    bool const is_success = head.status >= 200 && head.status < 300;
+    if (!head.request_id.empty() && !sent.request_id.empty() &&
+        head.request_id != sent.request_id)
+        return attribution::other_id;
+    if (is_success && sent.expects_stamp && !head.has_stamp)
+        return attribution::unstamped_success;
+    if (!head.request_id.empty() && !sent.request_id.empty())
+        return attribution::by_id;
+    return sent.earlier_requests == 0 ? attribution::by_connection
+                                      : attribution::unidentified;
+}
+
 result_class classify(transfer_summary const& summary,
                       response_head const& head)
 {
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -27,8 +27,44 @@
     std::string content_type;
     answer_statement statement;
     bool has_leaving_header = false;
+    /// The response has the header that each success bears.
+    bool has_stamp = false;
+    /// The end of the final response's head has been read.
+    bool is_complete = false;
 };
 
+/// What shows, or fails to show, that a response belongs to the request that
+/// was sent on its connection. A server may write more than one response to a
+/// request, and the order of the bytes does not tell them apart.
+enum class attribution : std::uint8_t
+{
+    by_id,            ///< it has the id that was sent
+    by_connection,    ///< it has no id, and nothing else was sent there
+    other_id,         ///< it has the id of another request
+    unidentified,     ///< it has no id on a connection that was used before
+    unstamped_success ///< it is a success without the server's stamp
+};
+
+/// Value of the metrics' and log's label for the attribution.
+std::string_view to_string(attribution found);
+
+/// Whether the response may be taken for the one to the request.
+bool is_attributed(attribution found);
+
+/// What was sent before the response came.
+struct sent_request
+{
+    /// Empty when the request had none.
+    std::string_view request_id;
+    /// Requests that were sent on the same connection before.
+    std::uint64_t earlier_requests = 0;
+    /// The servers stamp each success.
+    bool expects_stamp = false;
+};
+
+/// \param head  complete head of the response
+attribution attribute(response_head const& head, sent_request const& sent);
+
 /// Reads one header line, including its line break, into \p head. A status
 /// line resets the head, because interim responses precede the final one.
 void apply_header_line(response_head& head, header_names const& names,
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -42,6 +42,8 @@
 
 struct dispatch_state
 {
+    /// Before `multi`, which uses it until it is destroyed.
+    http_client::connection_table connections;
     std::unique_ptr<CURLM, multi_deleter> multi;
     /// Transfers in flight.
     std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers;
@@ -66,6 +68,11 @@
     return state;
 }
 
+transfer_context share(dispatch_state& state, wiring const& setup)
+{
+    return {&setup.options, &state.connections, &state.buffered_bytes};
+}
+
 easy_ptr acquire_handle(dispatch_state& state)
 {
     if (state.spare_handles.empty())
@@ -121,6 +128,8 @@
         .field("class", names[static_cast<std::size_t>(result.result)])
         .field("status", result.status)
         .field("latency_us", std::int64_t{result.latency.count()})
+        .field("connection", ended.connection.number)
+        .field("earlier_requests", ended.connection.earlier_requests)
         .routine(result.result == result_class::answered &&
                  result.status < 500);
     if (!result.detail.empty())
@@ -128,6 +137,44 @@
     log_info(line);
 }
 
+/// Logs a response that cannot be shown to belong to its request, and counts
+/// all.
+void report_response(wiring const& setup, transfer const& ended)
+{
+    if (!ended.response_attribution)
+        return;
+    attribution const found = *ended.response_attribution;
+    if (setup.counts)
+        setup.counts->count_server_response(to_string(found));
+    if (is_attributed(found))
+        return;
+    log_warning(
+        event_line(event::response_unattributed)
+            .field("request", ended.job.request.caller_id)
+            .field("server", ended.job.server)
+            .field("reason", to_string(found))
+            .field("status", ended.head.status)
+            .field("response_id", ended.head.request_id)
+            .field("connection", ended.connection.number)
+            .field("earlier_requests", ended.connection.earlier_requests));
+}
+
+/// Logs and counts a connection that is not used for the transfer.
+void report_unusable_connection(wiring const& setup, transfer const& ended)
+{
+    http_client::connection_state const state = ended.connection.state;
+    if (state == http_client::connection_state::usable)
+        return;
+    if (setup.counts)
+        setup.counts->count_unusable_connection(to_string(state));
+    log_info(event_line(event::connection_unusable)
+                 .field("request", ended.job.request.caller_id)
+                 .field("server", ended.job.server)
+                 .field("state", to_string(state))
+                 .field("connection", ended.connection.number)
+                 .field("earlier_requests", ended.connection.earlier_requests));
+}
+
 /// Sends results in order; those that the ring has no room for stay for the
 /// next call.
 void flush_results(dispatch_state& state, wiring const& setup)
@@ -152,9 +199,8 @@
 {
     if (job.request.deadline > now)
     {
-        add_transfer(state,
-                     make_transfer(acquire_handle(state), std::move(job),
-                                   setup.options, state.buffered_bytes, now));
+        add_transfer(state, make_transfer(acquire_handle(state), std::move(job),
+                                          share(state, setup), now));
         return;
     }
     finished result;
@@ -184,7 +230,7 @@
             time_point now)
 {
     add_transfer(state, make_transfer(acquire_handle(state), request,
-                                      setup.options, now));
+                                      share(state, setup), now));
 }
 
 void report_probe(wiring const& setup, transfer const& ended,
@@ -212,6 +258,8 @@
             continue;
         CURLcode const code = curl_message->data.result;
         auto const ended = remove_transfer(state, curl_message->easy_handle);
+        report_unusable_connection(setup, *ended);
+        report_response(setup, *ended);
         finished result = finish_transfer(*ended, code, now);
         recycle_handle(state, *ended);
         if (ended->is_probe)
--- a/src/dispatch/dispatch_thread.hpp
+++ b/src/dispatch/dispatch_thread.hpp
@@ -5,6 +5,7 @@
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/dispatch.hpp>
 #include <gooseberrycove/health.hpp>
+#include <gooseberrycove/metrics.hpp>
 
 namespace gooseberrycove::dispatch
 {
@@ -15,6 +16,8 @@
     admission::inbox* admission = nullptr;
     health::inbox* health = nullptr;
     server_http_options options;
+    /// Null in tests that read no metrics.
+    metrics* counts = nullptr;
 };
 
 /// Runs until \p requests is closed and all transfers have ended. Transfers
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -1,7 +1,5 @@
 #include "transfer.hpp"
 
-#include <gooseberrycove/curl_socket.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -40,11 +38,20 @@
     return bytes;
 }
 
+sent_request describe_sent(transfer const& active)
+{
+    return {active.job.request.caller_id, active.connection.earlier_requests,
+            !active.is_probe && !active.options->names.server_stamp.empty()};
+}
+
 std::size_t read_header(char* data, std::size_t size, std::size_t count,
                         void* context)
 {
     transfer& active = *static_cast<transfer*>(context);
     apply_header_line(active.head, active.options->names, {data, size * count});
+    if (active.head.is_complete && !active.response_attribution)
+        active.response_attribution =
+            attribute(active.head, describe_sent(active));
     return size * count;
 }
 
@@ -53,9 +60,12 @@
 /// response; this aborts the transfer instead. Only routing decides about
 /// retries, because it checks whether the request may run twice and what the
 /// service allows.
-int before_send(void* context, char*, char*, int, int)
+int before_send(void* context, char* remote_ip, char* local_ip, int remote_port,
+                int local_port)
 {
     transfer& active = *static_cast<transfer*>(context);
+    choose_connection(active.connection,
+                      {remote_ip, local_ip, remote_port, local_port});
     ++active.send_count;
     if (active.send_count > 1)
         return CURL_PREREQFUNC_ABORT;
@@ -128,7 +138,7 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, keepalive_socket_callback);
+    track_connection(easy, active.connection);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &write_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
@@ -167,6 +177,18 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 }
 
+std::unique_ptr<transfer> make_empty_transfer(easy_ptr easy,
+                                              transfer_context const& shared,
+                                              time_point now)
+{
+    auto created = std::make_unique<transfer>();
+    created->easy = std::move(easy);
+    created->options = shared.options;
+    created->connection.table = shared.connections;
+    created->started = now;
+    return created;
+}
+
 transfer_end to_transfer_end(CURLcode code)
 {
     if (code == CURLE_OK)
@@ -178,20 +200,16 @@
 } // namespace
 
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
-                                        server_http_options const& options,
-                                        std::size_t& buffered_bytes,
+                                        transfer_context const& shared,
                                         time_point now)
 {
-    auto created = std::make_unique<transfer>();
-    created->easy = std::move(easy);
-    created->options = &options;
-    created->buffered_bytes = &buffered_bytes;
+    auto created = make_empty_transfer(std::move(easy), shared, now);
+    created->buffered_bytes = shared.buffered_bytes;
     created->job = std::move(job);
-    created->started = now;
     work_request const& request = created->job.request;
     duration const remaining = request.deadline - now;
     created->headers =
-        make_request_headers(created->job, options.names, remaining);
+        make_request_headers(created->job, shared.options->names, remaining);
     set_common_options(*created, request.target, remaining);
     set_method(created->easy.get(), request);
     curl_easy_setopt(created->easy.get(), CURLOPT_HTTPHEADER,
@@ -205,16 +223,13 @@
 }
 
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, probe const& request,
-                                        server_http_options const& options,
+                                        transfer_context const& shared,
                                         time_point now)
 {
-    auto created = std::make_unique<transfer>();
-    created->easy = std::move(easy);
-    created->options = &options;
+    auto created = make_empty_transfer(std::move(easy), shared, now);
     created->is_probe = true;
     created->job.server = request.server;
     created->job.address = request.address;
-    created->started = now;
     set_common_options(*created, request.path, probe_timeout);
     use_own_connection(created->easy.get());
     return created;
--- a/src/dispatch/transfer.hpp
+++ b/src/dispatch/transfer.hpp
@@ -3,6 +3,7 @@
 
 #include "classify.hpp"
 #include <gooseberrycove/dispatch.hpp>
+#include <gooseberrycove/http_connections.hpp>
 
 #include <curl/curl.h>
 
@@ -54,20 +55,30 @@
     std::size_t* buffered_bytes = nullptr;
     /// How often libcurl was about to send the request.
     int send_count = 0;
+    http_client::chosen_connection connection;
+    /// Unset until the head of a final response is complete.
+    std::optional<attribution> response_attribution;
     time_point started;
 };
 
+/// What the transfers of one duty share; outlives them.
+struct transfer_context
+{
+    server_http_options const* options = nullptr;
+    http_client::connection_table* connections = nullptr;
+    /// See transfer::buffered_bytes.
+    std::size_t* buffered_bytes = nullptr;
+};
+
 /// Sets up \p easy for the job. The transfer times out at the deadline of the
 /// job's request.
-/// \param buffered_bytes  see transfer::buffered_bytes
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, start&& job,
-                                        server_http_options const& options,
-                                        std::size_t& buffered_bytes,
+                                        transfer_context const& shared,
                                         time_point now);
 
 /// Sets up a request to the probe endpoint.
 std::unique_ptr<transfer> make_transfer(easy_ptr easy, probe const& request,
-                                        server_http_options const& options,
+                                        transfer_context const& shared,
                                         time_point now);
 
 /// Classifies a transfer that libcurl has ended and moves the response out of
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -38,6 +38,8 @@
     server_stated = 303,
 
     dispatch_finished = 400,
+    response_unattributed = 401,
+    connection_unusable = 402,
 
     server_alarm = 500,
     server_ejected = 501,
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -43,6 +43,12 @@
     /// Counts answers of backend servers whose limit or leaving could not be
     /// read.
     void count_malformed_statements(std::uint64_t count);
+    /// Counts a response of a backend server.
+    /// \param identified_by  what shows that it belongs to its request, or why
+    ///                       nothing does
+    void count_server_response(std::string_view identified_by);
+    /// Counts a connection that was found unusable for a request.
+    void count_unusable_connection(std::string_view state);
     /// Counts a server homed here that entered \p state.
     void count_health_change(std::string_view state);
     /// \param entry_errors  errors of entries of this version that cannot be
