Reproduce answers that belong to no request, with servers that answer twice

The backend server stand-in can follow a response with a second one: the same again, its head in two parts, a success without id and stamp, one without a length, or bytes that are no response.

--- a/src/fake_server/faults.cpp
+++ b/src/fake_server/faults.cpp
@@ -1,8 +1,11 @@
 #include "fake_server/faults.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
 #include <stdexcept>
 
 namespace gooseberrycove::fake_server
@@ -29,6 +32,22 @@
         1000 * read_number(value, 0, 3'600'000, name)));
 }
 
+constexpr std::array<std::string_view, 5> second_names{"same", "split", "bare",
+                                                       "undelimited", "noise"};
+
+second_kind read_second_kind(json const& value, std::string_view name)
+{
+    if (value.is_string())
+    {
+        auto const found =
+            std::ranges::find(second_names, value.get<std::string>());
+        if (found != second_names.end())
+            return static_cast<second_kind>(found - second_names.begin());
+    }
+    throw std::invalid_argument(
+        fmt::format("{}: allowed: {}", name, fmt::join(second_names, ", ")));
+}
+
 void read_fault(std::string_view name, json const& value, faults& out)
 {
     if (name == "fail_rate")
@@ -45,12 +64,19 @@
         out.truncated_share = read_number(value, 0, 1, name);
     else if (name == "late_answer_ms")
         out.response_delay = read_millis(value, name);
+    else if (name == "second_answer")
+        out.second_share = read_number(value, 0, 1, name);
+    else if (name == "second_answer_ms")
+        out.second_delay = read_millis(value, name);
+    else if (name == "second_answer_kind")
+        out.second = read_second_kind(value, name);
     else if (name == "silent_stop" && value.is_boolean())
         out.is_unresponsive = value.get<bool>();
     else
         throw std::invalid_argument(fmt::format(
             "{}: allowed: fail_rate, slow_factor, flap_ms, load_lag_ms, "
-            "load_lie, cut_answer, late_answer_ms, silent_stop (boolean)",
+            "load_lie, cut_answer, late_answer_ms, second_answer, "
+            "second_answer_ms, second_answer_kind, silent_stop (boolean)",
             name));
 }
 
@@ -82,6 +108,10 @@
                 {"load_lie", configured.reported_load_factor},
                 {"cut_answer", configured.truncated_share},
                 {"late_answer_ms", to_millis(configured.response_delay)},
+                {"second_answer", configured.second_share},
+                {"second_answer_ms", to_millis(configured.second_delay)},
+                {"second_answer_kind",
+                 second_names[static_cast<std::size_t>(configured.second)]},
                 {"silent_stop", configured.is_unresponsive}}
         .dump();
 }
--- a/src/fake_server/faults.hpp
+++ b/src/fake_server/faults.hpp
@@ -3,12 +3,23 @@
 
 #include <gooseberrycove/types.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace gooseberrycove::fake_server
 {
 
+/// Bytes that follow a complete response on its connection.
+enum class second_kind : std::uint8_t
+{
+    same,        ///< the same response again
+    split,       ///< the same response, its head in two parts
+    bare,        ///< a success with a body of two bytes, without id and stamp
+    undelimited, ///< a success without id and length
+    noise        ///< bytes that are no response
+};
+
 /// Faults that POST /faults switches on. None of them changes /healthz.
 struct faults
 {
@@ -27,6 +38,11 @@
     double truncated_share = 0;
     /// Time between the end of the work and its response.
     duration response_delay{0};
+    /// Share of responses that are followed by second_kind.
+    double second_share = 0;
+    /// Time from the end of the first response to the second.
+    duration second_delay{0};
+    second_kind second = second_kind::same;
     /// Work is accepted but not started, and no response is sent.
     bool is_unresponsive = false;
     /// When the faults were set; the periods of `flap` begin here.
--- a/src/fake_server/http.cpp
+++ b/src/fake_server/http.cpp
@@ -1,6 +1,7 @@
 #include "fake_server/http.hpp"
 
 #include "evidence/response_body.hpp"
+#include <gooseberrycove/header.hpp>
 #include <gooseberrycove/settings.hpp>
 
 #include <fmt/format.h>
@@ -9,6 +10,7 @@
 
 #include <charconv>
 #include <csignal>
+#include <span>
 #include <unordered_map>
 
 namespace gooseberrycove::fake_server
@@ -82,6 +84,52 @@
         .dump();
 }
 
+using output_builder =
+    restinio::response_builder_t<restinio::user_controlled_output_t>;
+
+/// A response that has been sent and the parts to write after it.
+struct second_response
+{
+    std::uint64_t connection = 0;
+    output_builder output;
+    std::vector<std::string> parts;
+};
+
+std::string encode_response(response_kind kind,
+                            std::span<header_field const> headers,
+                            std::string_view body)
+{
+    auto const status = status_of(kind);
+    std::string result = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
+                                     status.status_code().raw_code(),
+                                     status.reason_phrase(), body.size());
+    for (header_field const& field : headers)
+        result += fmt::format("{}: {}\r\n", field.name, field.value);
+    result += "\r\n";
+    result += body;
+    return result;
+}
+
+/// \param response  the first response as it was sent
+std::vector<std::string> make_second_parts(second_kind kind,
+                                           std::string const& response)
+{
+    switch (kind)
+    {
+    case second_kind::same:
+        return {response};
+    case second_kind::split:
+        return {response.substr(0, 20), response.substr(20)};
+    case second_kind::bare:
+        return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    case second_kind::undelimited:
+        return {"HTTP/1.1 200 OK\r\n\r\nok"};
+    case second_kind::noise:
+        return {"\x01 no response\r\n\r\n"};
+    }
+    return {};
+}
+
 /// Owns the work state; runs on the thread of its io_context only.
 class http_front
 {
@@ -104,6 +152,11 @@
     void send_response(response const& result);
     void send_json(restinio::request_handle_t const& request,
                    restinio::http_status_line_t status, std::string body);
+    /// Sends a response that second_part messages follow.
+    void send_first(restinio::request_handle_t const& request,
+                    response const& result, std::string_view body);
+    void send_second_part(second_part const& part);
+    std::vector<header_field> make_headers(response const& result) const;
     void send_truncated(restinio::request_handle_t const& request,
                         std::string_view body);
     void on_signal();
@@ -119,12 +172,14 @@
     announce_inbox& m_announcer;
     evidence::history_log& m_history;
     duration m_min_drain_time;
+    std::string m_stamp;
     double m_limit = 0;
     bool m_is_leaving = false;
     time_point m_drain_start;
     std::uint64_t m_next_ticket = 1;
     std::size_t m_unfinished_writes = 0;
     std::unordered_map<std::uint64_t, restinio::request_handle_t> m_requests;
+    std::unordered_map<std::uint64_t, second_response> m_second_responses;
     std::unique_ptr<http_server> m_server;
 };
 
@@ -147,8 +202,8 @@
                        evidence::history_log& history)
     : m_work(make_work_state(limits, clock_now())), m_announcer(announcer),
       m_history(history), m_min_drain_time(options.min_drain_time),
-      m_limit(options.limit), m_is_leaving(options.is_leaving),
-      m_server(make_server(options))
+      m_stamp(options.stamp), m_limit(options.limit),
+      m_is_leaving(options.is_leaving), m_server(make_server(options))
 {
 }
 
@@ -265,6 +320,8 @@
     time_point const now = clock_now();
     std::erase_if(m_requests, [&](auto const& item)
                   { return item.second->connection_id() == connection; });
+    std::erase_if(m_second_responses, [&](auto const& item)
+                  { return item.second.connection == connection; });
     actions out;
     on_closed(m_work, connection, now, out);
     apply(std::move(out), now);
@@ -278,6 +335,8 @@
         m_history.add(std::move(item));
     for (response const& item : out.responses)
         send_response(item);
+    for (second_part const& item : out.second_parts)
+        send_second_part(item);
     wait_for_tick(now);
     stop_when_drained(now);
 }
@@ -298,16 +357,13 @@
             : refusal_body(result, limits);
     if (result.is_truncated)
         return send_truncated(request, body);
+    if (result.second)
+        return send_first(request, result, body);
     ++m_unfinished_writes;
     auto encoded = request->create_response(status_of(result.kind));
-    if (m_limit > 0)
-        encoded.append_header("Server-Limit", fmt::format("{}", m_limit));
-    if (m_is_leaving)
-        encoded.append_header("Server-Leaving", "1");
-    encoded.append_header("Content-Type", "application/json")
-        .append_header("X-Request-Id", result.request_id)
-        .append_header("X-Outcome", ran ? "ran" : "not_run")
-        .set_body(std::move(body))
+    for (header_field const& field : make_headers(result))
+        encoded.append_header(field.name, field.value);
+    encoded.set_body(std::move(body))
         .done(
             [this](auto const&)
             {
@@ -316,6 +372,60 @@
             });
 }
 
+std::vector<header_field> http_front::make_headers(response const& result) const
+{
+    bool const ran = result.kind != response_kind::refused;
+    std::vector<header_field> headers;
+    if (m_limit > 0)
+        headers.push_back({"Server-Limit", fmt::format("{}", m_limit)});
+    if (m_is_leaving)
+        headers.push_back({"Server-Leaving", "1"});
+    if (ran && !m_stamp.empty())
+        headers.push_back({m_stamp, fmt::format("{}.{}", m_work.limits.name,
+                                                result.sequence)});
+    headers.push_back({"Content-Type", "application/json"});
+    headers.push_back({"X-Request-Id", result.request_id});
+    headers.push_back({"X-Outcome", ran ? "ran" : "not_run"});
+    return headers;
+}
+
+void http_front::send_first(restinio::request_handle_t const& request,
+                            response const& result, std::string_view body)
+{
+    std::vector<header_field> const headers = make_headers(result);
+    auto output = request->create_response<restinio::user_controlled_output_t>(
+        status_of(result.kind));
+    output.set_content_length(body.size());
+    for (header_field const& field : headers)
+        output.append_header(field.name, field.value);
+    output.append_body(std::string(body));
+    output.flush();
+    m_second_responses.emplace(
+        result.ticket,
+        second_response{
+            request->connection_id(), std::move(output),
+            make_second_parts(*result.second,
+                              encode_response(result.kind, headers, body))});
+}
+
+/// The parts are sent as body bytes beyond the stated length, because RESTinio
+/// sends one response to a request.
+void http_front::send_second_part(second_part const& part)
+{
+    auto const found = m_second_responses.find(part.ticket);
+    if (found == m_second_responses.end())
+        return;
+    second_response& second = found->second;
+    second.output.append_body(second.parts[part.index]);
+    if (part.index + 1 < second.parts.size())
+    {
+        second.output.flush();
+        return;
+    }
+    second.output.done();
+    m_second_responses.erase(found);
+}
+
 void http_front::send_json(restinio::request_handle_t const& request,
                            restinio::http_status_line_t status,
                            std::string body)
--- a/src/fake_server/http.hpp
+++ b/src/fake_server/http.hpp
@@ -18,6 +18,8 @@
     /// Minimum time between SIGTERM and the exit. Work that arrives in it gets
     /// an explicit refusal instead of a lost connection.
     duration min_drain_time{2'500'000};
+    /// Header that responses to work that ran bear; none when empty.
+    std::string stamp;
     /// Requests a second that responses name in `Server-Limit`; 0 for none.
     /// The stand-in does not keep to it itself.
     double limit = 0;
--- a/src/fake_server/main.cpp
+++ b/src/fake_server/main.cpp
@@ -36,6 +36,8 @@
             "requested lease in ms", false},
     setting{"server", "drain_ms", number, "2500", false, 0, 30000,
             "minimum time between SIGTERM and exit in ms", false},
+    setting{"server", "stamp", text, "", false, 0, 0,
+            "header that answers to work that ran bear; empty for none", false},
     setting{"server", "limit", real, "0", false, 0, 1e6,
             "requests a second that answers name in Server-Limit; 0 for none",
             false},
@@ -118,6 +120,7 @@
             {.listen = options.address,
              .connections = options.connections,
              .min_drain_time = from_millis(values.real("server", "drain_ms")),
+             .stamp = values.text("server", "stamp"),
              .limit = values.real("server", "limit"),
              .is_leaving = values.boolean("server", "leaving")},
             read_limits(values), inbox, history);
--- a/src/fake_server/work.cpp
+++ b/src/fake_server/work.cpp
@@ -82,6 +82,9 @@
     next.will_fail = draw_with_probability(state, active.fail_rate);
     next.is_truncated = draw_with_probability(state, active.truncated_share);
     next.response_delay = active.response_delay;
+    if (draw_with_probability(state, active.second_share))
+        next.second = active.second;
+    next.second_delay = active.second_delay;
     next.finish_at = now + draw_service_time(state, active, now);
     out.records.push_back(make_record(state, "start", work, now));
     next.work = std::move(work);
@@ -101,8 +104,9 @@
     result.sequence = done.sequence;
     result.request_id = std::move(done.work.request_id);
     result.filler_size = done.work.filler_size;
+    result.second = done.second;
     state.delayed_responses.push_back(
-        {now + done.response_delay, std::move(result)});
+        {now + done.response_delay, std::move(result), done.second_delay});
     record_load(state, now);
 }
 
@@ -140,6 +144,20 @@
                   });
 }
 
+void delay_second_parts(work_state& state, delayed_response const& first,
+                        time_point now)
+{
+    if (!first.content.second)
+        return;
+    time_point send_at = now + first.second_delay;
+    for (std::size_t i = 0; i < part_count(*first.content.second); ++i)
+    {
+        state.delayed_second_parts.push_back(
+            {send_at, {first.content.ticket, i}});
+        send_at += second_part_pause;
+    }
+}
+
 void release_delayed_responses(work_state& state, time_point now, actions& out)
 {
     std::erase_if(state.delayed_responses,
@@ -147,13 +165,31 @@
                   {
                       if (item.send_at > now)
                           return false;
+                      delay_second_parts(state, item, now);
                       out.responses.push_back(std::move(item.content));
                       return true;
                   });
 }
 
+void release_second_parts(work_state& state, time_point now, actions& out)
+{
+    std::erase_if(state.delayed_second_parts,
+                  [&](delayed_second_part const& item)
+                  {
+                      if (item.send_at > now)
+                          return false;
+                      out.second_parts.push_back(item.content);
+                      return true;
+                  });
+}
+
 } // namespace
 
+std::size_t part_count(second_kind kind)
+{
+    return kind == second_kind::split ? 2 : 1;
+}
+
 work_state make_work_state(work_limits const& limits, time_point now)
 {
     work_state state;
@@ -209,6 +245,7 @@
         start_work(state, std::move(next), active, now, out);
     }
     release_delayed_responses(state, now, out);
+    release_second_parts(state, now, out);
 }
 
 void on_faults(work_state& state, faults const& new_faults, time_point now,
@@ -248,6 +285,8 @@
     }
     for (delayed_response const& item : state.delayed_responses)
         consider(item.send_at);
+    for (delayed_second_part const& item : state.delayed_second_parts)
+        consider(item.send_at);
     return next;
 }
 
--- a/src/fake_server/work.hpp
+++ b/src/fake_server/work.hpp
@@ -62,11 +62,21 @@
     std::string request_id;
     std::size_t filler_size = 0;
     std::string reason;
+    /// Set when second_part messages with this ticket follow.
+    std::optional<second_kind> second;
+};
+
+/// Bytes to write after the response with this ticket.
+struct second_part
+{
+    std::uint64_t ticket = 0;
+    std::size_t index = 0;
 };
 
 struct actions
 {
     std::vector<response> responses;
+    std::vector<second_part> second_parts;
     std::vector<evidence::record> records;
 };
 
@@ -77,15 +87,30 @@
     time_point finish_at;
     bool will_fail = false;
     bool is_truncated = false;
+    std::optional<second_kind> second;
     duration response_delay{0};
+    duration second_delay{0};
 };
 
 struct delayed_response
 {
     time_point send_at;
     response content;
+    duration second_delay{0};
+};
+
+struct delayed_second_part
+{
+    time_point send_at;
+    second_part content;
 };
 
+/// Number of parts that a second response of this kind is written in.
+std::size_t part_count(second_kind kind);
+
+/// Pause between the parts of a second response.
+inline constexpr duration second_part_pause{60'000};
+
 struct load_sample
 {
     time_point at;
@@ -103,6 +128,7 @@
     std::deque<arrival> queue;
     std::vector<running_work> running;
     std::vector<delayed_response> delayed_responses;
+    std::vector<delayed_second_part> delayed_second_parts;
     /// Load over the last load_lag, oldest first; never empty.
     std::deque<load_sample> loads;
 };
@@ -119,7 +145,7 @@
                actions& out);
 
 /// Finishes work that is due, refuses queued work past its deadline, starts
-/// work in free slots and releases delayed responses.
+/// work in free slots and releases delayed responses and second ones.
 void on_tick(work_state& state, time_point now, actions& out);
 
 void on_faults(work_state& state, faults const& new_faults, time_point now,
@@ -132,7 +158,8 @@
 /// delayed response sets one.
 std::optional<time_point> next_tick(work_state const& state, time_point now);
 
-/// Whether no work is queued or running and no response is delayed.
+/// Whether no work is queued or running and no response is delayed. Second
+/// responses do not count.
 bool is_idle(work_state const& state);
 
 /// Slots in use as /load and the announcement report them, after the faults
