Take a response for the request's only when something shows that it is

Callers saw a success without the backend server's stamp, with a body that no server sent for their request.

Cause: a server may write bytes after a complete response. libcurl 7.88 takes an idle connection with unread bytes for usable, so the next request on it got them as its response; only a response with the id of another request was rejected, one without an id was not. The class: a response matched by the order of the bytes.

A response is now taken only when it has the request's id, or none on a connection that carried nothing else and is then closed; a success also needs the stamp that the settings name. Anything else is cut and closes the connection as soon as its head is read, also a statement of "not run". A kept connection with unread bytes is closed before a request is sent on it, and the request goes on a new one. A request without an id gets its own connection. Trailers no longer change the head that was read.

--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -60,6 +60,8 @@
 void apply_header_line(response_head& head, header_names const& names,
                        std::string_view line)
 {
+    if (head.is_complete)
+        return;
     if (line.starts_with("HTTP/"))
     {
         head = response_head{};
@@ -149,10 +151,8 @@
         return result_class::timed_out;
     if (summary.end != transfer_end::complete)
         return result_class::cut;
-    // A late or duplicate response on a reused connection belongs to another
-    // request.
-    if (!head.request_id.empty() && !summary.request_id.empty() &&
-        head.request_id != summary.request_id)
+    if (!summary.response_attribution ||
+        !is_attributed(*summary.response_attribution))
         return result_class::cut;
     bool const is_misdirected = head.status == misdirected_status;
     if (is_misdirected || (head.status >= 400 && head.states_not_run))
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -4,6 +4,7 @@
 #include <gooseberrycove/dispatch.hpp>
 #include <gooseberrycove/header.hpp>
 
+#include <optional>
 #include <string_view>
 
 namespace gooseberrycove::dispatch
@@ -29,7 +30,8 @@
     bool has_leaving_header = false;
     /// The response has the header that each success bears.
     bool has_stamp = false;
-    /// The end of the final response's head has been read.
+    /// The end of the final response's head has been read. Later lines are
+    /// trailers, which change nothing.
     bool is_complete = false;
 };
 
@@ -89,8 +91,8 @@
     /// A response without a length is complete when its connection is closed
     /// without an error.
     bool accepts_undelimited = false;
-    /// Id that was sent with the request.
-    std::string_view request_id = {};
+    /// Unset when no head of a final response was complete.
+    std::optional<attribution> response_attribution;
 };
 
 /// Classifies a transfer that has ended. A request that the server may have
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -87,8 +87,12 @@
         if (path.starts_with("/endless"))
             return write_endlessly(*socket, path);
         bool keep_open = true;
-        std::string const response =
-            response_for(path, served_count, keep_open);
+        std::string response = response_for(path, served_count, keep_open);
+        auto const status_end = response.find("\r\n");
+        auto const id = text.find("X-Request-Id: ");
+        if (status_end != response.npos && id != text.npos)
+            response.insert(status_end,
+                            "\r\n" + text.substr(id, text.find('\r', id) - id));
         // The client closes the connection in the middle of a response that
         // exceeds a limit.
         asio::error_code failure;
@@ -183,6 +187,7 @@
         start job;
         job.ticket = static_cast<std::uint64_t>(ticket);
         job.address = address;
+        job.request.caller_id = fmt::format("r{}", ticket);
         job.request.method = "POST";
         job.request.target = path;
         job.request.idempotency_key = "k1";
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -257,8 +257,14 @@
         if (curl_message->msg != CURLMSG_DONE)
             continue;
         CURLcode const code = curl_message->data.result;
-        auto const ended = remove_transfer(state, curl_message->easy_handle);
+        auto ended = remove_transfer(state, curl_message->easy_handle);
         report_unusable_connection(setup, *ended);
+        if (may_send_again(*ended, now))
+        {
+            send_again(*ended, now);
+            add_transfer(state, std::move(ended));
+            continue;
+        }
         report_response(setup, *ended);
         finished result = finish_transfer(*ended, code, now);
         recycle_handle(state, *ended);
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -49,26 +49,35 @@
 {
     transfer& active = *static_cast<transfer*>(context);
     apply_header_line(active.head, active.options->names, {data, size * count});
-    if (active.head.is_complete && !active.response_attribution)
-        active.response_attribution =
-            attribute(active.head, describe_sent(active));
+    if (!active.head.is_complete || active.response_attribution)
+        return size * count;
+    attribution const found = attribute(active.head, describe_sent(active));
+    active.response_attribution = found;
+    // An error ends the transfer and closes its connection, on which the
+    // response to this request may still follow.
+    if (!is_attributed(found))
+        return 0;
+    if (found == attribution::by_connection)
+        curl_easy_setopt(active.easy.get(), CURLOPT_FORBID_REUSE, 1L);
     return size * count;
 }
 
-/// Called each time libcurl is about to send the request. libcurl resends a
-/// request up to five times when a reused connection is closed without a
-/// response; this aborts the transfer instead. Only routing decides about
+/// Called each time libcurl is about to send the request. Aborts the transfer
+/// when the chosen connection is not usable. libcurl resends a request up to
+/// five times when a reused connection is closed without a response; this
+/// aborts the transfer then, too. Only routing decides about
 /// retries, because it checks whether the request may run twice and what the
 /// service allows.
 int before_send(void* context, char* remote_ip, char* local_ip, int remote_port,
                 int local_port)
 {
     transfer& active = *static_cast<transfer*>(context);
-    choose_connection(active.connection,
-                      {remote_ip, local_ip, remote_port, local_port});
-    ++active.send_count;
-    if (active.send_count > 1)
+    if (active.send_count > 0 ||
+        choose_connection(active.connection,
+                          {remote_ip, local_ip, remote_port, local_port}) !=
+            http_client::connection_state::usable)
         return CURL_PREREQFUNC_ABORT;
+    ++active.send_count;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -216,8 +225,9 @@
                      created->headers.get());
     // A server may close an idle connection while the request is being sent,
     // which leaves the outcome unknown. A new connection, which takes about
-    // 1 ms, avoids this.
-    if (!request.repeatable)
+    // 1 ms, avoids this. A response to a request without an id is attributed to
+    // it only by a connection of its own.
+    if (!request.repeatable || request.caller_id.empty())
         use_own_connection(created->easy.get());
     return created;
 }
@@ -235,6 +245,22 @@
     return created;
 }
 
+bool may_send_again(transfer const& ended, time_point now)
+{
+    return ended.send_count == 0 && !ended.is_resent && !ended.is_probe &&
+           ended.connection.state != http_client::connection_state::usable &&
+           ended.job.request.deadline > now;
+}
+
+void send_again(transfer& ended, time_point now)
+{
+    ended.is_resent = true;
+    CURL* const easy = ended.easy.get();
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     to_milliseconds(ended.job.request.deadline - now));
+}
+
 finished finish_transfer(transfer& ended, CURLcode code, time_point now)
 {
     transfer_summary summary;
@@ -242,7 +268,7 @@
     summary.may_have_sent = ended.send_count > 0;
     summary.is_head_request = ended.job.request.method == "HEAD";
     summary.accepts_undelimited = ended.options->accepts_undelimited;
-    summary.request_id = ended.job.request.caller_id;
+    summary.response_attribution = ended.response_attribution;
     finished result;
     result.ticket = ended.job.ticket;
     result.result = classify(summary, ended.head);
@@ -253,6 +279,10 @@
         result.detail = fmt::format(
             "response body exceeds {} bytes, or all bodies {} bytes",
             ended.options->max_body_bytes, ended.options->max_buffered_bytes);
+    else if (ended.response_attribution &&
+             !is_attributed(*ended.response_attribution))
+        result.detail = fmt::format("response not attributed: {}",
+                                    to_string(*ended.response_attribution));
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
     else if (result.result == result_class::cut)
--- a/src/dispatch/transfer.hpp
+++ b/src/dispatch/transfer.hpp
@@ -55,6 +55,8 @@
     std::size_t* buffered_bytes = nullptr;
     /// How often libcurl was about to send the request.
     int send_count = 0;
+    /// The request was not sent on the connection that libcurl chose first.
+    bool is_resent = false;
     http_client::chosen_connection connection;
     /// Unset until the head of a final response is complete.
     std::optional<attribution> response_attribution;
@@ -81,6 +83,13 @@
                                         transfer_context const& shared,
                                         time_point now);
 
+/// Whether a transfer has ended because its kept connection was not usable, so
+/// that nothing was sent and another connection may serve.
+bool may_send_again(transfer const& ended, time_point now);
+
+/// Prepares a transfer that may_send_again() for a new connection.
+void send_again(transfer& ended, time_point now);
+
 /// Classifies a transfer that libcurl has ended and moves the response out of
 /// it.
 finished finish_transfer(transfer& ended, CURLcode code, time_point now);
