Take a probe's success only from the server that was probed

Callers saw nothing of it yet: the class is a response accepted without proof.

Cause: addresses of backend servers that are gone are used again. A probe asked whoever has the address now, and a success counted for the server that had it before, so that a server which is gone could look sound. The setting headers.server_name names the header in which a server names itself (X-Instance-Id on the users' platform); a success without that name is a failed probe now.

The new case of unit.dispatch probes two names at one address and holds.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -61,6 +61,7 @@
     names.expected_server = values.text("headers", "expected_server");
     names.caller_service = values.text("headers", "caller_service");
     names.not_run = values.text("headers", "not_run");
+    names.server_name = values.text("headers", "server_name");
     names.server_stamp = values.text("headers", "server_stamp");
     names.server_limit = values.text("headers", "server_limit");
     names.server_leaving = values.text("headers", "server_leaving");
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -149,6 +149,10 @@
         "not_run", "",
         "header whose presence on an answer states that the request was "
         "not run; besides it `X-Outcome: not_run` does"),
+    header_setting(
+        "server_name", "",
+        "header in which a backend server names itself when it is probed; a "
+        "success of another server is a failed probe; not read when empty"),
     header_setting(
         "server_stamp", "",
         "header that each success of a backend server bears; a success "
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -88,6 +88,9 @@
             head.states_not_run || is_same_header(value, "not_run");
     else if (!names.not_run.empty() && is_same_header(name, names.not_run))
         head.states_not_run = true;
+    else if (!names.server_name.empty() &&
+             is_same_header(name, names.server_name))
+        head.server_name = value;
     else if (!names.server_stamp.empty() &&
              is_same_header(name, names.server_stamp))
         head.has_stamp = !value.empty();
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -28,6 +28,8 @@
     std::string content_type;
     answer_statement statement;
     bool has_leaving_header = false;
+    /// Server that the response names as its sender; empty when absent.
+    std::string server_name;
     /// The response has the header that each success bears.
     bool has_stamp = false;
     /// The end of the final response's head has been read. Later lines are
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -136,6 +136,9 @@
             return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
         if (path == "/until_close")
             return "HTTP/1.1 200 OK\r\n\r\nok";
+        if (path == "/healthz")
+            return "HTTP/1.1 200 OK\r\nX-Instance-Id: s1\r\n"
+                   "Content-Length: 0\r\n\r\n";
         if (path == "/error")
             return "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
         if (path == "/busy")
@@ -331,6 +334,26 @@
     CHECK(std::get<health::probe_result>(received.front()).ok);
 }
 
+TEST_CASE("a probe that another server answers has failed")
+{
+    // Guards against the health of the next user of an address that counts for
+    // the server that was there before.
+    test_server server;
+    server_http_options options;
+    options.names.server_name = "X-Instance-Id";
+    fixture duty(options);
+    for (char const* name : {"s1", "s2"})
+        REQUIRE(duty.requests.try_push(probe{name, server.address()}));
+    std::vector<health::message> received;
+    while (received.size() < 2)
+        duty.probes.pop_until(received, clock_now() + std::chrono::seconds(20));
+    for (health::message const& item : received)
+    {
+        auto const& result = std::get<health::probe_result>(item);
+        CHECK(result.ok == (result.server == "s1"));
+    }
+}
+
 TEST_CASE("a server that does not answer does not keep a stopped loop running")
 {
     test_server server;
--- a/src/dispatch/dispatch_thread.cpp
+++ b/src/dispatch/dispatch_thread.cpp
@@ -233,13 +233,22 @@
                                       share(state, setup), now));
 }
 
+/// An address may have passed to another server, whose health says nothing of
+/// the one that was probed.
+bool is_from_probed_server(transfer const& ended)
+{
+    return ended.options->names.server_name.empty() ||
+           ended.head.server_name == ended.job.server;
+}
+
 void report_probe(wiring const& setup, transfer const& ended,
                   finished const& result)
 {
     health::probe_result report;
     report.server = ended.job.server;
     report.ok = result.result == result_class::answered &&
-                result.status >= 200 && result.status < 300;
+                result.status >= 200 && result.status < 300 &&
+                is_from_probed_server(ended);
     report.latency = result.latency;
     // Probes are sent regularly and each is weak evidence, so a result may be
     // dropped.
