Send each call to the store on a connection of its own

Cause: reads of the platform's store used kept connections, and its replies have no id. Bytes after a reply were taken for the reply to the next read: a read of row b was answered with a row "old", and with platform_interface rows, where rows of other keys are passed over, as "not found" - also the read that settles a claim whose reply was lost.

Writes had their own connections already, for another reason. Reads have them now. The cost is one connect a read. The new case of unit.store failed before and holds now.

--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -188,3 +188,50 @@
     store_client.run();
     CHECK(result == status::ok);
 }
+
+TEST_CASE("bytes that follow a reply are not taken for the next read's reply")
+{
+    asio::io_context loop;
+    tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+    auto const answer = [](std::string_view key)
+    {
+        std::string const body =
+            fmt::format(R"({{"key":"{}","version":7,"value":"v"}})", key);
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                           body.size(), body);
+    };
+    // Each request gets its reply and, late, the one to a call before it.
+    std::thread server(
+        [&]
+        {
+            std::vector<tcp::socket> sockets;
+            for (std::size_t read = 0; read < 2; ++read)
+            {
+                asio::error_code failure;
+                std::string text;
+                if (!sockets.empty())
+                    asio::read_until(sockets.back(), asio::dynamic_buffer(text),
+                                     "\r\n\r\n", failure);
+                if (text.empty())
+                {
+                    sockets.push_back(acceptor.accept());
+                    asio::read_until(sockets.back(), asio::dynamic_buffer(text),
+                                     "\r\n\r\n", failure);
+                }
+                auto const begin = text.find("key=") + 4;
+                std::string const key =
+                    text.substr(begin, text.find(' ', begin) - begin);
+                asio::write(sockets.back(), asio::buffer(answer(key)), failure);
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+                asio::write(sockets.back(), asio::buffer(answer("old")),
+                            failure);
+            }
+        });
+    auto const replies = call_all(
+        fmt::format("http://127.0.0.1:{}", acceptor.local_endpoint().port()),
+        {get_row{"a"}, get_row{"b"}});
+    server.join();
+    REQUIRE(replies.size() == 2);
+    CHECK(replies[0].rows.at(0).key == "a");
+    CHECK(replies[1].rows.at(0).key == "b");
+}
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -84,17 +84,18 @@
     curl_easy_setopt(
         handle, CURLOPT_TIMEOUT_MS,
         static_cast<long>(active.requested.timeout.count() / 1000));
+    // The store's replies have no id, so only a connection of its own shows
+    // which call a reply belongs to. It also keeps libcurl from sending a
+    // write again when a reused connection is closed before the response: if
+    // the first write took effect, the second one's condition would fail.
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     if (!active.call.is_write)
         return;
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, active.call.method.c_str());
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, active.call.body.data());
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(active.call.body.size()));
-    // libcurl resends a request when a reused connection is closed before the
-    // response. If the first write took effect, the response to the second one
-    // would be "condition failed".
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
 }
 
 void log_state_change(client_state& state, bool has_failed,
