Send no byte behind the head of a response without a body

After a refused HEAD, the caller's next response on the connection began with the bytes of a problem document.

Cause: the listener sent the body of each response.

The listener states the length of a HEAD's response without sending the body, and sends no body with 204 and 304. The new case of unit.front, HEAD and GET with six statuses, kept and pipelined, failed before in each of its 12 variants and holds now.

--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -83,11 +83,12 @@
         return taken;
     }
 
-    void answer(routing::caller_request const& request, std::string body)
+    void answer(routing::caller_request const& request, std::string body,
+                int status = 200)
     {
         front::caller_response response;
         response.id = request.id;
-        response.status = 200;
+        response.status = status;
         response.body = std::move(body);
         messages.try_push(std::move(response));
     }
@@ -123,13 +124,14 @@
     }
 
     /// Sends requests for the paths in one write.
-    void send(std::vector<std::string> const& paths)
+    void send(std::vector<std::string> const& paths,
+              std::string_view method = "GET")
     {
         std::string bytes;
         for (std::string const& path : paths)
-            bytes += fmt::format("GET {0} HTTP/1.1\r\nHost: shop\r\n"
+            bytes += fmt::format("{1} {0} HTTP/1.1\r\nHost: shop\r\n"
                                  "X-Request-Id: id{0}\r\n\r\n",
-                                 path);
+                                 path, method);
         asio::write(m_socket, asio::buffer(bytes));
     }
 
@@ -350,3 +352,43 @@
     front.answer(first[0], "body of a");
     CHECK(front.take_requests(1).size() == 1);
 }
+
+TEST_CASE("a response without a body leaves no byte before the next response")
+{
+    // Guards against a problem document that the caller reads as its next
+    // response.
+    struct row
+    {
+        char const* method;
+        int status;
+        char const* length;
+    };
+    auto const first = GENERATE(
+        row{"HEAD", 200, "Content-Length: 8"},
+        row{"HEAD", 404, "Content-Length: 8"},
+        row{"HEAD", 503, "Content-Length: 8"}, row{"GET", 204, "HTTP/1.1 204"},
+        row{"GET", 304, "HTTP/1.1 304"}, row{"HEAD", 204, "HTTP/1.1 204"});
+    bool const is_pipelined = GENERATE(false, true);
+    CAPTURE(first.method, first.status, is_pipelined);
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send({"/a"}, first.method);
+    if (is_pipelined)
+        caller.send({"/b"});
+    auto requests = front.take_requests(is_pipelined ? 2 : 1);
+    front.answer(requests.at(0), "problem!", first.status);
+    if (!is_pipelined)
+    {
+        caller.send({"/b"});
+        requests = front.take_requests(1);
+    }
+    front.messages.try_push(front::drain{});
+    front.answer(requests.back(), "body of b");
+    std::string const bytes = caller.read_to_end();
+    INFO(bytes);
+    std::string const head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    CHECK(head.find(first.length) != head.npos);
+    CHECK(bytes.find("problem!") == bytes.npos);
+    CHECK(bytes.substr(head.size() + 4).starts_with("HTTP/1.1 200"));
+    CHECK(bytes.ends_with("body of b"));
+}
--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -89,10 +89,13 @@
         if (m_has_responded)
             return;
         m_has_responded = true;
-        auto builder = m_request->create_response(restinio::http_status_line_t(
-            restinio::http_status_code_t(
-                static_cast<std::uint16_t>(reply.status)),
-            reason_phrase(reply.status)));
+        // This builder sends the length as it is stated.
+        auto builder =
+            m_request->create_response<restinio::user_controlled_output_t>(
+                restinio::http_status_line_t(
+                    restinio::http_status_code_t(
+                        static_cast<std::uint16_t>(reply.status)),
+                    reason_phrase(reply.status)));
         if (!reply.content_type.empty())
             builder.append_header(restinio::http_field::content_type,
                                   reply.content_type);
@@ -101,7 +104,10 @@
                 restinio::http_header_field_t(field.name, field.value));
         if (reply.close_connection)
             builder.connection_close();
-        builder.set_body(reply.body);
+        if (may_have_length(reply.status))
+            builder.set_content_length(reply.body.size());
+        if (may_have_length(reply.status) && m_method != "HEAD")
+            builder.append_body(reply.body);
         if (on_written)
             builder.done([callback = std::move(on_written)](
                              asio::error_code const&) { callback(); });
@@ -110,6 +116,15 @@
     }
 
 private:
+    /// A client reads bytes behind the head of a response with another status
+    /// as the start of the next response.
+    static bool may_have_length(int status)
+    {
+        constexpr int no_content = 204;
+        constexpr int not_modified = 304;
+        return status >= 200 && status != no_content && status != not_modified;
+    }
+
     static std::string reason_phrase(int status)
     {
         if (status < 300)
