--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -38,8 +38,8 @@
     /// Response header with the requests per second that the server takes from
     /// all daemons together. Empty when the servers name no limit.
     std::string server_limit;
-    /// Response header in which a backend server names itself when it is probed.
-    /// Empty when the servers do not.
+    /// Response header in which a backend server names itself when it is
+    /// probed. Empty when the servers do not.
     std::string server_name;
     /// Response header that each success of a backend server bears. Empty when
     /// the servers send none.
