Teach the soak servers that answer twice, and signals in series

Servers and daemons of its deployments now use a stamp; gray servers may follow 0.4 of their responses with a second one of five kinds, 1 or 30 ms later, so that it meets an idle connection or a later request. The short run of testsuite.faults has one of each.

--- a/testsuite/deployments.sh
+++ b/testsuite/deployments.sh
@@ -92,6 +92,7 @@
     start_platform
     for ((i = 1; i <= daemon_count; ++i)); do
         assign_addresses "daemon-$i"
+        daemon_settings[daemon-$i]=$'[headers]\nserver_stamp = X-Server-Stamp'
         all+=("${admin[daemon-$i]}")
     done
     start_link
@@ -111,6 +112,15 @@
         fail "not all servers are serving at every daemon"
 }
 
+# scale_deployment FACTOR: multiplies the numbers of daemons and servers.
+scale_deployment() {
+    local name
+    daemon_count=$((daemon_count * $1))
+    for name in "${service_names[@]}"; do
+        service_size[$name]=$((service_size[$name] * $1))
+    done
+}
+
 # start_servers ADMIN_ADDRESS...: distributes the servers over the daemons in
 # turn. Each server announces itself to the other daemons when its first one
 # fails.
@@ -119,6 +129,7 @@
     for name in "${service_names[@]}"; do
         for ((i = 1; i <= service_size[$name]; ++i)); do
             home=$((count % daemon_count + 1))
+            server_settings[$name-$i]='stamp = X-Server-Stamp'
             start_server "$name-$i" "$name" "$count" \
                 "${@:home}" "${@:1:home-1}"
             count=$((count + 1))
--- a/testsuite/faults.sh
+++ b/testsuite/faults.sh
@@ -45,6 +45,17 @@
     kill_process "$1"
 }
 
+# send_signals NAME SIGNAL...: 50 ms apart, so that one arrives while the daemon
+# still handles those before it.
+send_signals() {
+    local signal pid=${pid_of[$1]}
+    shift
+    for signal in "$@"; do
+        kill "-$signal" "$pid" 2>/dev/null || return 0
+        sleep 0.05
+    done
+}
+
 begin_fault() {
     local kind=$1 target=$2 extra=${3:-}
     case $kind in
@@ -60,6 +71,11 @@
         record_daemon_stop "$target" true
         kill -TERM "${pid_of[$target]}"
         ;;
+    daemon_signals)
+        record_daemon_stop "$target" true
+        send_signals "$target" HUP TERM HUP TERM
+        ;;
+    daemon_hup) send_signals "$target" HUP HUP HUP ;;
     server_kill) kill_server "$target" ;;
     server_freeze) kill -STOP "${pid_of[$target]}" ;;
     server_stop) kill -TERM "${pid_of[$target]}" ;;
@@ -84,11 +100,12 @@
         kill -CONT "${pid_of[$target]}"
         record_daemon_start "$target"
         ;;
-    daemon_stop)
+    daemon_stop | daemon_signals)
         wait_for_exit "$target"
         run_daemon "$target"
         record_daemon_start "$target"
         ;;
+    daemon_hup) true ;;
     server_kill) run_server "$target" ;;
     server_freeze) kill -CONT "${pid_of[$target]}" ;;
     server_stop)
--- a/testsuite/faults/run.sh
+++ b/testsuite/faults/run.sh
@@ -35,7 +35,7 @@
 observe &
 observer=$!
 started_pids+=("$observer")
-start_load 24 1
+start_load 32 1
 sleep 1
 inject_for 2 server_gray catalogue-1 '{"fail_rate":0.7}'
 inject_for 2 daemon_kill daemon-2
@@ -52,6 +52,14 @@
 begin_fault patches daemon-2 daemon-4
 inject_for 1 daemon_stop daemon-4
 
+inject_for 2 server_gray catalogue-2 \
+    '{"second_answer":0.5,"second_answer_ms":1,"second_answer_kind":"bare"}'
+begin_fault server_gray catalogue-3 \
+    '{"second_answer":0.5,"second_answer_ms":30,"second_answer_kind":"same"}'
+inject_for 2 daemon_signals daemon-3
+inject_for 1 daemon_hup daemon-1
+end_fault server_gray catalogue-3
+
 wait "$load" || fail "wrong responses: $(cat "$run/load.out")"
 unregister_process "$load"
 kill "$observer"
--- a/testsuite/soak.sh
+++ b/testsuite/soak.sh
@@ -3,7 +3,8 @@
 # from a seed, then checks the histories. Exits 1 on a violation.
 # Usage: soak.sh BIN_DIR [--seeds=N] [--first=S]
 #                [--deployment=kestrel|delta] [--seconds=T]
-#                [--schedule=FILE]
+#                [--schedule=FILE] [--scale=F]
+# --scale multiplies the numbers of daemons and servers.
 # A schedule file replaces the drawn faults, to reproduce a part of a run.
 set -uo pipefail
 bin=$(cd "$1" && pwd)
@@ -21,12 +22,14 @@
 deployment=kestrel
 seconds=40
 schedule=
+scale=1
 for argument in "$@"; do
     case $argument in
     --seeds=*) seeds=${argument#*=} ;;
     --first=*) first=${argument#*=} ;;
     --deployment=*) deployment=${argument#*=} ;;
     --seconds=*) seconds=${argument#*=} ;;
+    --scale=*) scale=${argument#*=} ;;
     --schedule=*) schedule=$(realpath "${argument#*=}") ;;
     *) fail "unknown argument: $argument" ;;
     esac
@@ -35,8 +38,17 @@
 gray_faults=('{"fail_rate":0.6}' '{"slow_factor":8}' '{"cut_answer":0.5}'
     '{"late_answer_ms":4000}' '{"fail_rate":1,"flap_ms":1500}'
     '{"silent_stop":true}' '{"load_lie":0.1,"slow_factor":4}')
-fault_kinds=(daemon_kill daemon_freeze daemon_stop server_kill server_freeze
-    server_gray server_gray server_drain server_stop platform_mode
+# Second answers come while the connection is idle or while a later request
+# uses it.
+for kind in same split bare undelimited noise; do
+    for delay in 1 30; do
+        gray_faults+=("{\"second_answer\":0.4,\"second_answer_ms\":$delay,\
+\"second_answer_kind\":\"$kind\"}")
+    done
+done
+fault_kinds=(daemon_kill daemon_freeze daemon_stop daemon_signals
+    daemon_signals daemon_hup server_kill server_freeze
+    server_gray server_gray server_gray server_gray server_drain server_stop platform_mode
     platform_mode platform_lose platform_cut_requests platform_cut_replies
     link_cut link_cut patches patches patches)
 
@@ -184,6 +196,7 @@
     mkdir -p "$run"
     daemons=() servers=() start_counts=() peer_bind=() pid_of=()
     select_deployment "$deployment"
+    scale_deployment "$scale"
     start_deployment
     draw_schedule "$1"
     echo "seed $1, deployment $deployment, $seconds s; files are in $run"
