--- a/src/fake_server/work_test.cpp
+++ b/src/fake_server/work_test.cpp
@@ -180,3 +180,28 @@
     CHECK(mean_at(0) == Approx(100'000).epsilon(0.05));
     CHECK(mean_at(1000) == Approx(20'000).epsilon(0.05));
 }
+
+TEST_CASE("a second response follows the first in its parts")
+{
+    work_state state = make_work_state(small_limits(), at_ms(0));
+    faults second;
+    second.second_share = 1;
+    second.second = second_kind::split;
+    second.second_delay = duration(10'000);
+    actions out;
+    on_faults(state, second, at_ms(0), out);
+    on_arrival(state, make_arrival(1, 0), at_ms(0), out);
+    on_tick(state, at_ms(60'000), out);
+    REQUIRE(out.responses.size() == 1);
+    CHECK(out.responses[0].second == second_kind::split);
+    CHECK(out.second_parts.empty());
+    CHECK(is_idle(state));
+    REQUIRE(next_tick(state, at_ms(60'000)) == at_ms(60'010));
+    on_tick(state, at_ms(60'010), out);
+    CHECK(out.second_parts.size() == 1);
+    on_tick(state, at_ms(60'070), out);
+    REQUIRE(out.second_parts.size() == 2);
+    CHECK(out.second_parts[1].ticket == 1);
+    CHECK(out.second_parts[1].index == 1);
+    CHECK_FALSE(next_tick(state, at_ms(60'070)));
+}
