--- a/testsuite/server_second_answer/run.sh
+++ b/testsuite/server_second_answer/run.sh
@@ -47,8 +47,8 @@
 account = demo
 secret = $secret
 INI
-        expect_exit 0 "$bin/gcove_load" --settings "$run/load.ini" \
-            --output json
+        "$bin/gcove_load" --settings "$run/load.ini" --output json \
+            >"$output" 2>&1 || fail "$kind after $delay ms: $(cat "$output")"
         jq -e '.wrong == 0 and .streams.browse.ran > 0' "$output" >/dev/null ||
             fail "$kind after $delay ms: $(cat "$output")"
     done
