Believe only the servers' own header that a request was not run

Cause: a server's 500 with X-Outcome: not_run counted as not run also where the settings name another header for it. That header is the product's own, on the answer that a daemon gave to a call of the server, which passed it on.

Where headers.not_run is set, only that header states "not run" now; X-Outcome counts where the servers have no other.

The new case of unit.dispatch fails on the code before.

--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -148,7 +148,7 @@
     header_setting(
         "not_run", "",
         "header whose presence on an answer states that the request was "
-        "not run; besides it `X-Outcome: not_run` does"),
+        "not run; when empty, `X-Outcome: not_run` does"),
     header_setting(
         "server_name", "",
         "header in which a backend server names itself when it is probed; a "
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -50,6 +50,17 @@
     head.statement.is_leaving = value == "1";
 }
 
+/// The product's own header counts only where the servers have no other: a
+/// server may pass on the answer that a daemon gave to a call of its own.
+bool states_not_run(header_names const& names, std::string_view name,
+                    std::string_view value)
+{
+    if (!names.not_run.empty())
+        return is_same_header(name, names.not_run);
+    return is_same_header(name, "X-Outcome") &&
+           is_same_header(value, "not_run");
+}
+
 bool has_no_body(transfer_summary const& summary, response_head const& head)
 {
     return summary.is_head_request || head.status == 204 || head.status == 304;
@@ -83,10 +94,7 @@
         head.is_delimited = true;
     else if (is_same_header(name, "Transfer-Encoding"))
         head.is_delimited = head.is_delimited || ends_with_chunked(value);
-    else if (is_same_header(name, "X-Outcome"))
-        head.states_not_run =
-            head.states_not_run || is_same_header(value, "not_run");
-    else if (!names.not_run.empty() && is_same_header(name, names.not_run))
+    else if (states_not_run(names, name, value))
         head.states_not_run = true;
     else if (!names.server_name.empty() &&
              is_same_header(name, names.server_name))
--- a/src/dispatch/second_response_test.cpp
+++ b/src/dispatch/second_response_test.cpp
@@ -275,6 +275,27 @@
     CHECK(sender.send(server.address(), "r1").body == "answer to r1");
 }
 
+TEST_CASE("a statement that a server passes on from a call of its own does not "
+          "count as its own")
+{
+    // Guards against a second run of work that ran and whose call was refused.
+    server_http_options options;
+    options.names.not_run = "X-Not-Executed";
+    scripted_server server(
+        [](std::string const& id)
+        {
+            std::string const header = id == "refused"
+                                           ? "X-Not-Executed: full\r\n"
+                                           : "X-Outcome: not_run\r\n";
+            return std::vector<written>{{0, response("500 No", header, "no")}};
+        });
+    duty sender(options);
+    CHECK(sender.send(server.address(), "passed on").result ==
+          result_class::answered);
+    CHECK(sender.send(server.address(), "refused").result ==
+          result_class::refused_not_run);
+}
+
 TEST_CASE("responses without an id are each the first on their connection")
 {
     scripted_server server(
--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -33,7 +33,7 @@
     /// empty.
     std::string caller_service;
     /// Response header whose presence states that the server did not run the
-    /// request. Empty when the servers only use `X-Outcome: not_run`.
+    /// request. When empty, `X-Outcome: not_run` does.
     std::string not_run;
     /// Response header with the requests per second that the server takes from
     /// all daemons together. Empty when the servers name no limit.
