Cut a response whose head begins with the part of another one

Cause: bytes that a server writes after a response may end inside a head. The next response then continues that line, and the head that is read has the status and headers of the part with the id, stamp and body of the response: attributed by its id. A cut at a line's end is rejected by libcurl, one within a header value is not. Two different ids in one head passed likewise, the last one won.

A status line inside another line, or two different ids, now cut the response. A header value that contains a whole status line is cut as well.

The two new cases of unit.dispatch, which cut a 503 and a 200 at each byte, fail without the two checks (40 assertions) and hold with them.

--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -61,6 +61,31 @@
            is_same_header(value, "not_run");
 }
 
+void read_request_id(response_head& head, std::string_view value)
+{
+    if (!head.request_id.empty() && head.request_id != value)
+        head.has_other_request_id = true;
+    head.request_id = value;
+}
+
+/// Whether a status line begins inside \p line. Bytes that a server writes
+/// after a response may end inside a head; the next response then continues
+/// the line.
+bool has_inner_status_line(std::string_view line)
+{
+    constexpr std::string_view start = "HTTP/1.";
+    constexpr std::size_t status_at = start.size() + 2;
+    for (auto at = line.find(start, 1); at != line.npos;
+         at = line.find(start, at + 1))
+    {
+        std::string_view const rest = line.substr(at);
+        if (rest.size() > status_at && rest[status_at - 1] == ' ' &&
+            rest[status_at] >= '1' && rest[status_at] <= '5')
+            return true;
+    }
+    return false;
+}
+
 bool has_no_body(transfer_summary const& summary, response_head const& head)
 {
     return summary.is_head_request || head.status == 204 || head.status == 304;
@@ -73,9 +98,12 @@
 {
     if (head.is_complete)
         return;
+    bool const is_joined = head.is_joined || has_inner_status_line(line);
+    head.is_joined = is_joined;
     if (line.starts_with("HTTP/"))
     {
         head = response_head{};
+        head.is_joined = is_joined;
         auto const blank = line.find(' ');
         if (blank != line.npos)
             std::from_chars(line.data() + blank + 1, line.data() + line.size(),
@@ -109,7 +137,7 @@
              is_same_header(name, names.server_leaving))
         read_leaving(head, value);
     else if (is_same_header(name, names.request_id))
-        head.request_id = value;
+        read_request_id(head, value);
     else if (is_same_header(name, "Content-Type"))
         head.content_type = value;
 }
@@ -124,6 +152,8 @@
         return "connection";
     case attribution::other_id:
         return "other_id";
+    case attribution::joined:
+        return "joined";
     case attribution::unidentified:
         return "unidentified";
     case attribution::unstamped_success:
@@ -140,6 +170,10 @@
 attribution attribute(response_head const& head, sent_request const& sent)
 {
     bool const is_success = head.status >= 200 && head.status < 300;
+    if (head.is_joined)
+        return attribution::joined;
+    if (head.has_other_request_id)
+        return attribution::other_id;
     if (!head.request_id.empty() && !sent.request_id.empty() &&
         head.request_id != sent.request_id)
         return attribution::other_id;
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -25,6 +25,11 @@
     bool states_not_run = false;
     /// Request id header of the response; empty when absent.
     std::string request_id;
+    /// Two request id headers differ.
+    bool has_other_request_id = false;
+    /// A status line stands inside another line: the head begins with the part
+    /// of another one.
+    bool is_joined = false;
     std::string content_type;
     answer_statement statement;
     bool has_leaving_header = false;
@@ -45,6 +50,7 @@
     by_id,            ///< it has the id that was sent
     by_connection,    ///< it has no id, and nothing else was sent there
     other_id,         ///< it has the id of another request
+    joined,           ///< its head has the parts of two
     unidentified,     ///< it has no id on a connection that was used before
     unstamped_success ///< it is a success without the server's stamp
 };
--- a/src/dispatch/second_response_test.cpp
+++ b/src/dispatch/second_response_test.cpp
@@ -255,6 +255,49 @@
     }
 }
 
+TEST_CASE("a response that continues the part of another head is cut")
+{
+    // Guards against "not run" for work that ran: status and headers would be
+    // those of the part, id and body those of the response.
+    server_http_options options;
+    options.names.not_run = "X-Not-Executed";
+    std::string const other = GENERATE(
+        response("503 No", "X-Not-Executed: full\r\nX-Stamp: s1\r\n", ""),
+        response("200 OK", "Set-Cookie: a=b\r\nX-Stamp: s1\r\n", ""));
+    std::size_t cut_at = 0;
+    scripted_server server(
+        [&](std::string const& id)
+        {
+            if (!id.starts_with("part"))
+                return std::vector<written>{{0, own_response(id)}};
+            return std::vector<written>{
+                {0, other.substr(0, cut_at) + own_response(id)}};
+        });
+    duty sender(options);
+    for (cut_at = 1; cut_at + 2 < other.size(); ++cut_at)
+    {
+        CAPTURE(other, cut_at);
+        sender.send(server.address(), "r1");
+        finished const result =
+            sender.send(server.address(), fmt::format("part{}", cut_at));
+        CHECK(result.result == result_class::cut);
+    }
+}
+
+TEST_CASE("a response with two ids is cut")
+{
+    scripted_server server(
+        [](std::string const& id)
+        {
+            return std::vector<written>{
+                {0, response("200 OK",
+                             "X-Request-Id: r9\r\nX-Request-Id: " + id + "\r\n",
+                             "answer to r9")}};
+        });
+    duty sender;
+    CHECK(sender.send(server.address(), "r1").result == result_class::cut);
+}
+
 TEST_CASE("a success without the server's stamp is cut, also on a new "
           "connection")
 {
