Believe a refusal only with the id of the request that it refuses

Cause: a response without an id on a new connection was believed, also when it states "not run". A server that writes a bare refusal before the response to the request that it runs made the daemon send the request to another server.

A statement of "not run", and status 421, now need the request's id when one was sent; otherwise the response is a cut. The new case of unit.dispatch fails without the check, for 503 and 421, and holds with it. A request that is sent on a second connection no longer keeps the number and state of the first one, which counted one unusable connection twice when the second connect failed; that part has no test of its own.

--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -201,7 +201,14 @@
         return result_class::cut;
     bool const is_misdirected = head.status == misdirected_status;
     if (is_misdirected || (head.status >= 400 && head.states_not_run))
-        return result_class::refused_not_run;
+    {
+        // A server may write a bare refusal before the response to a request
+        // that it runs.
+        bool const is_proved =
+            !summary.has_request_id ||
+            summary.response_attribution == attribution::by_id;
+        return is_proved ? result_class::refused_not_run : result_class::cut;
+    }
     // A response that ends with the connection may have been truncated.
     if (!head.is_delimited && !has_no_body(summary, head) &&
         !summary.accepts_undelimited)
--- a/src/dispatch/classify.hpp
+++ b/src/dispatch/classify.hpp
@@ -99,6 +99,8 @@
     /// A response without a length is complete when its connection is closed
     /// without an error.
     bool accepts_undelimited = false;
+    /// The request had an id, which servers return.
+    bool has_request_id = false;
     /// Unset when no head of a final response was complete.
     std::optional<attribution> response_attribution;
 };
--- a/src/dispatch/second_response_test.cpp
+++ b/src/dispatch/second_response_test.cpp
@@ -284,6 +284,23 @@
     }
 }
 
+TEST_CASE("a refusal without the request's id does not state that it did not "
+          "run")
+{
+    // Guards against a second run of work that runs behind a bare refusal.
+    server_http_options options;
+    options.names.not_run = "X-Not-Executed";
+    std::string const refusal =
+        GENERATE(response("503 No", "X-Not-Executed: full\r\n", ""),
+                 response("421 Other", "", ""));
+    scripted_server server(
+        [&](std::string const& id) {
+            return std::vector<written>{{0, refusal}, {10, own_response(id)}};
+        });
+    duty sender(options);
+    CHECK(sender.send(server.address(), "r1").result == result_class::cut);
+}
+
 TEST_CASE("a response with two ids is cut")
 {
     scripted_server server(
@@ -329,6 +346,7 @@
         {
             std::string const header = id == "refused"
                                            ? "X-Not-Executed: full\r\n"
+                                             "X-Request-Id: refused\r\n"
                                            : "X-Outcome: not_run\r\n";
             return std::vector<written>{{0, response("500 No", header, "no")}};
         });
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -255,6 +255,7 @@
 void send_again(transfer& ended, time_point now)
 {
     ended.is_resent = true;
+    ended.connection = {.table = ended.connection.table};
     CURL* const easy = ended.easy.get();
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -268,6 +269,7 @@
     summary.may_have_sent = ended.send_count > 0;
     summary.is_head_request = ended.job.request.method == "HEAD";
     summary.accepts_undelimited = ended.options->accepts_undelimited;
+    summary.has_request_id = !ended.job.request.caller_id.empty();
     summary.response_attribution = ended.response_attribution;
     finished result;
     result.ticket = ended.job.ticket;
