Record the headers of a response with its claim

Callers that repeated a request with an Idempotency-Key got the recorded status and body without the other headers of the backend server's response, so a replayed success had no X-Server-Stamp.

Cause: work_result got the field `headers` after the row of a claim was laid out, and encode_row() and decode_row() did not carry it. A replay from the daemon that still records the result, or from a home, has the headers; one from the store has not.

Rows now hold the headers, as base64 because values need not be UTF-8. The field is optional: rows of earlier versions are read without headers, and earlier versions ignore it.

--- a/src/claims/claims_test.cpp
+++ b/src/claims/claims_test.cpp
@@ -82,12 +82,13 @@
 /// and the homes.
 struct claims_fixture
 {
-    claims_state claims = make_state(own_daemon, "127.0.0.1:1", "secret");
+    claims_state claims;
     time_point now = start;
     actions out;
     std::string own;
 
-    claims_fixture()
+    explicit claims_fixture(daemon_ref daemon = own_daemon)
+        : claims(make_state(daemon, "127.0.0.1:1", "secret"))
     {
         on_live_daemons(claims, {{own_daemon, other_daemon}}, now, out);
         on_claim_request(claims, make_request(), now, out);
@@ -307,6 +308,40 @@
     }
 }
 
+TEST_CASE("a replay from the store keeps the headers of the server's response")
+{
+    claims_fixture first;
+    first.reply({ok, row_content::own});
+    work_result result = ran();
+    result.headers = {{"X-Server-Stamp", "3e1b.07"}, {"X-Note", "caf\xe9"}};
+    first.end(false, result);
+    std::string const recorded = first.written();
+
+    claims_fixture second(other_daemon);
+    store::reply found;
+    found.number = second.out.store.at(0).number;
+    found.result = condition_failed;
+    found.rows.push_back({"claim/shop/order-1", 9, recorded});
+    on_store_reply(second.claims, found, second.now, second.out);
+    REQUIRE(second.out.results.size() == 1);
+    REQUIRE(second.out.results[0].is_replay);
+    CHECK(second.out.results[0].recorded.status == result.status);
+    CHECK(second.out.results[0].recorded.body == result.body);
+    CHECK(second.out.results[0].recorded.headers == result.headers);
+}
+
+TEST_CASE("a row recorded without headers by an earlier version is readable")
+{
+    std::optional<claim_row> const row = decode_row(
+        R"({"id":"1.5.1","epoch":1,"grant":"1.5.1","body_hash":7,"homes":[],)"
+        R"("claimant":[1,5],"written":3,"state":"done","answer":{)"
+        R"("status":201,"content_type":"","body":"cGFpZA==","server":"s"}})");
+    REQUIRE(row);
+    CHECK(row->is_done);
+    CHECK(row->result.body == "paid");
+    CHECK(row->result.headers.empty());
+}
+
 TEST_CASE("rows are deleted a day after their last write and not before")
 {
     claims_fixture fixture;
--- a/src/claims/row.cpp
+++ b/src/claims/row.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <span>
+
 namespace gooseberrycove::claims
 {
 
@@ -48,10 +50,29 @@
     return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
 }
 
+json to_json(std::span<header_field const> headers)
+{
+    json fields = json::array();
+    for (header_field const& field : headers)
+        fields.push_back(
+            json::array({to_base64(field.name), to_base64(field.value)}));
+    return fields;
+}
+
+std::vector<header_field> to_headers(json const& fields)
+{
+    std::vector<header_field> headers;
+    for (json const& field : fields)
+        headers.push_back({from_base64(field.at(0).get<std::string>()),
+                           from_base64(field.at(1).get<std::string>())});
+    return headers;
+}
+
 json to_json(work_result const& result)
 {
     return {{"status", result.status},
             {"content_type", to_base64(result.content_type)},
+            {"headers", to_json(result.headers)},
             {"body", to_base64(result.body)},
             {"server", result.server}};
 }
@@ -63,6 +84,9 @@
     result.status = value.at("status").get<int>();
     result.content_type =
         from_base64(value.at("content_type").get<std::string>());
+    // Rows written by earlier versions have no headers.
+    if (auto const headers = value.find("headers"); headers != value.end())
+        result.headers = to_headers(*headers);
     result.body = from_base64(value.at("body").get<std::string>());
     result.server = value.at("server").get<std::string>();
     return result;
