Number the packets of each run of a daemon from another start

Seen at no caller. A daemon that no longer answers could count as alive again, so that requests are sent to it until its next probe fails.

Cause: packet numbers began at 1 in each run, and an ack names only the number. A daemon that was frozen answers the pings of its peer's earlier run when it resumes. The peer's new run has open probes with the same numbers, and as it takes an ack of another sender for a relayed one, a second record that is only gossip confirmed the probed daemon.

The numbers now begin at 32 bits drawn from the seed, which differs between runs, so such an ack matches no probe. The messages are unchanged; a packet's number takes up to five bytes, encoded, instead of one to three.

--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -410,6 +410,39 @@
     CHECK(acknowledged == 9);
 }
 
+TEST_CASE("an ack for a ping of an earlier run of the daemon confirms nobody")
+{
+    static constexpr daemon_ref third_daemon{3, 1};
+    auto const first_ping = [](daemon_ref self, std::uint64_t seed)
+    {
+        membership_state state =
+            make_state(record_of(self), {}, seed, start_time);
+        packet hello = make_packet(state, packet_kind::ack, 0);
+        hello.sender = third_daemon;
+        hello.sender_address = record_of(third_daemon).address;
+        hello.peers = {record_of(third_daemon)};
+        actions out;
+        on_packet(state, hello, start_time, out);
+        out = {};
+        for (time_point now = start_time;
+             state.probes.empty() && now < start_time + seconds(2);
+             now += duration(50'000))
+            on_tick(state, now, out);
+        return std::pair(state, state.probes.at(0).number);
+    };
+    auto const earlier = first_ping({1, 5}, 5);
+    auto later = first_ping({1, 6}, 6).first;
+    packet late;
+    late.kind = packet_kind::ack;
+    late.number = earlier.second;
+    late.sender = other_daemon;
+    late.sender_address = record_of(other_daemon).address;
+    late.peers = {record_of(other_daemon), record_of(third_daemon)};
+    actions out;
+    on_packet(later, late, start_time + seconds(2), out);
+    CHECK(later.probes.size() == 1);
+}
+
 TEST_CASE("a daemon without peers joins as soon as the rows are read")
 {
     // Guards against a restart of the whole fleet that takes a second longer:
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -51,6 +51,9 @@
     state.own_record.state = peer_state::alive;
     state.seeds = std::move(seeds);
     state.random.seed(seed);
+    // Differs between runs, so that an ack for a ping of an earlier run matches
+    // no probe of this one. 32 bits keep the encoded number short.
+    state.next_packet_number = 1 + (std::mt19937_64(seed)() >> 32);
     toggle_in_digest(state, state.own_record);
     auto const within = [&](std::uint64_t milliseconds)
     { return now + duration((state.random() % milliseconds) * 1000); };
