Send no request on a connection that carried one with the same id

Ids are the callers' own. A server that refused a request may write the refusal again, late; when the caller sent the same id again, as a refusal permits, the second one was taken for the response to that run: "not run" for work that ran, or the body of the earlier request.

Each kept connection now remembers the ids of its last 32 requests, and a request with one of them goes on a new connection. unit.http_client holds it. The cases of unit.dispatch number their ids, as callers do.

--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -190,7 +190,7 @@
         start job;
         job.ticket = static_cast<std::uint64_t>(ticket);
         job.address = address;
-        job.request.caller_id = fmt::format("r{}", ticket);
+        job.request.caller_id = fmt::format("r{}", ++m_last_id);
         job.request.method = "POST";
         job.request.target = path;
         job.request.idempotency_key = "k1";
@@ -210,6 +210,7 @@
     }
 
 private:
+    int m_last_id = 0;
     std::vector<admission::message> m_received;
 };
 
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -74,7 +74,8 @@
     transfer& active = *static_cast<transfer*>(context);
     if (active.send_count > 0 ||
         choose_connection(active.connection,
-                          {remote_ip, local_ip, remote_port, local_port}) !=
+                          {remote_ip, local_ip, remote_port, local_port},
+                          active.job.request.caller_id) !=
             http_client::connection_state::usable)
         return CURL_PREREQFUNC_ABORT;
     ++active.send_count;
--- a/src/http_client/http_connections.cpp
+++ b/src/http_client/http_connections.cpp
@@ -1,9 +1,11 @@
 #include <gooseberrycove/http_connections.hpp>
 #include <gooseberrycove/socket.hpp>
+#include <gooseberrycove/types.hpp>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace gooseberrycove::http_client
@@ -61,6 +63,8 @@
         return "unread_bytes";
     case connection_state::closed:
         return "closed";
+    case connection_state::repeated_id:
+        return "repeated_id";
     case connection_state::unknown:
         return "unknown";
     }
@@ -76,13 +80,15 @@
 }
 
 connection_state choose_connection(chosen_connection& chosen,
-                                   connection_ends const& ends)
+                                   connection_ends const& ends,
+                                   std::string_view request_id)
 {
     connection_table& table = *chosen.table;
     connection_key const key = make_key(ends);
     if (chosen.opened != CURL_SOCKET_BAD)
     {
-        table.connections[key] = {++table.last_number, 0, chosen.opened};
+        table.connections[key] = {
+            .number = ++table.last_number, .socket = chosen.opened, .ids = {}};
         table.key_by_socket[chosen.opened] = key;
         chosen.opened = CURL_SOCKET_BAD;
     }
@@ -93,8 +99,13 @@
     chosen.number = connection.number;
     chosen.earlier_requests = connection.requests;
     chosen.state = read_state(connection.socket);
-    if (chosen.state == connection_state::usable)
-        ++connection.requests;
+    if (chosen.state != connection_state::usable)
+        return chosen.state;
+    std::uint64_t const id = hash_name(request_id);
+    if (!request_id.empty() &&
+        std::ranges::find(connection.ids, id) != connection.ids.end())
+        return chosen.state = connection_state::repeated_id;
+    connection.ids[connection.requests++ % compared_ids] = id;
     return chosen.state;
 }
 
--- a/src/http_client/http_connections_test.cpp
+++ b/src/http_client/http_connections_test.cpp
@@ -32,13 +32,13 @@
 
 /// Chooses the connection for a request; the first one has opened it.
 chosen_connection choose(connection_table& table, tcp::socket& socket,
-                         bool is_first)
+                         bool is_first, std::string_view request_id = "")
 {
     chosen_connection chosen;
     chosen.table = &table;
     if (is_first)
         chosen.opened = socket.native_handle();
-    choose_connection(chosen, test_ends);
+    choose_connection(chosen, test_ends, request_id);
     return chosen;
 }
 
@@ -72,6 +72,18 @@
           connection_state::unread_bytes);
 }
 
+TEST_CASE("a second answer to an id is not taken for the next request with it")
+{
+    socket_pair sockets;
+    connection_table table;
+    CHECK(choose(table, sockets.client, true, "r1").state ==
+          connection_state::usable);
+    CHECK(choose(table, sockets.client, false, "r2").state ==
+          connection_state::usable);
+    CHECK(choose(table, sockets.client, false, "r1").state ==
+          connection_state::repeated_id);
+}
+
 TEST_CASE("a connection that the server has closed takes no request")
 {
     socket_pair sockets;
@@ -114,8 +126,8 @@
             int remote_port, int local_port)
         {
             auto& used = *static_cast<chosen_connection*>(context_pointer);
-            choose_connection(used,
-                              {remote_ip, local_ip, remote_port, local_port});
+            choose_connection(
+                used, {remote_ip, local_ip, remote_port, local_port}, "r1");
             CHECK(used.table->connections.size() == 1);
             return CURL_PREREQFUNC_ABORT;
         });
--- a/src/include/gooseberrycove/http_connections.hpp
+++ b/src/include/gooseberrycove/http_connections.hpp
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,6 +23,10 @@
     int local_port = 0;
 };
 
+/// Number of the latest requests on a connection whose ids are compared with
+/// that of the next one.
+inline constexpr std::size_t compared_ids = 32;
+
 struct open_connection
 {
     /// Numbers the connections of one client from 1 on.
@@ -29,6 +34,8 @@
     /// Requests that were sent on it.
     std::uint64_t requests = 0;
     curl_socket_t socket = CURL_SOCKET_BAD;
+    /// Hashes of the ids of the latest requests, as a ring.
+    std::array<std::uint64_t, compared_ids> ids{};
 };
 
 using connection_key = std::tuple<std::string, int, std::string, int>;
@@ -47,6 +54,7 @@
     usable,
     unread_bytes, ///< bytes arrived while no request was waiting
     closed,       ///< the server has closed it
+    repeated_id,  ///< a request with the same id was sent on it
     unknown       ///< not in the table
 };
 
@@ -73,9 +81,12 @@
 /// To be called from CURLOPT_PREREQFUNCTION, when libcurl has chosen a
 /// connection and has sent nothing of the request. A request may only be sent
 /// on a usable connection: a response to it is read from the first byte that
-/// is unread, whoever wrote it.
+/// is unread, whoever wrote it, and a second response to an earlier request
+/// with the same id cannot be told apart.
+/// \param request_id  empty for a request without an id
 connection_state choose_connection(chosen_connection& chosen,
-                                   connection_ends const& ends);
+                                   connection_ends const& ends,
+                                   std::string_view request_id);
 
 } // namespace gooseberrycove::http_client
 
