--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -64,10 +64,9 @@
 
 /// Called each time libcurl is about to send the request. Aborts the transfer
 /// when the chosen connection is not usable. libcurl resends a request up to
-/// five times when a reused connection is closed without a response; this
-/// aborts the transfer then, too. Only routing decides about
-/// retries, because it checks whether the request may run twice and what the
-/// service allows.
+/// five times when a reused connection is closed without a response; that is
+/// aborted, too. Only routing decides about retries, because it checks whether
+/// the request may run twice and what the service allows.
 int before_send(void* context, char* remote_ip, char* local_ip, int remote_port,
                 int local_port)
 {
@@ -289,7 +288,7 @@
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
     else if (result.result == result_class::cut)
-        result.detail = "response to another request, or without a length";
+        result.detail = "response without a length, or refusal without the id";
     if (result.result == result_class::answered ||
         result.result == result_class::refused_not_run)
     {
