Find client accounts by their keys and name them to the servers

Cause: the operator's document has accounts with several keys each, sent alone in a header; the adapter dropped them, so every request on such a deployment ran without an account, and its key went on to the backend server.

--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -16,6 +16,7 @@
 struct sent_versions
 {
     tables_ptr routing;
+    bool is_current = false;
     tables_ptr admission;
     std::optional<std::uint64_t> members{};
 };
@@ -35,12 +36,17 @@
 
 /// Sends the version in force to the duties that do not have it. When a ring is
 /// full the next tick tries again.
-void publish_version(duty_thread& thread)
+void publish_version(duty_thread& thread, time_point now)
 {
     tables_ptr const& current = thread.duty.current;
-    if (thread.last_sent.routing != current &&
-        thread.wires.routing.try_push(in_force{current}))
+    bool const is_confirmed = is_current(thread.duty, now);
+    if ((thread.last_sent.routing != current ||
+         thread.last_sent.is_current != is_confirmed) &&
+        thread.wires.routing.try_push(in_force{current, is_confirmed}))
+    {
         thread.last_sent.routing = current;
+        thread.last_sent.is_current = is_confirmed;
+    }
     if (thread.last_sent.admission != current &&
         thread.wires.admission.try_push(in_force{current}))
         thread.last_sent.admission = current;
@@ -70,7 +76,7 @@
         else
             log_info(entry.line);
     }
-    publish_version(thread);
+    publish_version(thread, now);
     for (peer::outgoing& unsent : out.sends)
     {
         if (!thread.wires.peer.try_push(std::move(unsent), response_reserve))
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -319,6 +319,24 @@
     return has_usable_route;
 }
 
+/// Adds an error for each account that has a key of another one. Where accounts
+/// are found by name, they may share a key, so only documents are checked whose
+/// accounts may be found by key.
+void check_account_keys(table_data const& data, error_list& errors)
+{
+    for_each_account(
+        data,
+        [&](account const& checked)
+        {
+            std::string const other = find_account_with_same_key(data, checked);
+            if (!other.empty())
+                errors.push_back(
+                    {pointer_to(pointer_to("/accounts", checked.name),
+                                "key_hashes"),
+                     fmt::format("account '{}' has the same key", other)});
+        });
+}
+
 /// Appends `"name":value` with a comma before all but the first.
 void append_entry(std::string& out, bool& first, std::string_view name,
                   json const& value)
@@ -394,6 +412,7 @@
     read_sections(reader, document);
     bool const has_usable_route =
         refuse_unresolved_routes(reader.edit, reader.errors);
+    check_account_keys(reader.edit.data, reader.errors);
     if (!has_usable_route && !reader.errors.empty())
         return {nullptr, std::move(reader.errors)};
     parse_result result = make_result(std::move(reader.edit), {}, version);
--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -262,3 +262,86 @@
     CHECK(match(next.data, "GET", "/service-0001/item/002701/a") ==
           "route-002701");
 }
+
+TEST_CASE("an account is found by the hash of any of its keys")
+{
+    // Guards against a key that stays valid after a version takes it away, and
+    // against one that an edit of its account loses.
+    std::string const first(32, 'a');
+    std::string const second(32, 'b');
+    auto const data =
+        apply_patch(*base(),
+                    fmt::format(R"({{"accounts":{{"lee":{{"key_hashes":
+                      ["{}","{}"],"tier":3}}}}}})",
+                                first, second),
+                    2)
+            .data;
+    REQUIRE(data);
+    key_hash a{};
+    key_hash b{};
+    a.fill(0xaa);
+    b.fill(0xbb);
+    tables const both(data);
+    REQUIRE(both.account_by_key(b));
+    CHECK(both.account_by_key(a)->name == "lee");
+    CHECK(both.account_by_key(b)->name == "lee");
+    CHECK(both.account_by_key(b)->tier == 3);
+    CHECK_FALSE(both.account_by_key(key_hash{}));
+    std::string const text = render_document(*data);
+    auto const again = parse_document(text, 2).data;
+    REQUIRE(again);
+    CHECK(render_document(*again) == text);
+    auto const next = apply_patch(
+        *data, R"({"accounts":{"lee":{"key_hashes":[")" + second + "\"]}}}", 3);
+    REQUIRE(next.data);
+    tables const one(next.data);
+    CHECK_FALSE(one.account_by_key(a));
+    CHECK(one.account_by_key(b)->name == "lee");
+}
+
+TEST_CASE("an account with unusable fields keeps its usable keys")
+{
+    // Guards against callers that are refused as unknown because this daemon
+    // cannot read a part of their account.
+    std::string const key(32, 'c');
+    std::string const text = fmt::format(
+        R"({{"priorities":{{"p":{{"rank":0,"target_ms":5}}}},
+          "services":{{"s":{{"floor_slots":0,"priorities":{{"p":{{}}}}}}}},
+          "routes":{{"r":{{"service":"s","method":"*","path":"/*",
+            "priority":"p","repeatable":true,"timeout_ms":9}}}},
+          "accounts":{{"a":{{"key_hashes":["{0}",7],"rate":-2}},
+                       "b":{{"key_hashes":[]}},
+                       "c":{{"key_hashes":["{0}"]}}}}}})",
+        key);
+    parse_result const read = parse_usable_entries(text, 1);
+    REQUIRE(read.data);
+    key_hash hash{};
+    hash.fill(0xcc);
+    tables const in_force(read.data);
+    CHECK(in_force.account_by_key(hash)->name == "a");
+    CHECK(in_force.account_by_key(hash)->rate == 0);
+    CHECK_FALSE(in_force.account("b"));
+    std::string paths;
+    for (patch_error const& failure : read.errors)
+        paths += failure.path + " ";
+    CHECK(paths == "/accounts/a/key_hashes /accounts/a/rate "
+                   "/accounts/b/key_hashes /accounts/a/key_hashes "
+                   "/accounts/c/key_hashes ");
+}
+
+TEST_CASE("the tier of an account replaces that of the route's priority")
+{
+    auto const data = apply_patch(table_data{}, R"({"priorities":{
+          "a":{"rank":0,"target_ms":50,"tier":0},
+          "b":{"rank":1,"target_ms":900,"tier":0},
+          "c":{"rank":2,"target_ms":60,"tier":1}}})",
+                                  1)
+                          .data;
+    REQUIRE(data);
+    tables const in_force(data);
+    route_view const slow{"r", "s", 1};
+    CHECK(in_force.priority_for(slow, {"x", {}, 0, 0, 1}) == 2);
+    CHECK(in_force.priority_for({"r", "s", 2}, {"x", {}, 0, 0, 0}) == 0);
+    CHECK(in_force.priority_for(slow, {"x", {}, 0, 0, 7}) == 1);
+    CHECK(in_force.priority_for(slow, {"x"}) == 1);
+}
--- a/src/config/document_watch_test.cpp
+++ b/src/config/document_watch_test.cpp
@@ -230,3 +230,23 @@
     on_store_reply(daemon.duty, late_reply, daemon.now, daemon.out);
     CHECK(daemon.duty.document_revision == 20);
 }
+
+TEST_CASE("a version is current while the store or a peer confirms it")
+{
+    // Guards against a 401 from a daemon that may have missed a new key.
+    daemon_fixture daemon;
+    daemon.next_call();
+    daemon.reply(store::status::ok, 12, stored_text(5));
+    CHECK(is_current(daemon.duty, daemon.now));
+    on_peer_version(daemon.duty, {"peer", 6}, daemon.now, daemon.out);
+    CHECK_FALSE(is_current(daemon.duty, daemon.now));
+    daemon.next_call();
+    daemon.reply(store::status::ok, 13, stored_text(6));
+    CHECK(is_current(daemon.duty, daemon.now));
+    daemon.next_call();
+    daemon.reply(store::status::unknown, 0);
+    CHECK_FALSE(is_current(daemon.duty, daemon.now));
+    on_peer_version(daemon.duty, {"peer", 6}, daemon.now, daemon.out);
+    CHECK(is_current(daemon.duty, daemon.now + 4s));
+    CHECK_FALSE(is_current(daemon.duty, daemon.now + 6s));
+}
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -18,6 +18,9 @@
 /// One hour; a longer time most likely has a wrong unit and is refused.
 constexpr double max_time_ms = 3'600'000;
 
+/// Fits into account_entry::tier.
+constexpr double max_tier = 1000;
+
 /// Allows weights in parts per billion, whose sum is still exact.
 constexpr double max_split_weight = 1e9;
 
@@ -329,9 +332,12 @@
 
 json to_json(priority const& value)
 {
-    return {{"rank", value.rank},
-            {"target_ms", to_ms(value.target)},
-            {"worth", value.worth}};
+    json result{{"rank", value.rank},
+                {"target_ms", to_ms(value.target)},
+                {"worth", value.worth}};
+    if (value.tier != priority().tier)
+        result["tier"] = value.tier;
+    return result;
 }
 
 json to_json(service const& value, std::span<priority const> priorities)
@@ -375,17 +381,23 @@
         result["attempts"] = value.attempts;
     if (value.is_open)
         result["open"] = true;
+    if (value.is_unclaimed)
+        result["unclaimed"] = true;
     return result;
 }
 
 json to_json(account const& value)
 {
-    std::string hash;
-    for (std::uint8_t byte : value.hash)
-        hash += fmt::format("{:02x}", byte);
-    return {{"key_hash", hash},
-            {"rate", shortest_decimal(value.rate)},
-            {"burst", shortest_decimal(value.burst)}};
+    json result{{"rate", shortest_decimal(value.rate)},
+                {"burst", shortest_decimal(value.burst)}};
+    if (value.further_hashes.empty())
+        result["key_hash"] = to_string(value.hash);
+    else
+        for_each_key(value, [&](key_hash const& hash)
+                     { result["key_hashes"].push_back(to_string(hash)); });
+    if (value.tier)
+        result["tier"] = *value.tier;
+    return result;
 }
 
 std::optional<priority> parse_priority(json const& value, std::string_view name,
@@ -396,11 +408,12 @@
     entry_reader in{value, path, errors};
     priority result;
     result.name = name;
-    if (!check_fields(in, {"rank", "target_ms", "worth"}))
+    if (!check_fields(in, {"rank", "target_ms", "tier", "worth"}))
         return std::nullopt;
     read_number(in, "rank", {0, 1000, true}, true, result.rank);
     read_time(in, "target_ms", 1, true, result.target);
     read_number(in, "worth", {0, 1e9, false}, false, result.worth);
+    read_number(in, "tier", {0, max_tier, true}, false, result.tier);
     if (errors.size() > errors_before)
         return std::nullopt;
     return result;
@@ -443,9 +456,9 @@
     entry_reader in{value, path, errors};
     route result;
     result.name = name;
-    if (!check_fields(in,
-                      {"attempts", "host", "service", "split", "method", "open",
-                       "path", "priority", "repeatable", "timeout_ms"}))
+    if (!check_fields(in, {"attempts", "host", "service", "split", "method",
+                           "open", "path", "priority", "repeatable",
+                           "timeout_ms", "unclaimed"}))
         return std::nullopt;
     read_services(in, result);
     result.method = read_text(in, "method");
@@ -457,6 +470,7 @@
     read_number(in, "attempts", {1, 255, true}, false, result.attempts);
     read_flag(in, "repeatable", true, result.repeatable);
     read_flag(in, "open", false, result.is_open);
+    read_flag(in, "unclaimed", false, result.is_unclaimed);
     if (errors.size() > errors_before)
         return std::nullopt;
     result.priority = find_priority(in, "priority", priority_text, priorities);
@@ -473,6 +487,53 @@
     return result;
 }
 
+namespace
+{
+
+/// Reads the usable hashes. Returns false when there is none.
+bool read_key_hashes(entry_reader& in, account& result)
+{
+    std::vector<key_hash> hashes;
+    auto const read_hash = [&](std::string_view key, std::string_view text)
+    {
+        key_hash hash{};
+        if (!parse_hash(text, hash))
+            in.fail(key, "allowed: 32 lower-case hexadecimal digits");
+        else if (std::find(hashes.begin(), hashes.end(), hash) == hashes.end())
+            hashes.push_back(hash);
+    };
+    json const* const list = in.find("key_hashes", false);
+    if (list == nullptr)
+    {
+        json const* const single = in.find("key_hash", true);
+        if (single == nullptr)
+            return false;
+        read_hash("key_hash", single->is_string() ? single->get<std::string>()
+                                                  : std::string());
+    }
+    else if (!list->is_array() || list->empty() ||
+             list->size() > max_account_keys)
+        in.fail("key_hashes", fmt::format("must be a list of 1 to {} hashes",
+                                          max_account_keys));
+    if (list != nullptr && list->is_array())
+    {
+        for (json const& item : *list)
+        {
+            if (hashes.size() < max_account_keys)
+                read_hash("key_hashes", item.is_string()
+                                            ? item.get<std::string>()
+                                            : std::string());
+        }
+    }
+    if (hashes.empty())
+        return false;
+    result.hash = hashes.front();
+    result.further_hashes.assign(hashes.begin() + 1, hashes.end());
+    return true;
+}
+
+} // namespace
+
 bool refuses_requests(route const& checked)
 {
     return checked.service.empty() && checked.split.empty();
@@ -511,23 +572,25 @@
 std::optional<account> parse_account(json const& value, std::string_view name,
                                      std::string_view path, error_list& errors)
 {
-    std::size_t const errors_before = errors.size();
     entry_reader in{value, path, errors};
     account result;
     result.name = name;
-    if (!check_fields(in, {"key_hash", "rate", "burst"}))
+    if (!check_fields(in, {"key_hash", "key_hashes", "rate", "burst", "tier"}))
         return std::nullopt;
-    std::string const hash = read_text(in, "key_hash");
+    bool const has_key = read_key_hashes(in, result);
     read_number(in, "rate", {0, 1e9, false}, false, result.rate);
     read_number(in, "burst", {0, 1e9, false}, false, result.burst);
-    if (errors.size() > errors_before)
-        return std::nullopt;
-    if (!parse_hash(hash, result.hash))
-        in.fail("key_hash", "allowed: 32 lower-case hexadecimal digits");
+    int tier = 0;
+    read_number(in, "tier", {0, max_tier, true}, false, tier);
+    if (value.contains("tier"))
+        result.tier = tier;
     // A bucket smaller than one request would refuse every request.
     if (result.rate > 0 && result.burst < 1)
+    {
         in.fail("burst", "must be at least 1 when rate is set");
-    if (errors.size() > errors_before)
+        result.burst = 1;
+    }
+    if (!has_key)
         return std::nullopt;
     return result;
 }
--- a/src/config/entry_json.hpp
+++ b/src/config/entry_json.hpp
@@ -63,6 +63,9 @@
 std::optional<route> parse_refusing_route(nlohmann::json const& value,
                                           std::string_view name);
 
+/// Unlike the others, returns an account that has errors but a usable key, with
+/// the defaults of the fields that are not usable: without it, requests with
+/// its keys would be refused as unauthenticated.
 std::optional<account> parse_account(nlohmann::json const& value,
                                      std::string_view name,
                                      std::string_view path, error_list& errors);
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -165,6 +165,8 @@
     /// reply.
     bool has_poll_failed = false;
     bool is_ready = false;
+    /// When a peer last reported the version in force.
+    time_point confirmed_at;
 
     std::uint64_t last_call_number = 0;
     std::vector<store_call> calls;
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -1,9 +1,12 @@
 #include "config/table_data.hpp"
 
 #include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
 
 #include <algorithm>
 #include <charconv>
+#include <cstring>
 #include <iterator>
 #include <tuple>
 
@@ -22,7 +25,8 @@
     return hash_name(prefix) ^ wildcard_salt;
 }
 
-std::string_view name_of(account_block const& accounts, std::size_t index)
+/// The name and the further hashes of an account.
+std::string_view text_of(account_block const& accounts, std::size_t index)
 {
     std::size_t const begin = accounts.entries[index].begin;
     std::size_t const end = index + 1 < accounts.entries.size()
@@ -31,6 +35,56 @@
     return std::string_view(accounts.text).substr(begin, end - begin);
 }
 
+std::string_view name_of(account_block const& accounts, std::size_t index)
+{
+    return text_of(accounts, index)
+        .substr(0, accounts.entries[index].name_size);
+}
+
+key_hash read_hash(std::string_view bytes)
+{
+    key_hash hash{};
+    std::copy_n(bytes.begin(), hash.size(), hash.begin());
+    return hash;
+}
+
+account_view view_of(account_block const& accounts, std::size_t index)
+{
+    account_entry const& entry = accounts.entries[index];
+    std::string_view const text = text_of(accounts, index);
+    return {text.substr(0, entry.name_size),
+            entry.hash,
+            entry.rate,
+            entry.burst,
+            entry.tier == no_tier ? std::nullopt
+                                  : std::optional<int>(entry.tier),
+            text.substr(entry.name_size)};
+}
+
+/// Calls visit(account_view const&) for each account that holds the key until
+/// it returns true.
+template <class Visit>
+void visit_key(table_data const& data, key_hash const& key, Visit visit)
+{
+    std::uint32_t const hash = hash_of_key(key);
+    auto const& shard = data.account_keys[shard_of(data.account_keys, hash)];
+    if (!shard)
+        return;
+    auto entry =
+        std::lower_bound(shard->begin(), shard->end(), key_entry{hash, 0});
+    for (; entry != shard->end() && entry->hash == hash; ++entry)
+    {
+        auto const& accounts =
+            data.accounts[shard_of(data.accounts, entry->name_hash)];
+        for (std::size_t i = 0; accounts && i < accounts->entries.size(); ++i)
+        {
+            account_view const found = view_of(*accounts, i);
+            if (has_key(found, key) && visit(found))
+                return;
+        }
+    }
+}
+
 struct route_texts
 {
     std::string_view name;
@@ -118,9 +172,9 @@
         return false;
     auto entry =
         std::lower_bound(shard->begin(), shard->end(), pattern_entry{hash, 0});
-    for (; entry != shard->end() && entry->pattern_hash == hash; ++entry)
+    for (; entry != shard->end() && entry->hash == hash; ++entry)
     {
-        if (visit_routes(data, entry->route_hash, visit))
+        if (visit_routes(data, entry->name_hash, visit))
             return true;
     }
     return false;
@@ -135,7 +189,8 @@
             std::chrono::milliseconds(entry.timeout_ms),
             unpack_split(texts.split),
             entry.attempts,
-            entry.is_open};
+            entry.is_open,
+            entry.is_open || entry.is_unclaimed};
 }
 
 /// Finds the route whose pattern is \p prefix, followed by `*` when
@@ -201,6 +256,21 @@
 
 } // namespace
 
+key_hash hash_secret(std::string_view secret)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<unsigned char const*>(secret.data()), secret.size(),
+           digest.data());
+    key_hash hash{};
+    std::copy_n(digest.begin(), hash.size(), hash.begin());
+    return hash;
+}
+
+std::string to_string(key_hash const& hash)
+{
+    return fmt::format("{:02x}", fmt::join(hash, ""));
+}
+
 tables::tables() : m_data(std::make_shared<table_data const>()) {}
 
 tables::tables(std::shared_ptr<table_data const> data) : m_data(std::move(data))
@@ -244,9 +314,53 @@
     }
     if (first == shard->entries.size() || name_of(*shard, first) != name)
         return std::nullopt;
-    account_entry const& entry = shard->entries[first];
-    return account_view{name_of(*shard, first), entry.hash, entry.rate,
-                        entry.burst};
+    return view_of(*shard, first);
+}
+
+std::optional<account_view> tables::account_by_key(key_hash const& hash) const
+{
+    std::optional<account_view> first;
+    visit_key(*m_data, hash,
+              [&](account_view const& found)
+              {
+                  if (!first || found.name < first->name)
+                      first = found;
+                  return false;
+              });
+    if (first)
+        first->hash = hash;
+    return first;
+}
+
+priority_index tables::priority_for(route_view const& route,
+                                    account_view const& account) const
+{
+    std::vector<priority> const& all = m_data->priorities;
+    if (!account.tier || route.priority >= all.size())
+        return route.priority;
+    duration const target = all[route.priority].target;
+    std::optional<priority_index> nearest;
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        if (all[i].tier != *account.tier)
+            continue;
+        auto const distance = [&](std::size_t index)
+        { return std::chrono::abs(all[index].target - target); };
+        if (!nearest || distance(i) < distance(*nearest))
+            nearest = static_cast<priority_index>(i);
+    }
+    return nearest.value_or(route.priority);
+}
+
+bool has_key(account_view const& found, key_hash const& hash)
+{
+    bool is_held =
+        CRYPTO_memcmp(found.hash.data(), hash.data(), hash.size()) == 0;
+    for (std::size_t at = 0; at + hash.size() <= found.further_hashes.size();
+         at += hash.size())
+        is_held |= CRYPTO_memcmp(found.further_hashes.data() + at, hash.data(),
+                                 hash.size()) == 0;
+    return is_held;
 }
 
 bool tables::has_accounts() const
@@ -265,11 +379,25 @@
     return m_data->priorities;
 }
 
+namespace
+{
+
+account unpack(account_view const& view)
+{
+    account result{std::string(view.name), view.hash, view.rate, view.burst};
+    result.tier = view.tier;
+    for (std::string_view rest = view.further_hashes; !rest.empty();
+         rest.remove_prefix(view.hash.size()))
+        result.further_hashes.push_back(read_hash(rest));
+    return result;
+}
+
+} // namespace
+
 account unpack(account_block const& accounts, std::size_t index)
 {
-    account_entry const& entry = accounts.entries[index];
-    return {std::string(name_of(accounts, index)), entry.hash, entry.rate,
-            entry.burst};
+    account_view const view = view_of(accounts, index);
+    return unpack(view);
 }
 
 route unpack(route_block const& routes, std::size_t index)
@@ -287,6 +415,7 @@
     result.timeout_ms = entry.timeout_ms;
     result.attempts = entry.attempts;
     result.is_open = entry.is_open;
+    result.is_unclaimed = entry.is_unclaimed;
     for (split_part const& part : unpack_split(texts.split))
         result.split.push_back({std::string(part.service), part.weight});
     return result;
@@ -297,15 +426,20 @@
     account_block result;
     std::size_t size = 0;
     for (account const& value : values)
-        size += value.name.size();
+        size +=
+            value.name.size() + value.further_hashes.size() * value.hash.size();
     result.entries.reserve(values.size());
     result.text.reserve(size);
     for (account const& value : values)
     {
         result.entries.push_back(
             {static_cast<std::uint32_t>(result.text.size()), value.hash,
-             value.rate, value.burst});
+             value.rate, value.burst,
+             static_cast<std::uint8_t>(value.name.size()),
+             static_cast<std::int16_t>(value.tier.value_or(no_tier))});
         result.text += value.name;
+        for (key_hash const& hash : value.further_hashes)
+            result.text.append(hash.begin(), hash.end());
     }
     return result;
 }
@@ -333,6 +467,7 @@
         entry.host_size = static_cast<std::uint8_t>(value.host.size());
         entry.attempts = static_cast<std::uint8_t>(value.attempts);
         entry.is_open = value.is_open;
+        entry.is_unclaimed = value.is_unclaimed;
         entry.name_size = static_cast<std::uint8_t>(value.name.size());
         entry.service_size = static_cast<std::uint8_t>(value.service.size());
         entry.method_size = static_cast<std::uint8_t>(value.method.size());
@@ -381,8 +516,32 @@
     auto const found = view.account(name);
     if (!found)
         return std::nullopt;
-    return account{std::string(found->name), found->hash, found->rate,
-                   found->burst};
+    return unpack(*found);
+}
+
+std::uint32_t hash_of_key(key_hash const& key)
+{
+    std::uint32_t hash = 0;
+    std::memcpy(&hash, key.data(), sizeof(hash));
+    return hash;
+}
+
+std::string find_account_with_same_key(table_data const& data,
+                                       account const& candidate)
+{
+    std::string other;
+    for_each_key(candidate,
+                 [&](key_hash const& key)
+                 {
+                     visit_key(data, key,
+                               [&](account_view const& found)
+                               {
+                                   if (found.name != candidate.name)
+                                       other = found.name;
+                                   return !other.empty();
+                               });
+                 });
+    return other;
 }
 
 std::optional<route> find_route(table_data const& data, std::string_view name)
@@ -444,6 +603,7 @@
     { return shard.capacity() * sizeof(shard[0]); };
     return sizeof(data) + sum_bytes(data.accounts, packed) +
            sum_bytes(data.routes, packed) + sum_bytes(data.patterns, plain) +
+           sum_bytes(data.account_keys, plain) +
            sum_bytes(data.services, plain);
 }
 
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -34,12 +35,18 @@
 /// index. Never part of a version in force.
 inline constexpr priority_index removed_priority = 128;
 
+/// Maximum number of keys of an account.
+inline constexpr std::size_t max_account_keys = 16;
+
 struct account
 {
     std::string name;
     key_hash hash{};
     float rate = 0;
     float burst = 0;
+    /// Hashes of the keys after the first.
+    std::vector<key_hash> further_hashes = {};
+    std::optional<int> tier = {};
 };
 
 struct weighted_service
@@ -64,16 +71,22 @@
     std::vector<weighted_service> split = {};
     std::uint32_t attempts = default_attempts;
     bool is_open = false;
+    bool is_unclaimed = false;
 };
 
-/// The name starts at `begin` in the block's text and ends where that of the
-/// next entry begins.
+/// account_entry::tier of an account without a tier.
+inline constexpr std::int16_t no_tier = -1;
+
+/// The name starts at `begin` in the block's text; the hashes of the keys after
+/// the first follow it up to where the next entry begins.
 struct account_entry
 {
     std::uint32_t begin = 0;
     key_hash hash{};
     float rate = 0;
     float burst = 0;
+    std::uint8_t name_size = 0;
+    std::int16_t tier = no_tier;
 };
 
 /// The name, service, method, pattern and split follow each other from `begin`.
@@ -94,6 +107,7 @@
     priority_index priority = 0;
     bool repeatable = true;
     bool is_open = false;
+    bool is_unclaimed = false;
 };
 
 /// One shard: entries of fixed size and their texts. Accounts are ordered by
@@ -110,20 +124,26 @@
 /// Ordered by name.
 using service_block = std::vector<service>;
 
-/// Maps the hash of a pattern to the hash of a route's name.
-struct pattern_entry
+/// Maps the hash of a route's pattern or of an account's key to the hash of the
+/// entry's name.
+template <class Hash>
+struct index_entry
 {
-    std::uint64_t pattern_hash = 0;
-    std::uint64_t route_hash = 0;
+    Hash hash = 0;
+    Hash name_hash = 0;
 
-    bool operator==(pattern_entry const&) const = default;
-    bool operator<(pattern_entry const& other) const
+    bool operator==(index_entry const&) const = default;
+    bool operator<(index_entry const& other) const
     {
-        return std::tie(pattern_hash, route_hash) <
-               std::tie(other.pattern_hash, other.route_hash);
+        return std::tie(hash, name_hash) <
+               std::tie(other.hash, other.name_hash);
     }
 };
+using pattern_entry = index_entry<std::uint64_t>;
 using pattern_block = std::vector<pattern_entry>;
+/// The lower halves of the hashes, which saves 4 MB at the target of accounts.
+using key_entry = index_entry<std::uint32_t>;
+using key_block = std::vector<key_entry>;
 
 template <class Block, std::size_t Count>
 using shards = std::array<std::shared_ptr<Block const>, Count>;
@@ -138,6 +158,7 @@
     shards<account_block, account_shards> accounts;
     shards<route_block, route_shards> routes;
     shards<pattern_block, route_shards> patterns;
+    shards<key_block, account_shards> account_keys;
     /// Number of routes whose pattern ends in `*`, by the length of the text
     /// before it. A lookup skips lengths without a route.
     std::vector<std::uint32_t> wildcard_lengths;
@@ -165,6 +186,23 @@
 /// Hash of a pattern as used in pattern_entry.
 std::uint64_t hash_pattern(std::string_view pattern);
 
+/// Hash of a key as used in key_entry.
+std::uint32_t hash_of_key(key_hash const& key);
+
+/// Calls visit(key_hash const&) for each key of an account.
+template <class Visit>
+void for_each_key(account const& source, Visit visit)
+{
+    visit(source.hash);
+    for (key_hash const& key : source.further_hashes)
+        visit(key);
+}
+
+/// Name of an account other than \p candidate that holds one of its keys; empty
+/// when there is none.
+std::string find_account_with_same_key(table_data const& data,
+                                       account const& candidate);
+
 std::optional<account> find_account(table_data const& data,
                                     std::string_view name);
 std::optional<route> find_route(table_data const& data, std::string_view name);
--- a/src/config/table_edit.cpp
+++ b/src/config/table_edit.cpp
@@ -63,20 +63,81 @@
     return values;
 }
 
+template <class Entry>
+struct index_change
+{
+    Entry entry;
+    bool is_added = true;
+};
+
+template <class Entry, std::size_t Count>
+void flush_index(shards<std::vector<Entry>, Count>& table,
+                 std::vector<index_change<Entry>> const& all)
+{
+    std::map<std::size_t, std::vector<index_change<Entry>>> shard_changes;
+    for (index_change<Entry> const& item : all)
+        shard_changes[shard_of(table, item.entry.hash)].push_back(item);
+    for (auto const& [index, changes] : shard_changes)
+    {
+        std::vector<Entry> values;
+        if (table[index])
+            values = *table[index];
+        for (index_change<Entry> const& item : changes)
+        {
+            if (item.is_added)
+                values.push_back(item.entry);
+            else
+                values.erase(
+                    std::find(values.begin(), values.end(), item.entry));
+        }
+        std::sort(values.begin(), values.end());
+        values.shrink_to_fit();
+        table[index] =
+            std::make_shared<std::vector<Entry> const>(std::move(values));
+    }
+}
+
+void record_key_changes(std::vector<index_change<key_entry>>& keys,
+                        account const& changed, bool is_added)
+{
+    for_each_key(changed,
+                 [&](key_hash const& key)
+                 {
+                     keys.push_back(
+                         {{hash_of_key(key),
+                           static_cast<std::uint32_t>(hash_name(changed.name))},
+                          is_added});
+                 });
+}
+
 void flush_accounts(table_edit& edit)
 {
     auto& table = edit.data.accounts;
+    std::vector<index_change<key_entry>> removed;
+    std::vector<index_change<key_entry>> added;
     for (auto const& [index, changes] : group_by_shard(edit.accounts, table))
     {
         std::vector<account> old;
         if (table[index])
             old = unpack_all(*table[index]);
+        for (account const& previous : old)
+        {
+            if (changes.contains(previous.name))
+                record_key_changes(removed, previous, false);
+        }
+        for (auto const& [name, entry] : changes)
+        {
+            if (entry->value)
+                record_key_changes(added, *entry->value, true);
+        }
         auto values = apply_changes(std::move(old), changes);
         std::sort(values.begin(), values.end(),
                   [](account const& left, account const& right)
                   { return in_block_order(left, right); });
         table[index] = std::make_shared<account_block const>(pack(values));
     }
+    removed.insert(removed.end(), added.begin(), added.end());
+    flush_index(edit.data.account_keys, removed);
     edit.accounts.clear();
 }
 
@@ -97,12 +158,6 @@
     edit.services.clear();
 }
 
-struct pattern_change
-{
-    pattern_entry entry;
-    bool is_added = true;
-};
-
 void update_wildcard_count(table_data& data, std::string_view pattern,
                            bool is_added)
 {
@@ -114,35 +169,8 @@
     data.wildcard_lengths[length] += is_added ? 1 : -1;
 }
 
-void flush_patterns(table_data& data,
-                    std::vector<pattern_change> const& pattern_changes)
-{
-    std::map<std::size_t, std::vector<pattern_change>> shard_changes;
-    for (pattern_change const& pattern : pattern_changes)
-        shard_changes[shard_of(data.patterns, pattern.entry.pattern_hash)]
-            .push_back(pattern);
-    for (auto const& [index, changes] : shard_changes)
-    {
-        pattern_block values;
-        if (data.patterns[index])
-            values = *data.patterns[index];
-        for (pattern_change const& pattern : changes)
-        {
-            if (pattern.is_added)
-                values.push_back(pattern.entry);
-            else
-                values.erase(
-                    std::find(values.begin(), values.end(), pattern.entry));
-        }
-        std::sort(values.begin(), values.end());
-        values.shrink_to_fit();
-        data.patterns[index] =
-            std::make_shared<pattern_block const>(std::move(values));
-    }
-}
-
 void record_pattern_change(table_data& data,
-                           std::vector<pattern_change>& patterns,
+                           std::vector<index_change<pattern_entry>>& patterns,
                            route const& changed, bool is_added)
 {
     std::string const pattern = pattern_of(changed);
@@ -154,8 +182,8 @@
 void flush_routes(table_edit& edit)
 {
     auto& table = edit.data.routes;
-    std::vector<pattern_change> removed;
-    std::vector<pattern_change> added;
+    std::vector<index_change<pattern_entry>> removed;
+    std::vector<index_change<pattern_entry>> added;
     for (auto const& [index, changes] : group_by_shard(edit.routes, table))
     {
         std::vector<route> old;
@@ -178,7 +206,7 @@
         table[index] = std::make_shared<route_block const>(pack(values));
     }
     removed.insert(removed.end(), added.begin(), added.end());
-    flush_patterns(edit.data, removed);
+    flush_index(edit.data.patterns, removed);
     edit.routes.clear();
 }
 
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -22,6 +22,10 @@
 /// Time for a peer to send versions before they are read from the store.
 constexpr duration store_read_delay = std::chrono::seconds(2);
 
+/// Time for which a peer's report confirms the version in force while the store
+/// does not. Peers report it with each ping, about once a second.
+constexpr duration confirmation_time = std::chrono::seconds(5);
+
 constexpr duration snapshot_retry_interval = std::chrono::seconds(5);
 
 /// Peers that must have reported their version before this daemon is ready
@@ -231,6 +235,16 @@
                          push_fan_out, out);
 }
 
+bool is_current(state const& duty, time_point now)
+{
+    std::uint64_t const version = duty.current->version();
+    bool const is_confirmed =
+        !duty.has_poll_failed || now - duty.confirmed_at < confirmation_time;
+    return duty.is_ready && is_confirmed &&
+           std::max(duty.highest_seen_version, duty.reported_version) <=
+               version;
+}
+
 void update_readiness(state& duty, actions& out)
 {
     std::size_t const required_reports =
@@ -273,6 +287,8 @@
         return;
     record_peer_version(duty, report.address, report.version);
     update_readiness(duty, out);
+    if (report.version == duty.current->version())
+        duty.confirmed_at = now;
     if (report.version <= duty.current->version())
         return;
     if (duty.follows_document)
--- a/src/config/versions.hpp
+++ b/src/config/versions.hpp
@@ -50,6 +50,10 @@
 void send_to_random_peers(state& duty, peer::payload const& content,
                           std::size_t count, actions& out);
 
+/// Whether no newer version is known and the store or a peer has confirmed the
+/// version in force lately.
+bool is_current(state const& duty, time_point now);
+
 void update_readiness(state& duty, actions& out);
 
 /// Records row config/head as returned by the store.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -60,6 +60,8 @@
     names.time_allowed = values.text("headers", "time_allowed");
     names.expected_server = values.text("headers", "expected_server");
     names.caller_service = values.text("headers", "caller_service");
+    names.account_key = values.text("headers", "account_key");
+    names.account_name = values.text("headers", "account_name");
     names.not_run = values.text("headers", "not_run");
     names.server_name = values.text("headers", "server_name");
     names.server_stamp = values.text("headers", "server_stamp");
@@ -152,7 +154,7 @@
     routing_wiring = std::make_unique<routing::wiring>(routing::wiring{
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
-        &counts, &retry_share});
+        &counts, &retry_share, !values.text("headers", "account_key").empty()});
     claims_wiring = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, own_daemon, address,
                        peer_keys.current()});
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -145,6 +145,14 @@
         "caller_service", "",
         "header that names the service of the VM where the request began; "
         "not sent when empty"),
+    header_setting(
+        "account_key", "",
+        "header that holds an account's key and nothing else; when empty, "
+        "callers send `Authorization: Bearer ACCOUNT:SECRET`"),
+    header_setting(
+        "account_name", "",
+        "header that names the caller's account to the backend server; not "
+        "sent when empty"),
     header_setting(
         "not_run", "",
         "header whose presence on an answer states that the request was "
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -127,6 +127,8 @@
         add_header(list, names.expected_server, job.server);
     if (!names.caller_service.empty())
         add_header(list, names.caller_service, request.caller_service);
+    if (!names.account_name.empty())
+        add_header(list, names.account_name, request.account);
     add_header(list, "traceparent", request.traceparent);
     add_header(list, "Idempotency-Key", request.idempotency_key);
     add_header(list, request.content_type.empty()
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -64,17 +64,21 @@
     if (key.size() > max_idempotency_key_bytes || !is_printable(key))
         throw error(error_kind::bad_request,
                     "Idempotency-Key: allowed: up to 255 printable characters");
-    request.credentials = http::bearer_token(exchange.header("Authorization"));
+    if (names.account_key.empty())
+        request.credentials =
+            http::bearer_token(exchange.header("Authorization"));
+    else
+        request.credentials = exchange.header(names.account_key);
     request.method = exchange.method();
     request.target = exchange.target();
     request.host = exchange.header("Host");
     request.content_type = exchange.header("Content-Type");
     request.headers = forwarded_headers(
         exchange.headers(),
-        std::array<std::string_view, 7>{names.request_id, names.time_allowed,
-                                        names.expected_server,
-                                        names.caller_service, "Content-Type",
-                                        "Idempotency-Key", "traceparent"});
+        std::array<std::string_view, 9>{
+            names.request_id, names.time_allowed, names.expected_server,
+            names.caller_service, names.account_key, names.account_name,
+            "Content-Type", "Idempotency-Key", "traceparent"});
     request.body = exchange.body();
     request.idempotency_key = key;
     request.traceparent = exchange.header("traceparent");
--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -101,6 +101,29 @@
     CHECK(first.headers == std::vector<header_field>{{"X-Other", "1"}});
 }
 
+TEST_CASE("an account's key is read from its header and not forwarded")
+{
+    // Guards against a backend server that learns a key, or that believes a
+    // caller's own statement of its account.
+    mock_exchange exchange;
+    ALLOW_CALL(exchange, method()).RETURN("GET");
+    ALLOW_CALL(exchange, target()).RETURN("/rides");
+    ALLOW_CALL(exchange, body()).RETURN("");
+    ALLOW_CALL(exchange, header(trompeloeil::_))
+        .RETURN(_1 == "Api-Key" ? "k-17" : std::string_view());
+    ALLOW_CALL(exchange, headers())
+        .RETURN(std::vector<header_field>{
+            {"api-key", "k-17"}, {"X-Account", "other"}, {"X-Other", "1"}});
+    front::request_options options;
+    options.names.account_key = "Api-Key";
+    options.names.account_name = "X-Account";
+    std::mt19937_64 generator(1);
+    auto const request =
+        front::read_request(exchange, options, generator, time_point());
+    CHECK(request.credentials == "k-17");
+    CHECK(request.headers == std::vector<header_field>{{"X-Other", "1"}});
+}
+
 TEST_CASE("a body over the limit is refused as too large")
 {
     std::string const body(front::default_max_body + 1, 'x');
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -25,6 +25,9 @@
     int rank = 0;
     duration target{0};
     double worth = 1;
+    /// Groups priorities that differ in their target only; an account that
+    /// names a tier gets its priority from it.
+    int tier = 0;
 };
 
 /// Share of a service's capacity declared for one priority, 0 to 1.
@@ -86,25 +89,41 @@
     std::vector<split_part> split = {};
     /// Limit of the backend servers that one request may reach.
     std::uint32_t attempts = default_attempts;
-    /// Callers need no account and non-repeatable requests need no idempotency
-    /// key. Each non-repeatable request is sent to a backend server at most
-    /// once.
+    /// Callers need no account.
     bool is_open = false;
+    /// Non-repeatable requests need no idempotency key and no claim. Each is
+    /// sent to a backend server at most once. True for every open route.
+    bool is_unclaimed = false;
 };
 
 using key_hash = std::array<std::uint8_t, 16>;
 
+/// First 16 bytes of SHA-256 of the key or secret of an account.
+key_hash hash_secret(std::string_view secret);
+
+/// 32 lower-case hexadecimal digits.
+std::string to_string(key_hash const& hash);
+
 /// An account found by tables::account().
 struct account_view
 {
     std::string_view name;
-    /// First 16 bytes of SHA-256 of the secret.
+    /// First 16 bytes of SHA-256 of the secret: of the first one, or of the one
+    /// by which the account was found.
     key_hash hash{};
     /// Requests per second and bucket size; 0 means unlimited.
     float rate = 0;
     float burst = 0;
+    /// See priority::tier; its priority replaces that of the route.
+    std::optional<int> tier = std::nullopt;
+    /// Hashes of the secrets after the first, without separators.
+    std::string_view further_hashes = {};
 };
 
+/// Whether \p hash is one of the account's. Takes the same time for every hash
+/// that is not.
+bool has_key(account_view const& found, key_hash const& hash);
+
 struct table_data;
 
 /// One version of the configuration, immutable and shared between threads.
@@ -128,6 +147,15 @@
 
     std::optional<account_view> account(std::string_view name) const;
 
+    /// Finds the account that holds a key; the first by name when several do.
+    std::optional<account_view> account_by_key(key_hash const& hash) const;
+
+    /// The priority of an account's request on a route: in the account's tier
+    /// the one with the target of the route's priority, or else with the
+    /// nearest target. The route's own when no priority is in the tier.
+    priority_index priority_for(route_view const& route,
+                                account_view const& account) const;
+
     bool has_accounts() const;
 
     /// Returns nullptr for an unknown service.
@@ -154,10 +182,14 @@
     std::string patch;
 };
 
-/// Notifies the other duties of a new version in force.
+/// Notifies the other duties of a new version in force, and of a change of
+/// is_current.
 struct in_force
 {
     tables_ptr current;
+    /// No newer version is known, and the store or a peer has confirmed this
+    /// one lately. Otherwise an unknown key may be one of a newer version.
+    bool is_current = true;
 };
 
 /// One error in a patch.
--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -35,6 +35,13 @@
     /// Response header whose presence states that the server did not run the
     /// request. When empty, `X-Outcome: not_run` does.
     std::string not_run;
+    /// Request header that holds an account's key and nothing else; never
+    /// forwarded. When empty, callers send `Authorization: Bearer
+    /// ACCOUNT:SECRET`.
+    std::string account_key;
+    /// Request header with the name of the caller's account, set for the
+    /// backend server whatever the caller sent. Not sent when empty.
+    std::string account_name;
     /// Response header with the requests per second that the server takes from
     /// all daemons together. Empty when the servers name no limit.
     std::string server_limit;
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -22,7 +22,8 @@
     request_id id;
     /// The caller's own identifier; opaque, forwarded unchanged.
     std::string caller_id;
-    /// `ACCOUNT:SECRET` of the Authorization header; empty when absent.
+    /// `ACCOUNT:SECRET` of the Authorization header, or the account's key when
+    /// the settings name a header for it; empty when absent.
     std::string credentials;
     std::string method;
     /// Path and query.
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -34,7 +34,8 @@
         return account;
     if (!lookup.route)
         return {no_route, "no route matches"};
-    if (!lookup.route->repeatable && original.idempotency_key.empty())
+    if (!lookup.route->repeatable && !lookup.route->is_unclaimed &&
+        original.idempotency_key.empty())
         return {bad_request, "this route needs an Idempotency-Key header"};
     return {};
 }
@@ -44,16 +45,20 @@
 {
     request_state new_request;
     new_request.original = std::move(original);
-    if (lookup.account)
+    // An open route has no account, whatever the caller sent.
+    if (lookup.account && !(lookup.route && lookup.route->is_open))
         new_request.account = lookup.account->name;
     if (!lookup.route)
         return new_request;
+    new_request.is_unclaimed =
+        lookup.route->is_open || lookup.route->is_unclaimed;
     new_request.service = lookup.route->service;
     new_request.route = lookup.route->name;
     new_request.priority_name = lookup.priority_name;
     new_request.priority = lookup.route->priority;
     new_request.repeatable = lookup.route->repeatable;
-    new_request.needs_claim = !new_request.repeatable && !lookup.route->is_open;
+    new_request.needs_claim =
+        !new_request.repeatable && !new_request.is_unclaimed;
     new_request.max_servers_reached = lookup.route->attempts;
     duration allowed = lookup.route->timeout;
     if (new_request.original.time_allowed.count() > 0)
@@ -136,7 +141,14 @@
 refusal check_account(routing_state& state, caller_request const& original,
                       lookup_result const& lookup, time_point now)
 {
-    if (!is_authenticated(original.credentials, lookup.account))
+    bool const is_known =
+        lookup.account_key
+            ? is_authenticated(*lookup.account_key, lookup.account)
+            : is_authenticated(original.credentials, lookup.account);
+    if (!is_known && !lookup.is_current)
+        return {error_kind::no_configuration,
+                "a newer configuration may have this key"};
+    if (!is_known)
         return {error_kind::unauthenticated, "unknown account or wrong secret"};
     if (!take_token(state.account_limiter, *lookup.account, now))
         return {error_kind::rate_limited,
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -579,6 +579,63 @@
     CHECK(out.responses.back().kind == error_kind::draining);
 }
 
+TEST_CASE(
+    "an unclaimed route needs an account and runs non-repeatable work once")
+{
+    // Guards against orders that need an idempotency key or a store because
+    // their callers have accounts.
+    routing_state state = make_state();
+    actions out;
+    lookup_result lookup = lookup_for(false);
+    lookup.route->is_unclaimed = true;
+    caller_request request = anonymous_request(1);
+    request.credentials = "shop:secret";
+    on_caller_request(state, std::move(request), lookup, start, out);
+    CHECK(out.claim_messages.empty());
+    REQUIRE(out.home_messages.size() == 1);
+    work_request const sent = last_work_request(out);
+    CHECK(sent.account == "shop");
+    on_result(
+        state,
+        result_of(sent, sent.home, error_kind::answer_cut, outcome::unknown),
+        start, out);
+    CHECK(out.home_messages.size() == 1);
+    CHECK(out.responses.size() == 1);
+}
+
+TEST_CASE("an unknown key is refused as unauthenticated only by a current "
+          "configuration")
+{
+    // Guards against a 401 for a key that a version allows which this daemon
+    // has not read.
+    routing_state state = make_state();
+    actions out;
+    lookup_result lookup = lookup_for(true);
+    lookup.account_key = hash_secret("new key");
+    lookup.account.reset();
+    lookup.is_current = false;
+    on_caller_request(state, request_number(1), lookup, start, out);
+    CHECK(out.responses.back().kind == error_kind::no_configuration);
+    lookup.is_current = true;
+    on_caller_request(state, request_number(2), lookup, start, out);
+    CHECK(out.responses.back().kind == error_kind::unauthenticated);
+    lookup.account = config::account_view{"shop", hash_secret("new key"), 0, 0};
+    on_caller_request(state, request_number(3), lookup, start, out);
+    CHECK(out.home_messages.size() == 1);
+}
+
+TEST_CASE("a key sent to an open route names no account")
+{
+    // Guards against a server that is told an account which the route does not
+    // ask for.
+    routing_state state = make_state();
+    actions out;
+    lookup_result lookup = open_route_lookup(true);
+    lookup.account = config::account_view{"shop", hash_secret("secret"), 0, 0};
+    on_caller_request(state, request_number(1), lookup, start, out);
+    CHECK(last_work_request(out).account.empty());
+}
+
 TEST_CASE("without configuration or accounts no caller is unauthenticated")
 {
     routing_state state = make_state();
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -133,22 +133,28 @@
 /// Key of the configuration lookup for one request.
 struct lookup_key
 {
+    /// Name of the account; unused when it is found by its key.
     std::string_view account;
+    std::optional<config::key_hash> account_key;
     std::string_view method;
     std::string_view host;
     std::string_view path;
 };
 
-lookup_result look_up(routing_state& state, config::tables_ptr const& tables,
+lookup_result look_up(routing_state& state, config::in_force const& in_force,
                       lookup_key const& key)
 {
+    config::tables_ptr const& tables = in_force.current;
     lookup_result lookup;
     // Version 0 is the empty configuration that a daemon starts with.
     lookup.is_configured = tables && tables->version() > 0;
     if (!lookup.is_configured)
         return lookup;
+    lookup.is_current = in_force.is_current;
     lookup.has_accounts = tables->has_accounts();
-    lookup.account = tables->account(key.account);
+    lookup.account_key = key.account_key;
+    lookup.account = key.account_key ? tables->account_by_key(*key.account_key)
+                                     : tables->account(key.account);
     lookup.route = tables->match(key.method, key.host, key.path);
     if (!lookup.route)
         return lookup;
@@ -161,6 +167,9 @@
         lookup.floor_share = service->floor_share;
         lookup.homes_limit_retries = service->retry_limit.has_value();
     }
+    if (lookup.account && !lookup.route->is_open)
+        lookup.route->priority =
+            tables->priority_for(*lookup.route, *lookup.account);
     auto const priorities = tables->priorities();
     if (lookup.route->priority < priorities.size())
         lookup.priority_name = priorities[lookup.route->priority].name;
@@ -185,7 +194,7 @@
 struct handler
 {
     routing_state& state;
-    config::tables_ptr& tables;
+    config::in_force& in_force;
     wiring const& links;
     time_point now;
     actions& out;
@@ -193,10 +202,13 @@
     void operator()(std::monostate) const {}
     void operator()(caller_request& request) const
     {
-        lookup_result const lookup =
-            look_up(state, tables,
-                    {account_name(request.credentials), request.method,
-                     request.host, uri::path_of(request.target)});
+        std::optional<config::key_hash> account_key;
+        if (links.finds_accounts_by_key)
+            account_key = hash_secret(request.credentials);
+        lookup_result const lookup = look_up(
+            state, in_force,
+            {account_name(request.credentials), account_key, request.method,
+             request.host, uri::path_of(request.target)});
         if (is_claim_query(request.method, uri::path_of(request.target)))
         {
             auto const deliver =
@@ -228,21 +240,21 @@
     void operator()(members::service_view_ptr const& view) const
     {
         on_service_view(state, *view);
-        if (tables)
-            update_floors(state, *tables);
+        if (in_force.current)
+            update_floors(state, *in_force.current);
     }
     void operator()(config::in_force const& next) const
     {
-        tables = next.current;
-        update_floors(state, *tables);
+        in_force = next;
+        update_floors(state, *in_force.current);
     }
     void operator()(explain_request const& request) const
     {
         request.deliver(
             explain(state,
-                    look_up(state, tables,
-                            {request.account, request.method, request.host,
-                             uri::path_of(request.path)}),
+                    look_up(state, in_force,
+                            {request.account, std::nullopt, request.method,
+                             request.host, uri::path_of(request.path)}),
                     now));
     }
     void operator()(refuse_unstarted const&) const
@@ -265,14 +277,14 @@
     state.data_centre = links.data_centre;
     state.caller_service = links.caller_service;
     state.random.seed(links.own_daemon.id ^ links.own_daemon.incarnation);
-    config::tables_ptr tables;
+    config::in_force in_force;
     outbox unsent;
     actions decided;
     run_duty(
         messages,
         [&](message& received, time_point now)
         {
-            std::visit(handler{state, tables, links, now, decided}, received);
+            std::visit(handler{state, in_force, links, now, decided}, received);
             perform_actions(state, decided, unsent, links, now);
         },
         [&](time_point now)
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -27,6 +27,8 @@
     metrics* request_metrics = nullptr;
     /// Share of retries at this VM's backend server; may be null.
     admission::retry_share const* local_retry_share = nullptr;
+    /// Callers send the key of an account alone.
+    bool finds_accounts_by_key = false;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -23,9 +23,9 @@
 /// Homes that may be tried for one request.
 inline constexpr std::size_t max_homes = 3;
 
-/// Homes that may be tried for a request on an open route. Such a request is
-/// never claimed, and a home that refuses costs about 1 ms.
-inline constexpr std::size_t max_homes_open_route = 10;
+/// Homes that may be tried for a request on an open or unclaimed route. Such a
+/// request is never claimed, and a home that refuses costs about 1 ms.
+inline constexpr std::size_t max_homes_unclaimed = 10;
 
 /// Time after the deadline in which the home's own timeout result can still
 /// arrive. It states the outcome more precisely than the `timed_out` that
@@ -47,8 +47,13 @@
 {
     std::optional<config::account_view> account;
     std::optional<config::route_view> route;
+    /// Hash of the key by which the account was looked up; unset when it was
+    /// looked up by name.
+    std::optional<config::key_hash> account_key;
     /// False when the daemon has not read any configuration.
     bool is_configured = true;
+    /// See config::in_force.
+    bool is_current = true;
     /// False when the configuration has no accounts, so that nobody could
     /// authenticate for a route that does not exist.
     bool has_accounts = true;
@@ -92,8 +97,10 @@
     bool repeatable = true;
     /// The work_request::retry_weight of the first attempt.
     double retry_weight = 0;
-    /// Runs under a claim: non-repeatable and not on an open route.
+    /// Runs under a claim: non-repeatable and not on an unclaimed route.
     bool needs_claim = false;
+    /// On a route that is open or unclaimed.
+    bool is_unclaimed = false;
     /// Number of backend servers that the request may reach, and number of
     /// those that it has reached.
     std::uint32_t max_servers_reached = config::default_attempts;
@@ -117,7 +124,7 @@
 
 inline std::size_t max_homes_for(request_state const& request)
 {
-    return request.account.empty() ? max_homes_open_route : max_homes;
+    return request.is_unclaimed ? max_homes_unclaimed : max_homes;
 }
 
 /// Candidates, floor, load and retry budget of one service.
