Weigh bytes and waits to decide when to leave a data centre

Cause: another data centre cost a constant 0.75 of a server's load, so an export of 90 KB left as readily as a lookup of 200 bytes, and on stale news all requests changed sides at once.

Change: with the setting cross_data_centre_cost (seconds of waiting per MiB) a request compares the cheapest of 8 local servers with the cheapest of 4 others. The price follows its body, the learned mean answer of its route, the learned delay and the time left; the excess leaves as a share. Failure costs count in full.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -140,12 +140,14 @@
 }
 
 void metrics::count_peer_bytes(direction flow, std::string_view kind,
-                               std::size_t bytes)
-{
-    m_families->peer_bytes
-        .Add({{"direction", flow == direction::in ? "in" : "out"},
-              {"kind", std::string(kind)}})
-        .Increment(static_cast<double>(bytes));
+                               std::string_view scope, std::size_t bytes)
+{
+    prometheus::Labels labels{
+        {"direction", flow == direction::in ? "in" : "out"},
+        {"kind", std::string(kind)}};
+    if (!scope.empty())
+        labels.emplace("scope", scope);
+    m_families->peer_bytes.Add(labels).Increment(static_cast<double>(bytes));
 }
 
 void metrics::count_refusal(std::string_view place, error_kind kind)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -154,7 +154,8 @@
     routing_wiring = std::make_unique<routing::wiring>(routing::wiring{
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
-        &counts, &retry_share, !values.text("headers", "account_key").empty()});
+        &counts, &retry_share, !values.text("headers", "account_key").empty(),
+        values.real("daemon", "cross_data_centre_cost")});
     claims_wiring = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, own_daemon, address,
                        peer_keys.current()});
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -127,6 +127,10 @@
     real_setting(
         "repeat_slack", "0", 1e6,
         "repeats in 10 s beyond repeat_share, with platform_interface rows"),
+    real_setting("cross_data_centre_cost", "0", 1000,
+                 "seconds that a request waits in its data centre rather than "
+                 "send 1 MiB to another one; at 0 each request has the same "
+                 "constant cost"),
     optional_setting(
         "undelimited_answers", setting_type::boolean, "false",
         "whether an answer of a backend server may have no length and "
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -30,8 +30,9 @@
     /// Time that the daemons added to the backend server's response time.
     void observe_added_latency(duration added);
     /// Bytes between daemons; \p kind is "control" or "work".
+    /// \param scope  "same" or "other" data centre; no label when empty
     void count_peer_bytes(direction flow, std::string_view kind,
-                          std::size_t bytes);
+                          std::string_view scope, std::size_t bytes);
     /// Counts a refused request of a caller or frame of a peer.
     void count_refusal(std::string_view place, error_kind kind);
     /// Counts a message dropped because the ring of \p duty was full.
--- a/src/include/gooseberrycove/peer.hpp
+++ b/src/include/gooseberrycove/peer.hpp
@@ -31,11 +31,21 @@
                  config::deltas, config::peer_version, members::sync,
                  members::packet, path_check>;
 
+/// Where the receiver of a message is. Only routing knows the data centre of
+/// an address, so it is unknown for all but work and its results.
+enum class scope : std::uint8_t
+{
+    unknown,
+    same_data_centre,
+    other_data_centre
+};
+
 struct outgoing
 {
     /// Peer address of the receiver, `ip:port`.
     std::string address;
     payload content;
+    scope receiver_scope = scope::unknown;
 };
 
 /// Messages that the peer duty handles.
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -118,6 +118,16 @@
            std::holds_alternative<path_check>(content);
 }
 
+void count_bytes(metrics& counts, direction flow, payload const& content,
+                 scope other_end, std::size_t bytes)
+{
+    std::string_view label;
+    if (other_end != scope::unknown)
+        label = other_end == scope::same_data_centre ? "same" : "other";
+    counts.count_peer_bytes(flow, carries_work(content) ? "work" : "control",
+                            label, bytes);
+}
+
 std::string_view reply_address(payload const& content)
 {
     if (auto const* request = std::get_if<work_request>(&content))
--- a/src/peer/delivery.hpp
+++ b/src/peer/delivery.hpp
@@ -23,6 +23,10 @@
 /// control messages.
 bool carries_work(payload const& content);
 
+/// Counts the bytes of a frame whose other end is in \p other_end.
+void count_bytes(metrics& counts, direction flow, payload const& content,
+                 scope other_end, std::size_t bytes);
+
 /// Peer address, `ip:port`, at which the sender of \p content receives
 /// messages; empty when the payload does not contain it.
 std::string_view reply_address(payload const& content);
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -43,6 +43,7 @@
     std::uint32_t attempt = 0;
     std::string address;
     time_point sent_at;
+    scope home_scope = scope::unknown;
 };
 
 /// Reachability of a connection and the work that waits for the reply to its
@@ -86,7 +87,9 @@
     void start_check_timer(time_point check_sent_at);
     void return_overdue_work();
     void on_check(connection& stream, path_check const& check);
-    std::string encode(payload const& content);
+    std::string encode(payload const& content,
+                       scope receiver_scope = scope::unknown);
+    scope scope_of(payload const& received) const;
     connection& connection_to(std::string const& address);
     std::shared_ptr<connection> make_connection(tcp::socket socket);
     void on_frame(connection* stream, std::string_view frame);
@@ -193,16 +196,24 @@
         finish();
 }
 
-std::string peer_loop::encode(payload const& content)
+std::string peer_loop::encode(payload const& content, scope receiver_scope)
 {
     std::string frame =
         wire::encode(m_to.keys->current(), m_to.self, content, clock_now());
-    m_to.counts->count_peer_bytes(direction::out,
-                                  carries_work(content) ? "work" : "control",
-                                  frame.size());
+    count_bytes(*m_to.counts, direction::out, content, receiver_scope,
+                frame.size());
     return frame;
 }
 
+scope peer_loop::scope_of(payload const& received) const
+{
+    auto const* const result = std::get_if<work_result>(&received);
+    if (result == nullptr)
+        return scope::unknown;
+    auto const sent = m_sent_work.find({result->id, result->attempt});
+    return sent == m_sent_work.end() ? scope::unknown : sent->second.home_scope;
+}
+
 void peer_loop::send(outgoing const& outgoing_message)
 {
     if (std::holds_alternative<work_request>(outgoing_message.content))
@@ -263,13 +274,15 @@
 {
     work_request const& request =
         std::get<work_request>(outgoing_message.content);
-    sent_work record{nullptr, 0, request.attempt, outgoing_message.address,
-                     clock_now()};
+    sent_work record{nullptr,         0,
+                     request.attempt, outgoing_message.address,
+                     clock_now(),     outgoing_message.receiver_scope};
     attempt_key const key{request.id, request.attempt};
     // The entry is added before send(), so that error handling that runs inside
     // send() finds it.
     m_sent_work[key] = record;
-    std::uint64_t const tag = stream.send(encode(outgoing_message.content));
+    std::uint64_t const tag = stream.send(
+        encode(outgoing_message.content, outgoing_message.receiver_scope));
     if (tag == 0)
     {
         m_sent_work.erase(key);
@@ -389,9 +402,8 @@
     {
         wire::message decoded =
             wire::decode(frame, m_to.keys->all(), clock_now());
-        m_to.counts->count_peer_bytes(
-            direction::in, carries_work(decoded.content) ? "work" : "control",
-            frame.size());
+        count_bytes(*m_to.counts, direction::in, decoded.content,
+                    scope_of(decoded.content), frame.size());
         if (auto const* result = std::get_if<work_result>(&decoded.content))
             on_result(stream, *result);
         std::string_view const reply = reply_address(decoded.content);
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -57,9 +57,26 @@
     return {};
 }
 
+/// Empty when bytes between data centres have no price.
+std::optional<double> crossing_cost_of(routing_state const& state,
+                                       request_state const& request,
+                                       time_point now)
+{
+    if (state.cross_data_centre_cost <= 0)
+        return std::nullopt;
+    auto const local_failures = std::ranges::count_if(
+        request.attempts, [](attempt_state const& attempt)
+        { return !attempt.is_open && !attempt.is_other_data_centre; });
+    return crossing_cost({state.cross_data_centre_cost,
+                          request.original.body.size(),
+                          means_of(state.route_answers, request.route),
+                          request.deadline - now, added_seconds(state.delays),
+                          static_cast<std::size_t>(local_failures)});
+}
+
 attempt_target next_target(routing_state& state, service_state const& service,
                            request_state const& request,
-                           assessment const& assessed)
+                           assessment const& assessed, time_point now)
 {
     if (request.needs_claim)
         return next_claimed_target(service, request, assessed.standings);
@@ -68,7 +85,8 @@
         choose({service.candidates, assessed.standings, service.outstanding,
                 tried, state.data_centre, request.repeatable,
                 tried.empty() && request.max_servers_reached > 1,
-                assessed.failure_probabilities, assessed.start_waits},
+                assessed.failure_probabilities, assessed.start_waits,
+                crossing_cost_of(state, request, now)},
                state.random);
     return {chosen,
             chosen.candidate ? chosen.candidate->home_address : std::string()};
@@ -180,13 +198,14 @@
     service_state& service = service_of(state, request.service);
     assessment const assessed = assess(service, state.evidence, now);
     attempt_target const target =
-        next_target(state, service, request, assessed);
+        next_target(state, service, request, assessed, now);
     if (!target.chosen.candidate)
         return false;
     members::candidate const& candidate = *target.chosen.candidate;
     request.attempts.push_back(
         {static_cast<std::uint32_t>(request.attempts.size() + 1),
-         candidate.server, candidate.home, target.address, now, true});
+         candidate.server, candidate.home, target.address, now, true,
+         candidate.home_data_centre != state.data_centre});
     ++service.outstanding[candidate.server];
     out.log.push_back(routed_line(request, id, reason, target));
     work_request work =
@@ -200,7 +219,10 @@
         work.statement = statement->second.statement;
     work.has_other_homes = has_other_home(service, request, assessed);
     out.home_messages.push_back(
-        {target.address, candidate.home == state.own_daemon, std::move(work)});
+        {target.address, candidate.home == state.own_daemon, std::move(work),
+         candidate.home_data_centre == state.data_centre
+             ? peer::scope::same_data_centre
+             : peer::scope::other_data_centre});
     return true;
 }
 
@@ -217,7 +239,8 @@
         choice const next =
             choose({service.candidates, assessed.standings, service.outstanding,
                     named_homes, state.data_centre, false, false,
-                    assessed.failure_probabilities, assessed.start_waits},
+                    assessed.failure_probabilities, assessed.start_waits,
+                    crossing_cost_of(state, request, now)},
                    state.random);
         if (!next.candidate)
             break;
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -1,5 +1,7 @@
 #include "candidates.hpp"
 
+#include "data_centre.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -87,7 +89,6 @@
 
 /// Costs are in units of a server's load. At 1 all slots are busy, and further
 /// work waits for about one service time.
-constexpr double other_data_centre_cost = 0.75;
 constexpr double kept_by_floor_cost = 1.5;
 constexpr double skipped_cost = 3;
 constexpr double probation_cost = 4;
@@ -105,6 +106,9 @@
 /// Maximum number of candidates compared from the own data centre, and the same
 /// from the others.
 constexpr std::size_t max_compared = 4;
+/// The same from the own data centre when the bytes that leave it have a price:
+/// a free slot is found there more often.
+constexpr std::size_t max_compared_local = 8;
 
 double standing_cost(standing value)
 {
@@ -122,13 +126,10 @@
     }
 }
 
-double cost_of(choice_input const& input, std::size_t index)
+/// Costs beside the load and the data centre.
+double risk_of(choice_input const& input, std::size_t index)
 {
-    members::candidate const& candidate = input.candidates[index];
-    double cost = load_of(candidate, input.outstanding) +
-                  standing_cost(input.standings[index]);
-    if (candidate.home_data_centre != input.data_centre)
-        cost += other_data_centre_cost;
+    double cost = standing_cost(input.standings[index]);
     if (index < input.failure_probabilities.size())
         cost += input.failure_probabilities[index] *
                 (input.repeatable ? failure_cost : single_attempt_failure_cost);
@@ -138,6 +139,15 @@
     return cost;
 }
 
+double cost_of(choice_input const& input, std::size_t index)
+{
+    members::candidate const& candidate = input.candidates[index];
+    bool const has_constant_cost =
+        !input.crossing_cost && candidate.home_data_centre != input.data_centre;
+    return load_of(candidate, input.outstanding) + risk_of(input, index) +
+           (has_constant_cost ? unpriced_crossing_cost : 0);
+}
+
 bool is_preferred(standing value)
 {
     return value == standing::healthy || value == standing::kept_by_floor;
@@ -159,6 +169,43 @@
     indices.resize(kept);
 }
 
+/// Index of the cheapest of \p indices, with noise; empty when there are none.
+std::optional<std::size_t> find_cheapest(choice_input const& input,
+                                         std::span<std::size_t const> indices,
+                                         std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> noise(0, cost_noise);
+    std::optional<std::size_t> cheapest;
+    double min_cost = 0;
+    for (std::size_t const index : indices)
+    {
+        double const cost = cost_of(input, index) + noise(random);
+        if (cheapest && cost >= min_cost)
+            continue;
+        min_cost = cost;
+        cheapest = index;
+    }
+    return cheapest;
+}
+
+side side_of(choice_input const& input, std::size_t index)
+{
+    members::candidate const& candidate = input.candidates[index];
+    return {load_of(candidate, input.outstanding), candidate.slots,
+            risk_of(input, index)};
+}
+
+choice make_choice(choice_input const& input, std::optional<std::size_t> index)
+{
+    if (!index)
+        return {nullptr, "no_candidate", input.candidates.size()};
+    return {&input.candidates[*index], choice_reason(input.standings[*index]),
+            input.candidates.size() - 1,
+            *index < input.failure_probabilities.size()
+                ? input.failure_probabilities[*index]
+                : 0};
+}
+
 /// Chooses the cheapest of a few random candidates; `candidate` is null when
 /// there are none.
 choice choose_cheapest(choice_input const& input,
@@ -166,27 +213,25 @@
                        std::vector<std::size_t> other_indices,
                        std::mt19937_64& random)
 {
-    keep_random(local_indices, max_compared, random);
+    keep_random(local_indices,
+                input.crossing_cost ? max_compared_local : max_compared,
+                random);
     keep_random(other_indices, max_compared, random);
-    local_indices.insert(local_indices.end(), other_indices.begin(),
-                         other_indices.end());
-    std::uniform_real_distribution<double> noise(0, cost_noise);
-    choice result{nullptr, "no_candidate", input.candidates.size()};
-    double min_cost = 0;
-    for (std::size_t const index : local_indices)
+    if (input.crossing_cost && !local_indices.empty() && !other_indices.empty())
     {
-        double const cost = cost_of(input, index) + noise(random);
-        if (result.candidate != nullptr && cost >= min_cost)
-            continue;
-        min_cost = cost;
-        result.candidate = &input.candidates[index];
-        result.reason = choice_reason(input.standings[index]);
-        result.passed_over = input.candidates.size() - 1;
-        result.failure_probability = index < input.failure_probabilities.size()
-                                         ? input.failure_probabilities[index]
-                                         : 0;
+        std::size_t const local = *find_cheapest(input, local_indices, random);
+        std::size_t const other = *find_cheapest(input, other_indices, random);
+        double const share = leaving_share(
+            side_of(input, local), side_of(input, other), *input.crossing_cost);
+        if (std::uniform_real_distribution<double>(0, 1)(random) >= share)
+            return make_choice(input, local);
+        choice left = make_choice(input, other);
+        left.reason = "left_data_centre";
+        return left;
     }
-    return result;
+    local_indices.insert(local_indices.end(), other_indices.begin(),
+                         other_indices.end());
+    return make_choice(input, find_cheapest(input, local_indices, random));
 }
 
 /// Collects the eligible candidates that \p matches selects, separately for the
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -161,11 +162,15 @@
     std::span<double const> failure_probabilities = {};
     /// By candidate; empty when no server has stated a limit.
     std::span<duration const> start_waits = {};
+    /// See crossing_cost(); empty when bytes between data centres have no
+    /// price, and another data centre has a constant cost.
+    std::optional<double> crossing_cost = {};
 };
 
 /// Chooses the cheapest of a few random candidates. The cost is the load, plus
 /// costs for the standing, the failure probability, the wait for the server's
-/// own limit and another data centre.
+/// own limit and another data centre. With a crossing_cost, leaving_share()
+/// decides between the cheapest of the own data centre and of the others.
 /// `candidate` is null when no candidate is eligible.
 choice choose(choice_input const& input, std::mt19937_64& random);
 
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -186,6 +186,13 @@
                             no_response_penalty, now);
     close_attempt(state, request, *attempt);
     normalize(result);
+    if (result.run_outcome == outcome::ran && result.service_time.count() > 0)
+    {
+        record_answer(state.route_answers, request.route, result.body.size(),
+                      result.service_time);
+        record_path(state.delays, attempt->is_other_data_centre,
+                    now - attempt->sent_at, result.service_time);
+    }
     if (!is_success(result))
     {
         on_failure(state, request, std::move(result), now, out);
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -72,7 +72,8 @@
             if (unsent.is_local)
                 return links.admission->try_push(std::move(content), reserve);
             return links.peer->try_push(
-                peer::outgoing{std::move(unsent.address), std::move(content)},
+                peer::outgoing{std::move(unsent.address), std::move(content),
+                               unsent.scope},
                 reserve);
         },
         unsent.content);
@@ -275,6 +276,7 @@
     state.own_daemon = links.own_daemon;
     state.own_address = links.own_address;
     state.data_centre = links.data_centre;
+    state.cross_data_centre_cost = links.cross_data_centre_cost;
     state.caller_service = links.caller_service;
     state.random.seed(links.own_daemon.id ^ links.own_daemon.incarnation);
     config::in_force in_force;
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -29,6 +29,8 @@
     admission::retry_share const* local_retry_share = nullptr;
     /// Callers send the key of an account alone.
     bool finds_accounts_by_key = false;
+    /// See routing_state.
+    double cross_data_centre_cost = 0;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_ROUTING_STATE_HPP
 
 #include "candidates.hpp"
+#include "data_centre.hpp"
 #include "rate_limit.hpp"
 #include "retry.hpp"
 #include "split.hpp"
@@ -72,6 +73,7 @@
     std::string home_address;
     time_point sent_at;
     bool is_open = true;
+    bool is_other_data_centre = false;
 };
 
 enum class phase : std::uint8_t
@@ -147,6 +149,11 @@
     daemon_ref own_daemon;
     std::string own_address;
     std::string data_centre;
+    /// Seconds of waiting per MiB that would leave the data centre; 0 when the
+    /// bytes have no price.
+    double cross_data_centre_cost = 0;
+    route_means_map route_answers;
+    path_delays delays;
     /// Service of this VM's backend server, sent with each work request.
     std::string caller_service;
     /// Share of that server's running work that counts as retries, 0 to 1.
@@ -187,6 +194,7 @@
     std::string address;
     bool is_local = false;
     std::variant<work_request, admission::cancel> content;
+    peer::scope scope = peer::scope::unknown;
 };
 
 /// Actions that a decision leaves to the thread, in order within each list.
