Keep servers in use that refuse a part with free slots

Two refusals in a row made a server suspected, and each refusal took a slot from its limit, although the server stated free slots. When all servers of a service refused a part, requests were refused while the servers stood idle.

The header server_load is read from each response. A full server's refusal takes a slot and shows no fault. Without the header all stays as before.

--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -1,6 +1,7 @@
 #include "admission_thread.hpp"
 
 #include "decide.hpp"
+#include "observe.hpp"
 #include <gooseberrycove/duty.hpp>
 
 #include <algorithm>
@@ -164,6 +165,11 @@
         log_info(line);
     if (out.counts && todo.malformed_statements > 0)
         out.counts->count_malformed_statements(todo.malformed_statements);
+    for (observation const refused : todo.server_refusals)
+    {
+        if (out.counts)
+            out.counts->count_server_refusal(refusal_cause(refused));
+    }
     send_all(*out.dispatch, todo.cancels, "dispatch");
     for (addressed_result& addressed : todo.results)
         send_result(out, std::move(addressed));
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -1,5 +1,6 @@
 #include "decide.hpp"
 
+#include "observe.hpp"
 #include "refuse.hpp"
 #include "schedule.hpp"
 #include "statement.hpp"
@@ -39,80 +40,6 @@
     return {error_kind::cancelled, outcome::unknown};
 }
 
-/// Deviations above the median of the log-normal fit for the 95th percentile.
-constexpr double p95_sigmas = 1.645;
-
-/// A failure within less than this share of the expected service time is
-/// attributed to the server itself, which did not attempt the work.
-constexpr double max_fast_share = 0.25;
-
-/// Whether a failure came before the server can have attempted the work. The
-/// minimum also holds without samples: a server that fails from the start of
-/// its home on gives none.
-bool is_fast(duration latency, service_time_estimate const& estimate)
-{
-    return latency < min_progress_time ||
-           static_cast<double>(latency.count()) <
-               max_fast_share *
-                   static_cast<double>(expected_time(estimate).count());
-}
-
-/// Returns what a result shows about the present state of the server, or
-/// std::nullopt when it is no evidence of that state.
-std::optional<observation>
-observe_result(dispatch::finished const& finished_run,
-               service_time_estimate const& estimate)
-{
-    using dispatch::result_class;
-    switch (finished_run.result)
-    {
-    case result_class::answered:
-        if (finished_run.status < 500)
-            return observation::success;
-        return is_fast(finished_run.latency, estimate)
-                   ? observation::fast_failure
-                   : observation::late_failure;
-    case result_class::refused_not_run:
-        return observation::refused;
-    case result_class::connect_failed:
-        // Without latency no connection was attempted.
-        if (finished_run.latency.count() == 0)
-            return std::nullopt;
-        return observation::lost;
-    case result_class::cut:
-        return observation::lost;
-    case result_class::timed_out:
-        // A timeout this early is due to a short deadline, not to the server.
-        if (finished_run.latency < quantile_time(estimate, p95_sigmas))
-            return std::nullopt;
-        return observation::overdue;
-    case result_class::cancelled:
-        break;
-    }
-    return std::nullopt;
-}
-
-/// Maps an observation to a sample for the sequential test of health.
-health::sample_class to_sample_class(observation observed)
-{
-    switch (observed)
-    {
-    case observation::success:
-    case observation::progress:
-    case observation::completion:
-        return health::sample_class::success;
-    case observation::refused:
-        return health::sample_class::shed;
-    case observation::overdue:
-        return health::sample_class::timeout;
-    case observation::fast_failure:
-    case observation::late_failure:
-    case observation::lost:
-        break;
-    }
-    return health::sample_class::failure;
-}
-
 /// Refuses the queued requests for a server that has become suspected, when
 /// they have another home or must not run twice. Requests for which routing
 /// accepted a probability at or above the limit stay.
@@ -161,22 +88,14 @@
         static_cast<double>(latency.count()) / median_us));
 }
 
-/// Whether the server refused work for the limit that it names, which is no
-/// fault and does not show that it has fewer slots.
-bool is_limit_refusal(homed_server_state const& server,
-                      dispatch::finished const& finished_run)
-{
-    return finished_run.result == dispatch::result_class::refused_not_run &&
-           has_rate_limit(server.stated_limit);
-}
-
 void update_estimates(service_state& service, homed_server_state& server,
                       in_flight_request const& ended,
                       dispatch::finished const& finished_run, time_point now)
 {
     priority_state& priority = service.priorities[ended.request.priority];
     if (finished_run.result == dispatch::result_class::refused_not_run &&
-        !is_limit_refusal(server, finished_run))
+        !is_limit_refusal(server, finished_run) &&
+        observe_refusal(finished_run) != observation::refused_when_free)
         on_shed(server.limit, ended.concurrency);
     bool const has_succeeded =
         finished_run.result == dispatch::result_class::answered &&
@@ -303,6 +222,9 @@
                            run.started, now, out);
     }
     update_estimates(service, server, ended, finished_run, now);
+    if (finished_run.result == dispatch::result_class::refused_not_run)
+        out.server_refusals.push_back(observe_refusal(finished_run));
+    record_refusing(server, finished_run, now, out);
     work_result result =
         make_finished_result(state, ended, std::move(finished_run), now);
     if (!ended.request.claim.id.empty())
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -65,6 +65,8 @@
     adaptive_limit limit;
     server_limit stated_limit;
     failure_estimate failure;
+    /// Logged as refusing requests although it has free slots.
+    bool is_refusing = false;
     time_point announced_at;
     /// Warm-up time that the server announced, counted from `announced_at`; 0
     /// selects the warm-up time of the service.
@@ -179,6 +181,8 @@
     std::vector<event_line> log;
     /// Answers whose statement could not be read.
     std::uint64_t malformed_statements = 0;
+    /// Refusals by backend servers, for the counters.
+    std::vector<observation> server_refusals;
 };
 
 /// Interval between checks of queued requests against their deadlines.
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -75,10 +75,15 @@
     prometheus::Counter& first_arrivals = arrivals.Add({{"kind", "first"}});
     prometheus::Counter& retry_arrivals = arrivals.Add({{"kind", "retry"}});
     prometheus::Counter& malformed_statements =
-        add_counter(registry, "gcove_malformed_statements_total",
-                    "Answers of backend servers whose limit or leaving could "
-                    "not be read")
+        add_counter(
+            registry, "gcove_malformed_statements_total",
+            "Answers of backend servers whose limit, leaving or load could "
+            "not be read")
             .Add({});
+    counter_family& server_refusals =
+        add_counter(registry, "gcove_server_refusals_total",
+                    "Requests that backend servers homed here refused, by the "
+                    "load that the server stated");
     counter_family& server_responses =
         add_counter(registry, "gcove_server_responses_total",
                     "Responses of backend servers homed here by what shows "
@@ -177,6 +182,11 @@
     m_families->malformed_statements.Increment(static_cast<double>(count));
 }
 
+void metrics::count_server_refusal(std::string_view load)
+{
+    m_families->server_refusals.Add({{"load", std::string(load)}}).Increment();
+}
+
 void metrics::count_server_response(std::string_view identified_by)
 {
     m_families->server_responses
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -67,6 +67,7 @@
     names.server_stamp = values.text("headers", "server_stamp");
     names.server_limit = values.text("headers", "server_limit");
     names.server_leaving = values.text("headers", "server_leaving");
+    names.server_load = values.text("headers", "server_load");
     return names;
 }
 
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -173,6 +173,10 @@
         "server_leaving", "",
         "header that is 1 on the answers of a backend server that leaves; "
         "not read when empty"),
+    header_setting(
+        "server_load", "",
+        "header with the load of a backend server, `running,waiting,slots`; "
+        "not read when empty"),
 };
 
 } // namespace
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -42,6 +42,34 @@
         statement.rate_limit = limit;
 }
 
+/// Reads `running,waiting,slots`, each a non-negative integer.
+std::optional<server_load> parse_load(std::string_view value)
+{
+    server_load load;
+    char const* at = value.data();
+    char const* const end = value.data() + value.size();
+    for (std::uint32_t* const field :
+         {&load.running, &load.waiting, &load.slots})
+    {
+        bool const is_last = field == &load.slots;
+        auto const parsed = std::from_chars(at, end, *field);
+        if (parsed.ec != std::errc() || is_last != (parsed.ptr == end) ||
+            (!is_last && *parsed.ptr != ','))
+            return std::nullopt;
+        at = is_last ? end : parsed.ptr + 1;
+    }
+    return load;
+}
+
+void read_load(answer_statement& statement, std::string_view value)
+{
+    auto const load = parse_load(value);
+    if (statement.load || !load)
+        statement.is_malformed = true;
+    else
+        statement.load = load;
+}
+
 void read_leaving(response_head& head, std::string_view value)
 {
     if (head.has_leaving_header || (value != "0" && value != "1"))
@@ -136,6 +164,9 @@
     else if (!names.server_leaving.empty() &&
              is_same_header(name, names.server_leaving))
         read_leaving(head, value);
+    else if (!names.server_load.empty() &&
+             is_same_header(name, names.server_load))
+        read_load(head.statement, value);
     else if (is_same_header(name, names.request_id))
         read_request_id(head, value);
     else if (is_same_header(name, "Content-Type"))
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -372,6 +372,7 @@
     header_names names;
     names.server_limit = "Server-Limit";
     names.server_leaving = "Server-Leaving";
+    names.server_load = "X-Server-Load";
     auto const read = [&](std::vector<std::string> const& lines)
     {
         response_head head;
@@ -393,6 +394,18 @@
     CHECK(read({"Server-Limit: 4", "Server-Limit: 5"}).is_malformed);
     CHECK(read({"Server-Leaving: yes"}).is_malformed);
     CHECK(read({"Server-Leaving: 1", "Server-Leaving: 1"}).is_malformed);
+    auto const load = read({"x-server-load: 3,2,5\r\n"}).load;
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 2);
+    CHECK(load->slots == 5);
+    for (char const* value : {"", "3,2", "3,2,", "3,2,5,1", "-1,0,5", "1, 0,5",
+                              "1.5,0,5", "1,0,99999999999", "a,b,c"})
+    {
+        INFO(value);
+        CHECK(read({std::string("X-Server-Load: ") + value}).is_malformed);
+    }
+    CHECK(read({"X-Server-Load: 1,0,5", "X-Server-Load: 1,0,5"}).is_malformed);
 }
 
 TEST_CASE("a response without an end is cut within bounds of memory and time")
--- a/src/include/gooseberrycove/dispatch.hpp
+++ b/src/include/gooseberrycove/dispatch.hpp
@@ -50,6 +50,14 @@
     cancelled
 };
 
+/// Requests at a server when it responded, as it counts them.
+struct server_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
 /// What a response says about the server that sent it.
 struct answer_statement
 {
@@ -58,6 +66,7 @@
     bool is_leaving = false;
     /// A value could not be read or came twice; the response says nothing then.
     bool is_malformed = false;
+    std::optional<server_load> load = std::nullopt;
 };
 
 /// End of the transfer with this ticket.
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -36,6 +36,7 @@
     work_refused = 301,
     work_started = 302,
     server_stated = 303,
+    server_refusing = 304,
 
     dispatch_finished = 400,
     response_unattributed = 401,
--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -54,6 +54,9 @@
     /// Response header that is `1` while the server leaves. Empty when the
     /// servers do not say so.
     std::string server_leaving;
+    /// Response header with the load of the backend server,
+    /// `running,waiting,slots`. Empty when the servers do not send it.
+    std::string server_load;
 };
 
 /// Compares header names case-insensitively.
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -40,9 +40,12 @@
     /// Counts an attempt that was sent to a backend server homed here.
     /// \param retry_weight  see work_request::retry_weight
     void count_arrival(double retry_weight);
-    /// Counts answers of backend servers whose limit or leaving could not be
-    /// read.
+    /// Counts answers of backend servers whose limit, leaving or load could not
+    /// be read.
     void count_malformed_statements(std::uint64_t count);
+    /// Counts a request that a backend server refused.
+    /// \param load  free_slots, full or unknown, as the server stated
+    void count_server_refusal(std::string_view load);
     /// Counts a response of a backend server.
     /// \param identified_by  what shows that it belongs to its request, or why
     ///                       nothing does
