--- /dev/null
+++ b/src/account_limit/simulation_test.cpp
@@ -0,0 +1,158 @@
+#include "account_limit/simulation_test.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrycove;
+using namespace gooseberrycove::account_limit;
+using gooseberrycove::account_limit::testing::simulation;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+double bound(double rate, double burst)
+{
+    return (5 * rate + burst) * 1.1 + 20;
+}
+
+auto from_all(double per_second)
+{
+    return [=](simulation& fleet)
+    {
+        for (std::size_t index = 0; index < fleet.size(); ++index)
+            fleet.request(index,
+                          per_second / static_cast<double>(fleet.size()));
+    };
+}
+
+auto from_one(double per_second, std::size_t index = 3)
+{
+    return [=](simulation& fleet) { fleet.request(index, per_second); };
+}
+
+} // namespace
+
+// Guards against requests under the limit that are refused because their tokens
+// are at other daemons.
+TEST_CASE("An account under its limit is not refused")
+{
+    bool const is_spread = GENERATE(true, false);
+    double const rate = GENERATE(4.0, 40.0, 300.0);
+    simulation fleet(76, rate, rate, 1);
+    fleet.run(seconds(6), [](simulation&) {});
+    if (is_spread)
+        fleet.run(seconds(20), from_all(0.6 * rate));
+    else
+        fleet.run(seconds(20), from_one(0.6 * rate));
+    fleet.run(milliseconds(300), [](simulation&) {});
+    INFO("spread " << is_spread << " rate " << rate << " sent " << fleet.sent()
+                   << " granted " << fleet.granted());
+    CHECK(fleet.granted() >= fleet.sent() * 99 / 100);
+}
+
+// Guards against a limit that an overloaded account cannot use.
+TEST_CASE("An account with 7.5 times its usual rate gets close to its limit")
+{
+    bool const is_spread = GENERATE(true, false);
+    double const rate = GENERATE(4.0, 40.0, 300.0);
+    simulation fleet(76, rate, rate, 2);
+    fleet.run(seconds(6), [](simulation&) {});
+    double const load = 0.6 * rate * 7.5;
+    if (is_spread)
+        fleet.run(seconds(5), from_all(load));
+    else
+        fleet.run(seconds(5), from_one(load));
+    std::size_t const before = fleet.granted();
+    if (is_spread)
+        fleet.run(seconds(20), from_all(load));
+    else
+        fleet.run(seconds(20), from_one(load));
+    auto const granted = static_cast<double>(fleet.granted() - before);
+    INFO("spread " << is_spread << " rate " << rate << " granted " << granted);
+    CHECK(granted >= 0.9 * rate * 20 - 5);
+    CHECK(static_cast<double>(fleet.most_in_window()) <= bound(rate, rate));
+}
+
+// Guards against entitlements that count twice when daemons disagree, stop,
+// start again, stand still or get messages late.
+TEST_CASE("No fault lets an account exceed its limit")
+{
+    int const seed = GENERATE(range(0, 12));
+    double const rate = GENERATE(10.0, 150.0);
+    double const burst = GENERATE(1.0, 200.0);
+    simulation fleet(12, rate, burst, static_cast<unsigned>(seed));
+    fleet.loss = seed % 3 == 0 ? 0.2 : 0;
+    fleet.repetition = 0.1;
+    fleet.max_delay = seed % 4 == 0 ? milliseconds(1500) : milliseconds(20);
+    fleet.run(seconds(4), from_all(0.2 * rate));
+    std::size_t stopped = fleet.size();
+    for (int round = 0; round < 14; ++round)
+    {
+        auto const pick = [&](std::size_t count)
+        { return static_cast<std::size_t>(fleet.random()() % count); };
+        if (stopped < fleet.size())
+            fleet.set_running(std::exchange(stopped, fleet.size()), true);
+        switch (pick(5))
+        {
+        case 0:
+        {
+            auto const groups = 1 + pick(12);
+            fleet.separate([=](std::size_t index) { return index % groups; },
+                           pick(2) == 0);
+            break;
+        }
+        case 1:
+            stopped = pick(2) == 0 ? fleet.owner() : pick(fleet.size());
+            fleet.set_running(stopped, false);
+            break;
+        case 2:
+            fleet.pause(pick(2) == 0 ? fleet.owner() : pick(fleet.size()),
+                        milliseconds(500 + pick(4000)), true);
+            break;
+        case 3:
+            fleet.separate([](std::size_t) { return 0; }, true);
+            break;
+        default:
+            break;
+        }
+        auto const load = pick(2) == 0 ? from_all(8 * rate) : from_all(0);
+        fleet.run(milliseconds(300 + pick(3000)), load);
+    }
+    INFO("seed " << seed << " rate " << rate << " burst " << burst);
+    CHECK(static_cast<double>(fleet.most_in_window()) <= bound(rate, burst));
+}
+
+// Guards against a lowered limit that old buckets exceed.
+TEST_CASE("A lowered limit holds one lease later")
+{
+    simulation fleet(20, 200, 200, 5);
+    fleet.run(seconds(6), from_all(150));
+    fleet.set_rate(20, 20);
+    fleet.run(seconds(3), from_all(200));
+    std::size_t const before = fleet.granted();
+    fleet.run(seconds(5), from_all(200));
+    CHECK(static_cast<double>(fleet.granted() - before) <= bound(20, 20));
+}
+
+// Guards against an owner that stands still without its clock, whose leases
+// have ended when it goes on.
+TEST_CASE("A pause that the clock does not count stays within the limit")
+{
+    simulation fleet(12, 50, 50, 6);
+    fleet.run(seconds(6), from_all(30));
+    fleet.pause(fleet.owner(), seconds(4), false);
+    fleet.run(seconds(10), from_all(400));
+    CHECK(static_cast<double>(fleet.most_in_window()) <= bound(50, 50));
+}
+
+// Guards against a fleet of one daemon that never uses its limit.
+TEST_CASE("A daemon alone uses the whole limit")
+{
+    simulation fleet(1, 100, 100, 7);
+    fleet.run(seconds(5), [](simulation&) {});
+    auto const load = [](simulation& self) { self.request(0, 90); };
+    fleet.run(seconds(10), load);
+    CHECK(fleet.granted() >= fleet.sent() * 99 / 100);
+}
--- /dev/null
+++ b/src/account_limit/state.hpp
@@ -0,0 +1,214 @@
+#ifndef GOOSEBERRYCOVE_ACCOUNT_LIMIT_STATE_HPP
+#define GOOSEBERRYCOVE_ACCOUNT_LIMIT_STATE_HPP
+
+#include <gooseberrycove/account_limit.hpp>
+#include <gooseberrycove/event.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace gooseberrycove::account_limit
+{
+
+/// Time for which an entitlement is delegated, from before the report is sent.
+inline constexpr duration lease_time = std::chrono::milliseconds(2000);
+/// The owner ends a lease earlier by this much, against clocks that differ.
+inline constexpr duration lease_margin = std::chrono::milliseconds(100);
+/// A granted token is unused for at most this long after the report that asked
+/// for it. Tokens spent in 5 s left the bucket in 5.3 s, so they exceed the
+/// limit by 0.3 s of the rate, which is within the permitted tenth.
+inline constexpr duration stock_time = std::chrono::milliseconds(300);
+/// Demand that a daemon keeps tokens for.
+inline constexpr duration stock_target = std::chrono::milliseconds(200);
+inline constexpr duration report_interval = std::chrono::milliseconds(100);
+/// Interval of reports that only renew a lease.
+inline constexpr duration renewal_interval = std::chrono::milliseconds(500);
+/// An owner that is silent for this long gets no further lease.
+inline constexpr duration owner_silence = std::chrono::milliseconds(600);
+/// Interval of reports while requests wait.
+inline constexpr duration urgent_interval = std::chrono::milliseconds(25);
+/// Time for which an owner gathers entitlements of a newly used account.
+inline constexpr duration gathering_time = std::chrono::milliseconds(150);
+/// Accounts without requests for this long are not reported any more.
+inline constexpr duration use_time = std::chrono::seconds(10);
+inline constexpr duration notice_interval = std::chrono::seconds(1);
+/// Time that a request waits for the owner.
+inline constexpr duration max_wait = std::chrono::milliseconds(200);
+/// A daemon that knows no peer uses its entitlement after this time.
+inline constexpr duration alone_time = std::chrono::seconds(3);
+/// A dead daemon counts as entitled for this long.
+inline constexpr duration dead_time = std::chrono::seconds(60);
+/// Part of the 20 permitted requests that daemons may keep because an
+/// entitlement to less than one token could never be used.
+inline constexpr double fraction_allowance = 15;
+
+struct bucket
+{
+    double tokens = 0;
+    time_point filled_at;
+};
+
+struct lease
+{
+    double rate = 0;
+    double burst = 0;
+    time_point until;
+};
+
+/// An account owned by this daemon.
+struct owned_account
+{
+    bucket tokens;
+    /// By daemon id, so that a new run of a daemon replaces its earlier lease.
+    std::map<std::uint64_t, lease> leases;
+    double rate = 0;
+    double burst = 0;
+    time_point last_wanted;
+    /// Until then, entitlements of other daemons are still expected, and a
+    /// request that finds no token waits.
+    time_point gathering_until;
+    time_point next_notice;
+};
+
+struct waiting_request
+{
+    request_id id;
+    time_point until;
+};
+
+struct stocked_tokens
+{
+    time_point until;
+    std::uint32_t count = 0;
+};
+
+/// An account with requests at this daemon, or in use elsewhere.
+struct used_account
+{
+    /// Empty while only notices of the owner have named the account.
+    std::string name;
+    double rate = 0;
+    double burst = 0;
+    /// Holder of the last lease, which is open until lease_until.
+    daemon_ref lease_holder;
+    time_point lease_until;
+    bucket own;
+    bool uses_own = false;
+    std::deque<stocked_tokens> stock;
+    std::deque<waiting_request> waiting;
+    double returned = 0;
+    time_point refused_until;
+    /// Requests in the present second and in the one before.
+    std::uint32_t demand = 0;
+    std::uint32_t last_demand = 0;
+    time_point demand_since;
+    time_point last_used;
+    time_point last_request;
+    time_point next_report;
+    time_point next_refusal_line;
+    /// Tokens asked for in a report that has no answer yet.
+    std::uint32_t asked = 0;
+    time_point asked_at;
+    /// Owner as of limit_state::fleet_version.
+    daemon_ref owner;
+    std::uint64_t owner_version = 0;
+};
+
+struct sent_report
+{
+    std::uint64_t number = 0;
+    time_point sent_at;
+};
+
+/// What this daemon knows of an owner of accounts.
+struct owner_link
+{
+    daemon_ref owner;
+    std::uint64_t stamp = 0;
+    /// When the oldest report without an answer was sent; unset when none is.
+    std::optional<time_point> unanswered_since;
+    time_point last_sent;
+    std::deque<sent_report> sent;
+};
+
+struct known_daemon
+{
+    fleet_member member;
+    /// When it was last listed as a member.
+    time_point last_listed;
+    bool is_listed = true;
+};
+
+/// Last report of a daemon that was handled.
+struct report_position
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+};
+
+struct limit_state
+{
+    daemon_ref own_daemon;
+    std::string own_address;
+    time_point started;
+    bool has_joined = false;
+    std::map<std::uint64_t, known_daemon> daemons;
+    std::map<std::uint64_t, used_account> used;
+    std::map<std::uint64_t, owned_account> owned;
+    std::map<std::uint64_t, owner_link> links;
+    std::map<std::uint64_t, report_position> positions;
+    std::uint64_t report_number = 0;
+    /// Increases with each change of `daemons`.
+    std::uint64_t fleet_version = 1;
+};
+
+struct outgoing_message
+{
+    std::string address;
+    std::variant<report, grant> content;
+};
+
+struct actions
+{
+    std::vector<token_decision> decisions;
+    std::vector<outgoing_message> messages;
+    std::vector<event_line> log;
+    /// How each decision was made, for metrics.
+    std::vector<std::string_view> outcomes;
+};
+
+limit_state make_state(daemon_ref own_daemon, std::string_view own_address,
+                       time_point now);
+void on_fleet(limit_state& state, fleet const& update, time_point now);
+void on_token_request(limit_state& state, token_request const& request,
+                      time_point now, actions& out);
+void on_token_return(limit_state& state, token_return const& returned,
+                     time_point now);
+void on_report(limit_state& state, report const& received, time_point now,
+               actions& out);
+void on_grant(limit_state& state, grant const& received, time_point now,
+              actions& out);
+
+/// Runs due timers and returns the time of the next call.
+time_point on_tick(limit_state& state, time_point now, actions& out);
+
+/// The daemon with the highest rendezvous hash among those that are live; this
+/// daemon when it knows no other.
+daemon_ref owner_of(limit_state const& state, std::uint64_t account);
+
+/// Ends all leases that others delegated to this daemon and empties their
+/// buckets: the steady clock did not count a time in which the process stood
+/// still, so the leases may have ended.
+void on_clock_gap(limit_state& state, time_point now);
+
+/// Number of daemons that are entitled to a part of each limit.
+std::size_t count_entitled(limit_state const& state, time_point now);
+
+} // namespace gooseberrycove::account_limit
+
+#endif
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -77,6 +77,9 @@
     GOOSEBERRYCOVE_EVENT(peer_connection_lost),
     GOOSEBERRYCOVE_EVENT(admin_refused),
     GOOSEBERRYCOVE_EVENT(admin_action),
+    GOOSEBERRYCOVE_EVENT(account_limited),
+    GOOSEBERRYCOVE_EVENT(account_owner_changed),
+    GOOSEBERRYCOVE_EVENT(account_entitlement_used),
 };
 
 #undef GOOSEBERRYCOVE_EVENT
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -90,6 +90,10 @@
     counter_family& health_changes =
         add_counter(registry, "gcove_health_changes_total",
                     "State changes of backend servers homed here");
+    counter_family& account_limit =
+        add_counter(registry, "gcove_account_limit_total",
+                    "Requests of accounts with a rate by how their token was "
+                    "decided");
     prometheus::Gauge& config_version =
         add_gauge(registry, "gcove_config_version",
                   "Version of the configuration in force")
@@ -190,6 +194,12 @@
         .Increment();
 }
 
+void metrics::count_account_limit(std::string_view outcome)
+{
+    m_families->account_limit.Add({{"outcome", std::string(outcome)}})
+        .Increment();
+}
+
 void metrics::count_health_change(std::string_view state)
 {
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.hpp"
 
+#include "account_limit/account_limit_thread.hpp"
 #include "admin/admin_thread.hpp"
 #include "admission/admission_thread.hpp"
 #include "claims/claims_thread.hpp"
@@ -53,6 +54,15 @@
          values.real("daemon", "repeat_slack")});
 }
 
+bool uses_fleet_limits(settings const& values)
+{
+    std::string const& place = values.text("daemon", "account_limits");
+    if (place != "daemon" && place != "fleet")
+        throw settings_error("daemon.account_limits: '" + place +
+                             "' is not allowed, allowed: daemon, fleet");
+    return place == "fleet";
+}
+
 header_names read_header_names(settings const& values)
 {
     header_names names;
@@ -95,6 +105,8 @@
     config::inbox config{control_ring_capacity};
     store::inbox store{store::inbox_capacity};
     admin::inbox admin{control_ring_capacity};
+    account_limit::inbox account_limit{request_ring_capacity};
+    bool has_fleet_limits = false;
 
     std::atomic<bool> is_ready{false};
     std::atomic<bool> is_draining{false};
@@ -112,6 +124,7 @@
     std::unique_ptr<members::wiring> members_wiring;
     std::unique_ptr<config::wiring> config_wiring;
     std::unique_ptr<admin::wiring> admin_wiring;
+    std::unique_ptr<account_limit::wiring> account_limit_wiring;
 
     std::vector<std::thread> threads;
 
@@ -127,7 +140,8 @@
       platform_protocol(select_protocol(values)),
       peer_keys(values.text("daemon", "peer_key_file")),
       admin_keys(values.text("daemon", "admin_key_file")),
-      announce_keys(values.text("daemon", "announce_key_file"))
+      announce_keys(values.text("daemon", "announce_key_file")),
+      has_fleet_limits(uses_fleet_limits(values))
 {
 }
 
@@ -154,7 +168,10 @@
     routing_wiring = std::make_unique<routing::wiring>(routing::wiring{
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
-        &counts, &retry_share, !values.text("headers", "account_key").empty()});
+        &counts, &retry_share, !values.text("headers", "account_key").empty(),
+        has_fleet_limits ? &account_limit : nullptr});
+    account_limit_wiring = std::make_unique<account_limit::wiring>(
+        account_limit::wiring{&peer, &routing, own_daemon, address, &counts});
     claims_wiring = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, own_daemon, address,
                        peer_keys.current()});
@@ -171,7 +188,8 @@
         dispatch::wiring{&admission, &health, std::move(dialect), &counts});
     peer_wiring = std::make_unique<peer::wiring>(peer::wiring{
         own_daemon, address, values.text("daemon", "peer_bind"), &peer_keys,
-        &counts, &routing, &admission, &claims, &config, &members});
+        &counts, &routing, &admission, &claims, &config, &members,
+        has_fleet_limits ? &account_limit : nullptr});
 }
 
 void daemon_process::implementation::make_control_wirings(
@@ -188,7 +206,8 @@
     members_wiring = std::make_unique<members::wiring>(
         members::wiring{&peer, &routing, &admission, &health, &config, &claims,
                         &store, record, values.addresses("daemon", "seeds"),
-                        own_daemon.id ^ own_daemon.incarnation, &counts});
+                        own_daemon.id ^ own_daemon.incarnation, &counts,
+                        has_fleet_limits ? &account_limit : nullptr});
     config_wiring = std::make_unique<config::wiring>(
         config::wiring{routing, admission, members, peer, store, record.address,
                        uses_row_store(values), is_ready, &counts});
@@ -241,6 +260,12 @@
                  [&impl] { claims::run(impl.claims, *impl.claims_wiring); });
     start_thread("routing",
                  [&impl] { routing::run(impl.routing, *impl.routing_wiring); });
+    if (impl.has_fleet_limits)
+        start_thread("account_limit",
+                     [&impl] {
+                         account_limit::run(impl.account_limit,
+                                            *impl.account_limit_wiring);
+                     });
     start_thread("members",
                  [&impl] { members::run(impl.members, *impl.members_wiring); });
     start_thread("config",
@@ -314,6 +339,7 @@
     impl.front.close();
     impl.admin.close();
     impl.routing.close();
+    impl.account_limit.close();
     impl.claims.close();
     impl.admission.close();
     impl.health.close();
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -131,6 +131,10 @@
         "undelimited_answers", setting_type::boolean, "false",
         "whether an answer of a backend server may have no length and "
         "end with its connection"),
+    optional_setting(
+        "account_limits", setting_type::text, "daemon",
+        "where the rate limits of accounts hold: at each daemon, or in the "
+        "whole fleet: daemon or fleet"),
     number_setting("log_level", "0", 0, 2,
                    "least severity that is logged: 0 info, 1 warning, 2 error; "
                    "reread on SIGHUP"),
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -11,7 +11,8 @@
 
 /// Numbered log events, listed in docs/events.md. A number is never reused
 /// for another event. Hundreds: 1 process, 2 routing, 3 admission, 4 dispatch,
-/// 5 health, 6 members, 7 config, 8 claims, 9 store, 10 peer, 11 admin.
+/// 5 health, 6 members, 7 config, 8 claims, 9 store, 10 peer, 11 admin,
+/// 12 account limits.
 enum class event : std::uint16_t
 {
     process_started = 100,
@@ -77,7 +78,11 @@
     peer_connection_lost = 1001,
 
     admin_refused = 1100,
-    admin_action = 1101
+    admin_action = 1101,
+
+    account_limited = 1200,
+    account_owner_changed = 1201,
+    account_entitlement_used = 1202
 };
 
 /// Start of an event's log line, such as `E0501 server_ejected`.
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -56,6 +56,8 @@
     void set_config_version(std::uint64_t version, std::size_t entry_errors);
     void set_members(std::size_t alive, std::size_t servers,
                      std::size_t services);
+    /// Counts a request of an account with a rate by how its token was decided.
+    void count_account_limit(std::string_view outcome);
     void set_in_flight(std::size_t requests);
 
     /// All metrics in the Prometheus text format.
--- a/src/include/gooseberrycove/peer.hpp
+++ b/src/include/gooseberrycove/peer.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_PEER_HPP
 #define GOOSEBERRYCOVE_PEER_HPP
 
+#include <gooseberrycove/account_limit.hpp>
 #include <gooseberrycove/admission.hpp>
 #include <gooseberrycove/claims.hpp>
 #include <gooseberrycove/config.hpp>
@@ -29,7 +30,8 @@
     std::variant<std::monostate, work_request, work_result, admission::cancel,
                  claims::fence, claims::fence_response, config::pull,
                  config::deltas, config::peer_version, members::sync,
-                 members::packet, path_check>;
+                 members::packet, path_check, account_limit::report,
+                 account_limit::grant>;
 
 struct outgoing
 {
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_ROUTING_HPP
 #define GOOSEBERRYCOVE_ROUTING_HPP
 
+#include <gooseberrycove/account_limit.hpp>
 #include <gooseberrycove/claims.hpp>
 #include <gooseberrycove/config.hpp>
 #include <gooseberrycove/members.hpp>
@@ -100,7 +101,8 @@
     std::variant<std::monostate, caller_request, caller_disconnected,
                  work_result, claims::claim_result, claims::claim_released,
                  members::service_view_ptr, config::in_force, explain_request,
-                 services_request, refuse_unstarted>;
+                 services_request, refuse_unstarted,
+                 account_limit::token_decision>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::routing
--- a/src/members/members_thread.cpp
+++ b/src/members/members_thread.cpp
@@ -74,6 +74,7 @@
     std::vector<homed_server> homed_changes;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
+    std::optional<account_limit::fleet> fleet;
     std::uint64_t dropped = 0;
 };
 
@@ -151,10 +152,14 @@
         pending.live_peers = std::move(out.live_peers);
     if (out.daemons)
         pending.daemons = std::move(out.daemons);
+    if (out.fleet && setup.account_limit)
+        pending.fleet = std::move(out.fleet);
     push_all(*setup.routing, pending.views);
     push_all(*setup.admission, pending.homed_changes);
     push_latest(*setup.config, pending.live_peers);
     push_latest(*setup.claims, pending.daemons);
+    if (setup.account_limit)
+        push_latest(*setup.account_limit, pending.fleet);
 }
 
 void publish_metrics(membership_state const& state, wiring const& setup)
--- a/src/members/members_thread.hpp
+++ b/src/members/members_thread.hpp
@@ -34,6 +34,8 @@
     std::uint64_t seed = 0;
     /// May be null.
     metrics* counts = nullptr;
+    /// Null when accounts are not limited across daemons.
+    account_limit::inbox* account_limit = nullptr;
 };
 
 /// Runs until \p requests is closed.
--- a/src/members/peers.cpp
+++ b/src/members/peers.cpp
@@ -331,9 +331,15 @@
     state.has_liveness_changed = false;
     out.daemons.emplace();
     out.live_peers.emplace();
+    out.fleet.emplace();
+    out.fleet->has_joined = state.has_peer_records;
     out.daemons->daemons.push_back(state.own_record.daemon);
     for (member const& peer : state.peers)
     {
+        if (peer.record.state != peer_state::dead)
+            out.fleet->members.push_back({peer.record.daemon,
+                                          peer.record.address,
+                                          is_live(peer.record)});
         if (!is_live(peer.record))
             continue;
         out.daemons->daemons.push_back(peer.record.daemon);
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -244,6 +244,8 @@
     /// Bytes of gossip sent, decayed with a time constant of 10 s.
     double recent_gossip_bytes = 0;
     bool has_joined = false;
+    /// A synchronisation has brought records of further daemons.
+    bool has_peer_records = false;
     bool should_write_rendezvous = false;
     bool needs_sweep = false;
     bool has_liveness_changed = true;
@@ -262,6 +264,7 @@
     std::vector<config::peer_version> peer_versions;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
+    std::optional<account_limit::fleet> fleet;
     /// The thread sets `deliver`.
     std::vector<store::request> store_requests;
     std::vector<std::function<void()>> replies;
--- a/src/members/sync.cpp
+++ b/src/members/sync.cpp
@@ -165,6 +165,8 @@
     apply_records(state, received, now, out);
     confirm_alive(state, received.sender, now, out);
     state.has_joined = true;
+    if (had_records && !state.has_peer_records)
+        state.has_peer_records = state.has_liveness_changed = true;
     if (received.requests_reply && received.digest != state.local_digest.total)
         send_differences(state, received, !had_records, out);
 }
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -78,6 +78,21 @@
     {
         push_or_drop(*to.members, std::move(content), to, "members");
     }
+    void operator()(account_limit::report&& content)
+    {
+        push_limit_message(std::move(content));
+    }
+    void operator()(account_limit::grant&& content)
+    {
+        push_limit_message(std::move(content));
+    }
+    template <class Content>
+    void push_limit_message(Content&& content)
+    {
+        if (to.account_limit != nullptr)
+            push_or_drop(*to.account_limit, std::move(content), to,
+                         "account_limit");
+    }
     /// Handled by the peer thread itself.
     void operator()(path_check const&) {}
     void operator()(members::packet&& content)
@@ -130,6 +145,10 @@
         return deltas->sender_address;
     if (auto const* sync = std::get_if<members::sync>(&content))
         return sync->sender_address;
+    if (auto const* report = std::get_if<account_limit::report>(&content))
+        return report->sender_address;
+    if (auto const* grant = std::get_if<account_limit::grant>(&content))
+        return grant->owner_address;
     return {};
 }
 
--- a/src/peer/peer_thread.hpp
+++ b/src/peer/peer_thread.hpp
@@ -24,6 +24,8 @@
     claims::inbox* claims = nullptr;
     config::inbox* config = nullptr;
     members::inbox* members = nullptr;
+    /// Null when accounts are not limited across daemons.
+    account_limit::inbox* account_limit = nullptr;
 };
 
 /// Runs until \p messages is closed, then writes the queued frames and returns.
--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -33,6 +33,10 @@
 void on_claim_result(routing_state& state, claims::claim_result&& result,
                      time_point now, actions& out);
 
+void on_token_decision(routing_state& state,
+                       account_limit::token_decision const& decision,
+                       time_point now, actions& out);
+
 void on_claim_released(routing_state& state,
                        claims::claim_released const& released, time_point now,
                        actions& out);
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -111,6 +111,14 @@
                                            : error_kind::outcome_unknown;
 }
 
+void return_token(request_state& request, actions& out)
+{
+    if (!request.has_token || request.servers_reached > 0)
+        return;
+    request.has_token = false;
+    out.limit_messages.push_back(account_limit::token_return{request.account});
+}
+
 void respond_success(routing_state& state, request_state& request,
                      work_result&& result, time_point now, actions& out)
 {
@@ -137,6 +145,8 @@
                   std::max(request.deadline, now) + max_release_time);
         return;
     }
+    if (is_not_run)
+        return_token(request, out);
     error_kind const kind =
         state.is_stopping && is_not_run
             ? error_kind::draining
@@ -177,6 +187,8 @@
 void respond_refusal(routing_state& state, request_state& request,
                      error_kind kind, std::string_view detail, actions& out)
 {
+    if (error_response_for(kind).run_outcome == outcome::not_run)
+        return_token(request, out);
     if (request.is_answered)
         return;
     request.is_answered = true;
@@ -199,6 +211,8 @@
                              {},
                              request.priority_name,
                              request.original.received});
+    if (kind == error_kind::rate_limited)
+        out.responses.back().result.retry_after = request.retry_after;
 }
 
 void refuse(routing_state& state, request_state& request, error_kind kind,
--- a/src/routing/finish.hpp
+++ b/src/routing/finish.hpp
@@ -14,6 +14,9 @@
 /// only when its row in the error table has the same outcome.
 error_kind error_kind_for(error_kind kind, outcome run_outcome);
 
+/// Returns the token of a request that has not reached a server.
+void return_token(request_state& request, actions& out);
+
 /// Responds to the caller unless it was answered before, cancels the other
 /// attempts and ends the request.
 void respond_success(routing_state& state, request_state& request,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -136,6 +136,25 @@
     respond_failure(state, request, now, out);
 }
 
+void begin(routing_state& state, request_state& request, time_point now,
+           actions& out)
+{
+    if (request.needs_claim)
+        request_claim(state, request, now, out);
+    else
+        start_first_attempt(state, request, now, out);
+}
+
+void request_token(routing_state& state, request_state& request,
+                   config::account_view const& account, time_point now,
+                   actions& out)
+{
+    request.current_phase = phase::limiting;
+    set_timer(state, request, now + max_token_wait);
+    out.limit_messages.push_back(account_limit::token_request{
+        request.original.id, request.account, account.rate, account.burst});
+}
+
 } // namespace
 
 refusal check_account(routing_state& state, caller_request const& original,
@@ -150,7 +169,8 @@
                 "a newer configuration may have this key"};
     if (!is_known)
         return {error_kind::unauthenticated, "unknown account or wrong secret"};
-    if (!take_token(state.account_limiter, *lookup.account, now))
+    if (!state.has_fleet_limits &&
+        !take_token(state.account_limiter, *lookup.account, now))
         return {error_kind::rate_limited,
                 "the account's token bucket is empty"};
     return {};
@@ -199,10 +219,41 @@
     count_request(service.budget, now);
     request_state& request =
         state.requests.emplace(id, std::move(new_request)).first->second;
-    if (request.needs_claim)
-        request_claim(state, request, now, out);
+    if (state.has_fleet_limits && !request.account.empty() &&
+        lookup.account->rate > 0)
+        request_token(state, request, *lookup.account, now, out);
     else
-        start_first_attempt(state, request, now, out);
+        begin(state, request, now, out);
+}
+
+void on_token_decision(routing_state& state,
+                       account_limit::token_decision const& decision,
+                       time_point now, actions& out)
+{
+    auto const found = state.requests.find(decision.id);
+    if (found == state.requests.end() ||
+        found->second.current_phase != phase::limiting)
+    {
+        if (decision.granted && !decision.account.empty())
+            out.limit_messages.push_back(
+                account_limit::token_return{decision.account});
+        return;
+    }
+    request_state& request = found->second;
+    request.has_token = decision.granted;
+    if (state.is_stopping)
+        refuse(state, request, error_kind::draining, "shutting down", out);
+    else if (now >= request.deadline)
+        refuse(state, request, error_kind::deadline_unmet,
+               "the deadline has passed", out);
+    else if (decision.granted)
+        begin(state, request, now, out);
+    else
+    {
+        request.retry_after = decision.retry_after;
+        refuse(state, request, error_kind::rate_limited,
+               "the account's limit is reached", out);
+    }
 }
 
 void on_claim_result(routing_state& state, claims::claim_result&& result,
@@ -226,6 +277,7 @@
         return;
     if (result.is_replay)
     {
+        return_token(request, out);
         request.failure = std::move(result.recorded);
         respond_failure(state, request, now, out);
         return;
@@ -267,6 +319,11 @@
     if (found == state.requests.end())
         return;
     request_state& request = found->second;
+    if (request.current_phase == phase::limiting)
+    {
+        erase_request(state, disconnected.id);
+        return;
+    }
     // Claimed work continues, so that its result is recorded for a later
     // request with the same key.
     if (request.needs_claim)
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -136,6 +136,10 @@
 {
     switch (request.current_phase)
     {
+    case phase::limiting:
+        refuse(state, request, error_kind::overloaded,
+               "the account's limit was not checked in time", out);
+        break;
     case phase::claiming:
         // No work was sent, and a claim granted later is returned unused.
         respond_refusal(state, request, error_kind::store_unavailable,
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -24,6 +24,7 @@
 {
     std::deque<front::message> responses;
     std::deque<claims::message> claim_messages;
+    std::deque<account_limit::message> limit_messages;
 };
 
 front::caller_response encode(final_response&& response)
@@ -123,11 +124,15 @@
         unsent.responses.emplace_back(encode(std::move(response)));
     for (claims::message& item : decided.claim_messages)
         unsent.claim_messages.push_back(std::move(item));
+    for (account_limit::message& item : decided.limit_messages)
+        unsent.limit_messages.push_back(std::move(item));
     for (event_line const& line : decided.log)
         log_info(line);
     decided = {};
     push_pending(unsent.responses, *links.front);
     push_pending(unsent.claim_messages, *links.claims);
+    if (links.account_limit)
+        push_pending(unsent.limit_messages, *links.account_limit);
 }
 
 /// Key of the configuration lookup for one request.
@@ -233,6 +238,10 @@
     {
         on_claim_result(state, std::move(result), now, out);
     }
+    void operator()(account_limit::token_decision const& decision) const
+    {
+        on_token_decision(state, decision, now, out);
+    }
     void operator()(claims::claim_released const& released) const
     {
         on_claim_released(state, released, now, out);
@@ -276,6 +285,7 @@
     state.own_address = links.own_address;
     state.data_centre = links.data_centre;
     state.caller_service = links.caller_service;
+    state.has_fleet_limits = links.account_limit != nullptr;
     state.random.seed(links.own_daemon.id ^ links.own_daemon.incarnation);
     config::in_force in_force;
     outbox unsent;
@@ -291,8 +301,9 @@
         {
             time_point const next = on_tick(state, now, decided);
             perform_actions(state, decided, unsent, links, now);
-            bool const has_unsent =
-                !unsent.responses.empty() || !unsent.claim_messages.empty();
+            bool const has_unsent = !unsent.responses.empty() ||
+                                    !unsent.claim_messages.empty() ||
+                                    !unsent.limit_messages.empty();
             return has_unsent ? std::min(next, now + resend_interval) : next;
         });
 }
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -29,6 +29,8 @@
     admission::retry_share const* local_retry_share = nullptr;
     /// Callers send the key of an account alone.
     bool finds_accounts_by_key = false;
+    /// Null when accounts are not limited across daemons.
+    account_limit::inbox* account_limit = nullptr;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -40,6 +40,10 @@
 /// is `outcome_unknown`.
 inline constexpr duration max_release_time = std::chrono::seconds(2);
 
+/// Maximum wait for the decision on an account's token. The account limit duty
+/// decides earlier unless its thread gets no processor time.
+inline constexpr duration max_token_wait = std::chrono::milliseconds(250);
+
 /// Configuration entries for one request. The views are valid as long as the
 /// tables. A request without a route is refused, and so is one without an
 /// account unless its route is open.
@@ -76,6 +80,7 @@
 
 enum class phase : std::uint8_t
 {
+    limiting,  ///< waits for account_limit::token_decision
     claiming,  ///< waits for claims::claim_result
     withdrawn, ///< answered before the claim was granted; a grant is returned
     running,   ///< waits for results of attempts
@@ -101,6 +106,9 @@
     bool needs_claim = false;
     /// On a route that is open or unclaimed.
     bool is_unclaimed = false;
+    /// Holds a token of its account, which returns when the request ends
+    /// without having reached a server.
+    bool has_token = false;
     /// Number of backend servers that the request may reach, and number of
     /// those that it has reached.
     std::uint32_t max_servers_reached = config::default_attempts;
@@ -157,6 +165,9 @@
     std::map<std::string, service_state, std::less<>> services;
     timer_queue timers;
     rate_limiter account_limiter;
+    /// The limits of accounts hold in the whole fleet; account_limiter is not
+    /// used then.
+    bool has_fleet_limits = false;
     split_positions splits;
     home_evidence evidence;
     /// Set by refuse_unstarted: new requests are refused, and no other home is
@@ -195,6 +206,7 @@
     std::vector<final_response> responses;
     std::vector<home_message> home_messages;
     std::vector<claims::message> claim_messages;
+    std::vector<account_limit::message> limit_messages;
     std::vector<event_line> log;
 };
 
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -1,5 +1,7 @@
 #include "convert.hpp"
 
+#include "convert_account_limit.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -488,6 +490,16 @@
         out.__set_path_check(field);
     }
 
+    void operator()(account_limit::report const& value) const
+    {
+        out.__set_account_report(wire::to_gen(value));
+    }
+
+    void operator()(account_limit::grant const& value) const
+    {
+        out.__set_account_grant(wire::to_gen(value));
+    }
+
     void operator()(members::packet const& value) const
     {
         gen::Packet field;
@@ -579,6 +591,10 @@
         return from_gen(in.sync);
     if (in.__isset.packet)
         return from_gen(in.packet);
+    if (in.__isset.account_report)
+        return wire::from_gen(in.account_report);
+    if (in.__isset.account_grant)
+        return wire::from_gen(in.account_grant);
     return {};
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -4194,6 +4194,868 @@
 }
 
 
+AccountReportEntry::~AccountReportEntry() noexcept {
+}
+
+
+void AccountReportEntry::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void AccountReportEntry::__set_wanted(const int32_t val) {
+  this->wanted = val;
+__isset.wanted = true;
+}
+
+void AccountReportEntry::__set_returned(const double val) {
+  this->returned = val;
+__isset.returned = true;
+}
+
+void AccountReportEntry::__set_share_rate(const double val) {
+  this->share_rate = val;
+__isset.share_rate = true;
+}
+
+void AccountReportEntry::__set_share_burst(const double val) {
+  this->share_burst = val;
+__isset.share_burst = true;
+}
+
+void AccountReportEntry::__set_released(const bool val) {
+  this->released = val;
+__isset.released = true;
+}
+
+void AccountReportEntry::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void AccountReportEntry::__set_burst(const double val) {
+  this->burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountReportEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountReportEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->share_rate);
+          this->__isset.share_rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->share_burst);
+          this->__isset.share_burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountReportEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountReportEntry");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.wanted) {
+    xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->wanted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.returned) {
+    xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->returned);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.share_rate) {
+    xfer += oprot->writeFieldBegin("share_rate", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->share_rate);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.share_burst) {
+    xfer += oprot->writeFieldBegin("share_burst", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->share_burst);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.released) {
+    xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->released);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 7);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountReportEntry &a, AccountReportEntry &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.wanted, b.wanted);
+  swap(a.returned, b.returned);
+  swap(a.share_rate, b.share_rate);
+  swap(a.share_burst, b.share_burst);
+  swap(a.released, b.released);
+  swap(a.rate, b.rate);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+AccountReportEntry::AccountReportEntry(const AccountReportEntry& other98) noexcept {
+  account = other98.account;
+  wanted = other98.wanted;
+  returned = other98.returned;
+  share_rate = other98.share_rate;
+  share_burst = other98.share_burst;
+  released = other98.released;
+  rate = other98.rate;
+  burst = other98.burst;
+  __isset = other98.__isset;
+}
+AccountReportEntry& AccountReportEntry::operator=(const AccountReportEntry& other99) noexcept {
+  account = other99.account;
+  wanted = other99.wanted;
+  returned = other99.returned;
+  share_rate = other99.share_rate;
+  share_burst = other99.share_burst;
+  released = other99.released;
+  rate = other99.rate;
+  burst = other99.burst;
+  __isset = other99.__isset;
+  return *this;
+}
+void AccountReportEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountReportEntry(";
+  out << "account=" << to_string(account);
+  out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
+  out << ", " << "returned="; (__isset.returned ? (out << to_string(returned)) : (out << "<null>"));
+  out << ", " << "share_rate="; (__isset.share_rate ? (out << to_string(share_rate)) : (out << "<null>"));
+  out << ", " << "share_burst="; (__isset.share_burst ? (out << to_string(share_burst)) : (out << "<null>"));
+  out << ", " << "released="; (__isset.released ? (out << to_string(released)) : (out << "<null>"));
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "burst=" << to_string(burst);
+  out << ")";
+}
+
+
+AccountReport::~AccountReport() noexcept {
+}
+
+
+void AccountReport::__set_sender(const Daemon& val) {
+  this->sender = val;
+}
+
+void AccountReport::__set_sender_address(const std::string& val) {
+  this->sender_address = val;
+}
+
+void AccountReport::__set_owner(const Daemon& val) {
+  this->owner = val;
+}
+
+void AccountReport::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void AccountReport::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
+
+void AccountReport::__set_lease_ms(const int64_t val) {
+  this->lease_ms = val;
+}
+
+void AccountReport::__set_entries(const std::vector<AccountReportEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender_address);
+          this->__isset.sender_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->owner.read(iprot);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease_ms);
+          this->__isset.lease_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->entries.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->entries[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountReport");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender_address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->sender_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->owner.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->lease_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<AccountReportEntry> ::const_iterator _iter105;
+    for (_iter105 = this->entries.begin(); _iter105 != this->entries.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountReport &a, AccountReport &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.sender_address, b.sender_address);
+  swap(a.owner, b.owner);
+  swap(a.number, b.number);
+  swap(a.stamp, b.stamp);
+  swap(a.lease_ms, b.lease_ms);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+AccountReport::AccountReport(const AccountReport& other106) {
+  sender = other106.sender;
+  sender_address = other106.sender_address;
+  owner = other106.owner;
+  number = other106.number;
+  stamp = other106.stamp;
+  lease_ms = other106.lease_ms;
+  entries = other106.entries;
+  __isset = other106.__isset;
+}
+AccountReport& AccountReport::operator=(const AccountReport& other107) {
+  sender = other107.sender;
+  sender_address = other107.sender_address;
+  owner = other107.owner;
+  number = other107.number;
+  stamp = other107.stamp;
+  lease_ms = other107.lease_ms;
+  entries = other107.entries;
+  __isset = other107.__isset;
+  return *this;
+}
+void AccountReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountReport(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "sender_address=" << to_string(sender_address);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "lease_ms=" << to_string(lease_ms);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+AccountGrantEntry::~AccountGrantEntry() noexcept {
+}
+
+
+void AccountGrantEntry::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void AccountGrantEntry::__set_tokens(const int32_t val) {
+  this->tokens = val;
+__isset.tokens = true;
+}
+
+void AccountGrantEntry::__set_retry_after_ms(const double val) {
+  this->retry_after_ms = val;
+__isset.retry_after_ms = true;
+}
+
+void AccountGrantEntry::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void AccountGrantEntry::__set_burst(const double val) {
+  this->burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountGrantEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountGrantEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountGrantEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountGrantEntry");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.tokens) {
+    xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retry_after_ms) {
+    xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->retry_after_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountGrantEntry &a, AccountGrantEntry &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.rate, b.rate);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+AccountGrantEntry::AccountGrantEntry(const AccountGrantEntry& other108) noexcept {
+  account = other108.account;
+  tokens = other108.tokens;
+  retry_after_ms = other108.retry_after_ms;
+  rate = other108.rate;
+  burst = other108.burst;
+  __isset = other108.__isset;
+}
+AccountGrantEntry& AccountGrantEntry::operator=(const AccountGrantEntry& other109) noexcept {
+  account = other109.account;
+  tokens = other109.tokens;
+  retry_after_ms = other109.retry_after_ms;
+  rate = other109.rate;
+  burst = other109.burst;
+  __isset = other109.__isset;
+  return *this;
+}
+void AccountGrantEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountGrantEntry(";
+  out << "account=" << to_string(account);
+  out << ", " << "tokens="; (__isset.tokens ? (out << to_string(tokens)) : (out << "<null>"));
+  out << ", " << "retry_after_ms="; (__isset.retry_after_ms ? (out << to_string(retry_after_ms)) : (out << "<null>"));
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "burst=" << to_string(burst);
+  out << ")";
+}
+
+
+AccountGrant::~AccountGrant() noexcept {
+}
+
+
+void AccountGrant::__set_owner(const Daemon& val) {
+  this->owner = val;
+}
+
+void AccountGrant::__set_owner_address(const std::string& val) {
+  this->owner_address = val;
+}
+
+void AccountGrant::__set_receiver(const Daemon& val) {
+  this->receiver = val;
+}
+
+void AccountGrant::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void AccountGrant::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
+
+void AccountGrant::__set_entries(const std::vector<AccountGrantEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->owner.read(iprot);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner_address);
+          this->__isset.owner_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->receiver.read(iprot);
+          this->__isset.receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->entries.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->entries[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountGrant");
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->owner.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner_address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->owner_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->receiver.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<AccountGrantEntry> ::const_iterator _iter115;
+    for (_iter115 = this->entries.begin(); _iter115 != this->entries.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountGrant &a, AccountGrant &b) {
+  using ::std::swap;
+  swap(a.owner, b.owner);
+  swap(a.owner_address, b.owner_address);
+  swap(a.receiver, b.receiver);
+  swap(a.number, b.number);
+  swap(a.stamp, b.stamp);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+AccountGrant::AccountGrant(const AccountGrant& other116) {
+  owner = other116.owner;
+  owner_address = other116.owner_address;
+  receiver = other116.receiver;
+  number = other116.number;
+  stamp = other116.stamp;
+  entries = other116.entries;
+  __isset = other116.__isset;
+}
+AccountGrant& AccountGrant::operator=(const AccountGrant& other117) {
+  owner = other117.owner;
+  owner_address = other117.owner_address;
+  receiver = other117.receiver;
+  number = other117.number;
+  stamp = other117.stamp;
+  entries = other117.entries;
+  __isset = other117.__isset;
+  return *this;
+}
+void AccountGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountGrant(";
+  out << "owner=" << to_string(owner);
+  out << ", " << "owner_address=" << to_string(owner_address);
+  out << ", " << "receiver=" << to_string(receiver);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -4256,6 +5118,16 @@
   this->path_check = val;
 __isset.path_check = true;
 }
+
+void Message::__set_account_report(const AccountReport& val) {
+  this->account_report = val;
+__isset.account_report = true;
+}
+
+void Message::__set_account_grant(const AccountGrant& val) {
+  this->account_grant = val;
+__isset.account_grant = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -4380,6 +5252,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->account_report.read(iprot);
+          this->__isset.account_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->account_grant.read(iprot);
+          this->__isset.account_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4456,6 +5344,16 @@
     xfer += this->path_check.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.account_report) {
+    xfer += oprot->writeFieldBegin("account_report", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->account_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.account_grant) {
+    xfer += oprot->writeFieldBegin("account_grant", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->account_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4475,38 +5373,44 @@
   swap(a.sync, b.sync);
   swap(a.packet, b.packet);
   swap(a.path_check, b.path_check);
+  swap(a.account_report, b.account_report);
+  swap(a.account_grant, b.account_grant);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other98) {
-  sender = other98.sender;
-  work = other98.work;
-  work_result = other98.work_result;
-  cancel = other98.cancel;
-  fence = other98.fence;
-  fence_answer = other98.fence_answer;
-  pull = other98.pull;
-  deltas = other98.deltas;
-  peer_version = other98.peer_version;
-  sync = other98.sync;
-  packet = other98.packet;
-  path_check = other98.path_check;
-  __isset = other98.__isset;
-}
-Message& Message::operator=(const Message& other99) {
-  sender = other99.sender;
-  work = other99.work;
-  work_result = other99.work_result;
-  cancel = other99.cancel;
-  fence = other99.fence;
-  fence_answer = other99.fence_answer;
-  pull = other99.pull;
-  deltas = other99.deltas;
-  peer_version = other99.peer_version;
-  sync = other99.sync;
-  packet = other99.packet;
-  path_check = other99.path_check;
-  __isset = other99.__isset;
+Message::Message(const Message& other118) {
+  sender = other118.sender;
+  work = other118.work;
+  work_result = other118.work_result;
+  cancel = other118.cancel;
+  fence = other118.fence;
+  fence_answer = other118.fence_answer;
+  pull = other118.pull;
+  deltas = other118.deltas;
+  peer_version = other118.peer_version;
+  sync = other118.sync;
+  packet = other118.packet;
+  path_check = other118.path_check;
+  account_report = other118.account_report;
+  account_grant = other118.account_grant;
+  __isset = other118.__isset;
+}
+Message& Message::operator=(const Message& other119) {
+  sender = other119.sender;
+  work = other119.work;
+  work_result = other119.work_result;
+  cancel = other119.cancel;
+  fence = other119.fence;
+  fence_answer = other119.fence_answer;
+  pull = other119.pull;
+  deltas = other119.deltas;
+  peer_version = other119.peer_version;
+  sync = other119.sync;
+  packet = other119.packet;
+  path_check = other119.path_check;
+  account_report = other119.account_report;
+  account_grant = other119.account_grant;
+  __isset = other119.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4524,6 +5428,8 @@
   out << ", " << "sync="; (__isset.sync ? (out << to_string(sync)) : (out << "<null>"));
   out << ", " << "packet="; (__isset.packet ? (out << to_string(packet)) : (out << "<null>"));
   out << ", " << "path_check="; (__isset.path_check ? (out << to_string(path_check)) : (out << "<null>"));
+  out << ", " << "account_report="; (__isset.account_report ? (out << to_string(account_report)) : (out << "<null>"));
+  out << ", " << "account_grant="; (__isset.account_grant ? (out << to_string(account_grant)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -59,6 +59,14 @@
 
 class PathCheck;
 
+class AccountReportEntry;
+
+class AccountReport;
+
+class AccountGrantEntry;
+
+class AccountGrant;
+
 class Message;
 
 typedef struct _Daemon__isset {
@@ -1640,8 +1648,342 @@
 
 std::ostream& operator<<(std::ostream& out, const PathCheck& obj);
 
+typedef struct _AccountReportEntry__isset {
+  _AccountReportEntry__isset() : account(false), wanted(false), returned(false), share_rate(false), share_burst(false), released(false), rate(false), burst(false) {}
+  bool account :1;
+  bool wanted :1;
+  bool returned :1;
+  bool share_rate :1;
+  bool share_burst :1;
+  bool released :1;
+  bool rate :1;
+  bool burst :1;
+} _AccountReportEntry__isset;
+
+class AccountReportEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountReportEntry(const AccountReportEntry&) noexcept;
+  AccountReportEntry& operator=(const AccountReportEntry&) noexcept;
+  AccountReportEntry() noexcept
+                     : account(0),
+                       wanted(0),
+                       returned(0),
+                       share_rate(0),
+                       share_burst(0),
+                       released(0),
+                       rate(0),
+                       burst(0) {
+  }
+
+  virtual ~AccountReportEntry() noexcept;
+  int64_t account;
+  int32_t wanted;
+  double returned;
+  double share_rate;
+  double share_burst;
+  bool released;
+  double rate;
+  double burst;
+
+  _AccountReportEntry__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_returned(const double val);
+
+  void __set_share_rate(const double val);
+
+  void __set_share_burst(const double val);
+
+  void __set_released(const bool val);
+
+  void __set_rate(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const AccountReportEntry & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (__isset.wanted != rhs.__isset.wanted)
+      return false;
+    else if (__isset.wanted && !(wanted == rhs.wanted))
+      return false;
+    if (__isset.returned != rhs.__isset.returned)
+      return false;
+    else if (__isset.returned && !(returned == rhs.returned))
+      return false;
+    if (__isset.share_rate != rhs.__isset.share_rate)
+      return false;
+    else if (__isset.share_rate && !(share_rate == rhs.share_rate))
+      return false;
+    if (__isset.share_burst != rhs.__isset.share_burst)
+      return false;
+    else if (__isset.share_burst && !(share_burst == rhs.share_burst))
+      return false;
+    if (__isset.released != rhs.__isset.released)
+      return false;
+    else if (__isset.released && !(released == rhs.released))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountReportEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountReportEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountReportEntry &a, AccountReportEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountReportEntry& obj);
+
+typedef struct _AccountReport__isset {
+  _AccountReport__isset() : sender(false), sender_address(false), owner(false), number(false), stamp(false), lease_ms(false), entries(false) {}
+  bool sender :1;
+  bool sender_address :1;
+  bool owner :1;
+  bool number :1;
+  bool stamp :1;
+  bool lease_ms :1;
+  bool entries :1;
+} _AccountReport__isset;
+
+class AccountReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountReport(const AccountReport&);
+  AccountReport& operator=(const AccountReport&);
+  AccountReport() noexcept
+                : sender_address(),
+                  number(0),
+                  stamp(0),
+                  lease_ms(0) {
+  }
+
+  virtual ~AccountReport() noexcept;
+  Daemon sender;
+  std::string sender_address;
+  Daemon owner;
+  int64_t number;
+  int64_t stamp;
+  int64_t lease_ms;
+  std::vector<AccountReportEntry>  entries;
+
+  _AccountReport__isset __isset;
+
+  void __set_sender(const Daemon& val);
+
+  void __set_sender_address(const std::string& val);
+
+  void __set_owner(const Daemon& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_lease_ms(const int64_t val);
+
+  void __set_entries(const std::vector<AccountReportEntry> & val);
+
+  bool operator == (const AccountReport & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(sender_address == rhs.sender_address))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(lease_ms == rhs.lease_ms))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountReport &a, AccountReport &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountReport& obj);
+
+typedef struct _AccountGrantEntry__isset {
+  _AccountGrantEntry__isset() : account(false), tokens(false), retry_after_ms(false), rate(false), burst(false) {}
+  bool account :1;
+  bool tokens :1;
+  bool retry_after_ms :1;
+  bool rate :1;
+  bool burst :1;
+} _AccountGrantEntry__isset;
+
+class AccountGrantEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountGrantEntry(const AccountGrantEntry&) noexcept;
+  AccountGrantEntry& operator=(const AccountGrantEntry&) noexcept;
+  AccountGrantEntry() noexcept
+                    : account(0),
+                      tokens(0),
+                      retry_after_ms(0),
+                      rate(0),
+                      burst(0) {
+  }
+
+  virtual ~AccountGrantEntry() noexcept;
+  int64_t account;
+  int32_t tokens;
+  double retry_after_ms;
+  double rate;
+  double burst;
+
+  _AccountGrantEntry__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_retry_after_ms(const double val);
+
+  void __set_rate(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const AccountGrantEntry & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (__isset.tokens != rhs.__isset.tokens)
+      return false;
+    else if (__isset.tokens && !(tokens == rhs.tokens))
+      return false;
+    if (__isset.retry_after_ms != rhs.__isset.retry_after_ms)
+      return false;
+    else if (__isset.retry_after_ms && !(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountGrantEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountGrantEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountGrantEntry &a, AccountGrantEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountGrantEntry& obj);
+
+typedef struct _AccountGrant__isset {
+  _AccountGrant__isset() : owner(false), owner_address(false), receiver(false), number(false), stamp(false), entries(false) {}
+  bool owner :1;
+  bool owner_address :1;
+  bool receiver :1;
+  bool number :1;
+  bool stamp :1;
+  bool entries :1;
+} _AccountGrant__isset;
+
+class AccountGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountGrant(const AccountGrant&);
+  AccountGrant& operator=(const AccountGrant&);
+  AccountGrant() noexcept
+               : owner_address(),
+                 number(0),
+                 stamp(0) {
+  }
+
+  virtual ~AccountGrant() noexcept;
+  Daemon owner;
+  std::string owner_address;
+  Daemon receiver;
+  int64_t number;
+  int64_t stamp;
+  std::vector<AccountGrantEntry>  entries;
+
+  _AccountGrant__isset __isset;
+
+  void __set_owner(const Daemon& val);
+
+  void __set_owner_address(const std::string& val);
+
+  void __set_receiver(const Daemon& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_entries(const std::vector<AccountGrantEntry> & val);
+
+  bool operator == (const AccountGrant & rhs) const
+  {
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(owner_address == rhs.owner_address))
+      return false;
+    if (!(receiver == rhs.receiver))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountGrant &a, AccountGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountGrant& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false), path_check(false) {}
+  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false), path_check(false), account_report(false), account_grant(false) {}
   bool sender :1;
   bool work :1;
   bool work_result :1;
@@ -1654,6 +1996,8 @@
   bool sync :1;
   bool packet :1;
   bool path_check :1;
+  bool account_report :1;
+  bool account_grant :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1677,6 +2021,8 @@
   Sync sync;
   Packet packet;
   PathCheck path_check;
+  AccountReport account_report;
+  AccountGrant account_grant;
 
   _Message__isset __isset;
 
@@ -1704,6 +2050,10 @@
 
   void __set_path_check(const PathCheck& val);
 
+  void __set_account_report(const AccountReport& val);
+
+  void __set_account_grant(const AccountGrant& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1752,6 +2102,14 @@
       return false;
     else if (__isset.path_check && !(path_check == rhs.path_check))
       return false;
+    if (__isset.account_report != rhs.__isset.account_report)
+      return false;
+    else if (__isset.account_report && !(account_report == rhs.account_report))
+      return false;
+    if (__isset.account_grant != rhs.__isset.account_grant)
+      return false;
+    else if (__isset.account_grant && !(account_grant == rhs.account_grant))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -190,6 +190,44 @@
   2: bool answer
 }
 
+struct AccountReportEntry {
+  1: i64 account
+  2: optional i32 wanted
+  3: optional double returned
+  4: optional double share_rate
+  5: optional double share_burst
+  6: optional bool released
+  7: double rate
+  8: double burst
+}
+
+struct AccountReport {
+  1: Daemon sender
+  2: string sender_address
+  3: Daemon owner
+  4: i64 number
+  5: i64 stamp
+  6: i64 lease_ms
+  7: list<AccountReportEntry> entries
+}
+
+struct AccountGrantEntry {
+  1: i64 account
+  2: optional i32 tokens
+  3: optional double retry_after_ms
+  4: double rate
+  5: double burst
+}
+
+struct AccountGrant {
+  1: Daemon owner
+  2: string owner_address
+  3: Daemon receiver
+  4: i64 number
+  5: i64 stamp
+  6: list<AccountGrantEntry> entries
+}
+
 // Exactly one of the optional fields is set.
 struct Message {
   1: Daemon sender
@@ -204,4 +242,6 @@
   10: optional Sync sync
   11: optional Packet packet
   12: optional PathCheck path_check
+  13: optional AccountReport account_report
+  14: optional AccountGrant account_grant
 }
