--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -31,6 +31,8 @@
     bool finds_accounts_by_key = false;
     /// See routing_state.
     double cross_data_centre_cost = 0;
+    /// Null when accounts are not limited across daemons.
+    account_limit::inbox* account_limit = nullptr;
 };
 
 /// Runs until \p messages is closed and empty.
