Refuse non-repeatable work while the calls of such runs fail

Runs whose calls fail end in a 500 after work, and each such charge was lost although the outcome was foreseeable. Refused requests visited up to ten homes that share the fault.

Per service and priority, a home keeps the ends of its last 12 runs within 4 s. When at least 6 ended, and at least 4 and half of them in a late failure, further work that must not run twice is refused as not run with the time until the next trial run. One in five and one a second is a trial; two successes in a row end the state. WorkResult tells that a refusal holds for the service, and routing ends the request at the second one.

--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -165,6 +165,8 @@
         log_info(line);
     if (out.counts && todo.malformed_statements > 0)
         out.counts->count_malformed_statements(todo.malformed_statements);
+    if (out.counts && todo.failing_call_refusals > 0)
+        out.counts->count_failing_call_refusals(todo.failing_call_refusals);
     for (observation const refused : todo.server_refusals)
     {
         if (out.counts)
--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -369,6 +369,17 @@
         refused = refusal_for(check_claim(state.claims, request.claim));
     if (refused.kind == error_kind::none)
         refused = check_request(state, request, now);
+    if (refused.kind == error_kind::none && !request.repeatable)
+    {
+        call_outcomes& calls = state.services.at(request.service)
+                                   .priorities[request.priority]
+                                   .calls;
+        if (auto const wait = check_calls(calls, now))
+        {
+            refuse_for_calls(state, request, *wait, now, out);
+            return;
+        }
+    }
     if (refused.kind == error_kind::none)
     {
         service_state& service = state.services.at(request.service);
--- a/src/admission/decide.cpp
+++ b/src/admission/decide.cpp
@@ -146,6 +146,24 @@
     return result;
 }
 
+/// Records what the end of a run shows about the calls of such runs.
+void record_calls(admission_state& state, service_state& service,
+                  priority_index priority, bool has_failed, time_point began,
+                  time_point now, actions& out)
+{
+    call_outcomes& calls = service.priorities[priority].calls;
+    if (!record_run(calls, has_failed, began, now))
+        return;
+    out.log.push_back(event_line(event::calls_failing)
+                          .field("service", service.policy.service)
+                          .field("priority", static_cast<int>(priority))
+                          .field("state", calls.is_failing ? "begun" : "ended")
+                          .field("failed", count_failed(calls))
+                          .field("runs", calls.samples.size()));
+    if (calls.is_failing)
+        refuse_queued_for_calls(state, service, priority, now, out);
+}
+
 /// Refuses the queued requests that would outlast a shutdown.
 void refuse_unfinishable(admission_state& state, service_state& service,
                          time_point now, actions& out)
@@ -222,6 +240,11 @@
                            run.started, now, out);
     }
     update_estimates(service, server, ended, finished_run, now);
+    if (observed == observation::success ||
+        observed == observation::late_failure)
+        record_calls(state, service, ended.request.priority,
+                     *observed == observation::late_failure, run.started, now,
+                     out);
     if (finished_run.result == dispatch::result_class::refused_not_run)
         out.server_refusals.push_back(observe_refusal(finished_run));
     record_refusing(server, finished_run, now, out);
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -2,6 +2,8 @@
 
 #include "schedule.hpp"
 
+#include <algorithm>
+
 namespace gooseberrycove::admission
 {
 
@@ -33,6 +35,18 @@
 namespace
 {
 
+constexpr std::string_view calls_failing = "calls_failing";
+
+/// Completes the newest result, a refusal that holds for all homes of its
+/// service.
+void mark_service_wide(actions& out, duration wait)
+{
+    ++out.failing_call_refusals;
+    work_result& result = out.results.back().result;
+    result.is_service_wide = true;
+    result.retry_after = std::max(result.retry_after, wait);
+}
+
 server_status status_of(homed_server_state const& server, time_point now)
 {
     server_status status = server.status;
@@ -127,6 +141,29 @@
     }
 }
 
+void refuse_for_calls(admission_state const& state, work_request const& request,
+                      duration wait, time_point now, actions& out)
+{
+    refuse(state, request, error_kind::overloaded, calls_failing, now, out);
+    mark_service_wide(out, wait);
+}
+
+void refuse_queued_for_calls(admission_state& state, service_state& service,
+                             priority_index priority, time_point now,
+                             actions& out)
+{
+    priority_state& affected = service.priorities[priority];
+    duration const wait = time_to_trial(affected.calls, now);
+    for (std::size_t i = affected.queue.entries.size(); i > 0; --i)
+    {
+        if (affected.queue.entries[i - 1].repeatable)
+            continue;
+        refuse_queued(state, service, remove_at(affected.queue, i - 1),
+                      error_kind::overloaded, calls_failing, now, out);
+        mark_service_wide(out, wait);
+    }
+}
+
 void refuse_unservable(admission_state& state, service_state& service,
                        error_kind kind, std::string_view reason, time_point now,
                        actions& out)
--- a/src/admission/refuse.hpp
+++ b/src/admission/refuse.hpp
@@ -33,6 +33,17 @@
                        error_kind kind, std::string_view reason, time_point now,
                        actions& out);
 
+/// Refuses a request whose run would make calls that fail, for each home of its
+/// service alike.
+void refuse_for_calls(admission_state const& state, work_request const& request,
+                      duration wait, time_point now, actions& out);
+
+/// Refuses the queued requests of a priority that must not run twice, because
+/// the calls of such runs have begun to fail.
+void refuse_queued_for_calls(admission_state& state, service_state& service,
+                             priority_index priority, time_point now,
+                             actions& out);
+
 /// Adds \p change to the server's number of queued requests. Ignores names that
 /// are not homed here, such as the empty name of a request without a chosen
 /// server.
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -3,6 +3,7 @@
 
 #include "adaptive_limit.hpp"
 #include "claim_memory.hpp"
+#include "failing_calls.hpp"
 #include "failure_estimate.hpp"
 #include "queue.hpp"
 #include "retry_limit.hpp"
@@ -84,6 +85,7 @@
 {
     priority_queue queue;
     service_time_estimate estimate;
+    call_outcomes calls;
 };
 
 /// A service with at least one server homed here.
@@ -181,6 +183,8 @@
     std::vector<event_line> log;
     /// Answers whose statement could not be read.
     std::uint64_t malformed_statements = 0;
+    /// Requests refused because the calls of such runs fail.
+    std::uint64_t failing_call_refusals = 0;
     /// Refusals by backend servers, for the counters.
     std::vector<observation> server_refusals;
 };
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -44,6 +44,7 @@
     GOOSEBERRYCOVE_EVENT(work_started),
     GOOSEBERRYCOVE_EVENT(server_stated),
     GOOSEBERRYCOVE_EVENT(server_refusing),
+    GOOSEBERRYCOVE_EVENT(calls_failing),
     GOOSEBERRYCOVE_EVENT(dispatch_finished),
     GOOSEBERRYCOVE_EVENT(response_unattributed),
     GOOSEBERRYCOVE_EVENT(connection_unusable),
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -80,6 +80,11 @@
             "Answers of backend servers whose limit, leaving or load could "
             "not be read")
             .Add({});
+    prometheus::Counter& failing_call_refusals =
+        add_counter(registry, "gcove_failing_call_refusals_total",
+                    "Requests refused here before they ran, because the calls "
+                    "of such runs fail")
+            .Add({});
     counter_family& server_refusals =
         add_counter(registry, "gcove_server_refusals_total",
                     "Requests that backend servers homed here refused, by the "
@@ -182,6 +187,11 @@
     m_families->malformed_statements.Increment(static_cast<double>(count));
 }
 
+void metrics::count_failing_call_refusals(std::uint64_t count)
+{
+    m_families->failing_call_refusals.Increment(static_cast<double>(count));
+}
+
 void metrics::count_server_refusal(std::string_view load)
 {
     m_families->server_refusals.Add({{"load", std::string(load)}}).Increment();
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -37,6 +37,7 @@
     work_started = 302,
     server_stated = 303,
     server_refusing = 304,
+    calls_failing = 305,
 
     dispatch_finished = 400,
     response_unattributed = 401,
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -43,6 +43,8 @@
     /// Counts answers of backend servers whose limit, leaving or load could not
     /// be read.
     void count_malformed_statements(std::uint64_t count);
+    /// Counts requests refused because the calls of such runs fail.
+    void count_failing_call_refusals(std::uint64_t count);
     /// Counts a request that a backend server refused.
     /// \param load  free_slots, full or unknown, as the server stated
     void count_server_refusal(std::string_view load);
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -167,6 +167,8 @@
     /// When the home expects to have room for a refused request; zero when it
     /// does not know.
     duration retry_after{0};
+    /// The reason of a refusal is likely to hold at all homes of the service.
+    bool is_service_wide = false;
     /// Status of the home's servers of this service, used by later choices.
     std::vector<server_status> statuses;
     daemon_ref home;
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -65,6 +65,10 @@
            may_retry(service_of(state, request.service), now);
 }
 
+/// Homes that may refuse a request for a reason that holds for its service; the
+/// second one confirms it.
+constexpr std::uint32_t max_service_wide_refusals = 2;
+
 void on_failure(routing_state& state, request_state& request,
                 work_result&& result, time_point now, actions& out)
 {
@@ -72,9 +76,12 @@
     bool const has_reached_server = result.service_time.count() > 0;
     request.servers_reached +=
         has_reached_server || run_outcome != outcome::not_run ? 1 : 0;
+    request.service_wide_refusals +=
+        result.is_service_wide && run_outcome == outcome::not_run ? 1 : 0;
     std::string_view const reason = error_response_for(result.kind).name;
     keep_failure(request, std::move(result));
     if (request.current_phase == phase::running &&
+        request.service_wide_refusals < max_service_wide_refusals &&
         may_try_other_home(state, request, run_outcome, has_reached_server,
                            now) &&
         start_attempt(state, request, event::request_retried, reason, now, out))
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -722,6 +722,28 @@
     CHECK(out.responses[0].result.retry_after == 2s);
 }
 
+TEST_CASE("a refusal that holds for the service ends at the second home")
+{
+    // Guards against requests that visit ten homes that share a fault.
+    routing_state state = make_state();
+    on_service_view(state, four_servers());
+    actions out;
+    begin_request(state, true, out);
+    for (duration const wait : {500ms, 200ms})
+    {
+        CHECK(out.responses.empty());
+        work_request const& sent = last_work_request(out);
+        work_result refused = result_of(sent, sent.home, error_kind::overloaded,
+                                        outcome::not_run);
+        refused.is_service_wide = true;
+        refused.retry_after = wait;
+        on_result(state, std::move(refused), start, out);
+    }
+    REQUIRE(out.responses.size() == 1);
+    CHECK(out.responses[0].result.run_outcome == outcome::not_run);
+    CHECK(out.responses[0].result.retry_after == 200ms);
+}
+
 TEST_CASE("a server that waits for its own limit is passed over")
 {
     routing_state state = make_state();
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -105,6 +105,9 @@
     /// those that it has reached.
     std::uint32_t max_servers_reached = config::default_attempts;
     std::uint32_t servers_reached = 0;
+    /// Refusals that hold for the whole service; see
+    /// work_result::is_service_wide.
+    std::uint32_t service_wide_refusals = 0;
     time_point deadline;
     phase current_phase = phase::running;
     bool is_answered = false;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -286,6 +286,8 @@
     out.headers = to_gen(value.headers);
     if (value.retry_after.count() > 0)
         out.__set_retry_after_us(value.retry_after.count());
+    if (value.is_service_wide)
+        out.__set_service_wide(true);
     return out;
 }
 
@@ -306,6 +308,7 @@
     out.home = from_gen(in.home);
     out.headers = from_gen(in.headers);
     out.retry_after = to_wait(in.retry_after_us);
+    out.is_service_wide = in.__isset.service_wide && in.service_wide;
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -1596,6 +1596,11 @@
   this->retry_after_us = val;
 __isset.retry_after_us = true;
 }
+
+void WorkResult::__set_service_wide(const bool val) {
+  this->service_wide = val;
+__isset.service_wide = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkResult& obj)
 {
   obj.printTo(out);
@@ -1768,6 +1773,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->service_wide);
+          this->__isset.service_wide = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1862,6 +1875,11 @@
     xfer += oprot->writeI64(this->retry_after_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.service_wide) {
+    xfer += oprot->writeFieldBegin("service_wide", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->service_wide);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1884,6 +1902,7 @@
   swap(a.home, b.home);
   swap(a.headers, b.headers);
   swap(a.retry_after_us, b.retry_after_us);
+  swap(a.service_wide, b.service_wide);
   swap(a.__isset, b.__isset);
 }
 
@@ -1903,6 +1922,7 @@
   home = other30.home;
   headers = other30.headers;
   retry_after_us = other30.retry_after_us;
+  service_wide = other30.service_wide;
   __isset = other30.__isset;
 }
 WorkResult& WorkResult::operator=(const WorkResult& other31) {
@@ -1921,6 +1941,7 @@
   home = other31.home;
   headers = other31.headers;
   retry_after_us = other31.retry_after_us;
+  service_wide = other31.service_wide;
   __isset = other31.__isset;
   return *this;
 }
@@ -1942,6 +1963,7 @@
   out << ", " << "home=" << to_string(home);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
+  out << ", " << "service_wide="; (__isset.service_wide ? (out << to_string(service_wide)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -649,7 +649,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj);
 
 typedef struct _WorkResult__isset {
-  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false) {}
+  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false), service_wide(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -665,6 +665,7 @@
   bool home :1;
   bool headers :1;
   bool retry_after_us :1;
+  bool service_wide :1;
 } _WorkResult__isset;
 
 class WorkResult : public virtual ::apache::thrift::TBase {
@@ -684,7 +685,8 @@
                server(),
                detail(),
                service_time_us(0),
-               retry_after_us(0) {
+               retry_after_us(0),
+               service_wide(0) {
   }
 
   virtual ~WorkResult() noexcept;
@@ -703,6 +705,7 @@
   Daemon home;
   std::vector<HeaderField>  headers;
   int64_t retry_after_us;
+  bool service_wide;
 
   _WorkResult__isset __isset;
 
@@ -736,6 +739,8 @@
 
   void __set_retry_after_us(const int64_t val);
 
+  void __set_service_wide(const bool val);
+
   bool operator == (const WorkResult & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -770,6 +775,10 @@
       return false;
     else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
       return false;
+    if (__isset.service_wide != rhs.__isset.service_wide)
+      return false;
+    else if (__isset.service_wide && !(service_wide == rhs.service_wide))
+      return false;
     return true;
   }
   bool operator != (const WorkResult &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -90,6 +90,7 @@
   13: Daemon home
   14: list<HeaderField> headers
   15: optional i64 retry_after_us
+  16: optional bool service_wide
 }
 
 struct Cancel {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -73,6 +73,7 @@
 {
     work_result result;
     result.retry_after = duration(2500);
+    result.is_service_wide = true;
     result.statuses.resize(2);
     result.statuses[0].statement = {true, 9, 0, false};
     result.statuses[0].start_wait = duration(1500);
@@ -80,6 +81,7 @@
     auto const decoded = wire::decode(frame, keys, now);
     auto const& received = std::get<work_result>(decoded.content);
     CHECK(received.retry_after == duration(2500));
+    CHECK(received.is_service_wide);
     CHECK(received.statuses[0].statement.is_known);
     CHECK(received.statuses[0].statement.incarnation == 9);
     CHECK(received.statuses[0].start_wait == duration(1500));
