Take a response with an invalid status for one that was cut

A backend server's status of 600 or more was passed on to the caller, or believed as a refusal when it stated that it did not run the request. Results from other daemons and recorded claims were not checked.

A final status below 200 or above 599 counts as cut: in dispatch, when a work result or a recorded claim is read, and a response that still has one is sent as a 502. On sockets, before: 600 and 999 were passed on; 000, 099, abc, 2xx, 20, 2000, -200 and +200 were cut already.

The rows and runs of the claims tests had no status, which no server sends; they have 200 now, or 502 where the outcome is unknown.

--- a/src/claims/claims_test.cpp
+++ b/src/claims/claims_test.cpp
@@ -118,6 +118,7 @@
             content == row_content::orphaned ? gone_daemon : other_daemon;
         row.is_done = content == row_content::done;
         row.result.run_outcome = outcome::ran;
+        row.result.status = 200;
         row.result.body = "paid\xff";
         return encode_row(row);
     }
@@ -308,6 +309,25 @@
     }
 }
 
+TEST_CASE("a recorded response with an invalid status is not replayed")
+{
+    for (int const status : {0, 99, 199, 600, 999, -1})
+    {
+        claim_row row;
+        row.is_done = true;
+        row.result.run_outcome = outcome::ran;
+        row.result.status = status;
+        row.result.body = "paid";
+        std::optional<claim_row> const read = decode_row(encode_row(row));
+        REQUIRE(read);
+        CHECK(read->is_done);
+        CHECK(read->result.kind == error_kind::answer_cut);
+        CHECK(read->result.run_outcome == outcome::unknown);
+        CHECK(read->result.status == 502);
+        CHECK(read->result.body.empty());
+    }
+}
+
 TEST_CASE("a replay from the store keeps the headers of the server's response")
 {
     claims_fixture first;
--- a/src/claims/random_faults_test.cpp
+++ b/src/claims/random_faults_test.cpp
@@ -358,6 +358,7 @@
         result.kind = result.run_outcome == outcome::ran
                           ? error_kind::none
                           : error_kind::answer_cut;
+        result.status = result.run_outcome == outcome::ran ? 200 : 502;
         result.body =
             fmt::format("{}\xff{}", running.request.key, next_version);
         responses[running.request.key] = result.body;
--- a/src/claims/row.cpp
+++ b/src/claims/row.cpp
@@ -1,5 +1,7 @@
 #include "claims/row.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -82,6 +84,14 @@
     work_result result;
     result.run_outcome = outcome::ran;
     result.status = value.at("status").get<int>();
+    if (!is_final_status(result.status))
+    {
+        // Rows written by earlier versions may have such a status.
+        result.kind = error_kind::answer_cut;
+        result.run_outcome = outcome::unknown;
+        result.status = error_response_for(result.kind).status;
+        return result;
+    }
     result.content_type =
         from_base64(value.at("content_type").get<std::string>());
     // Rows written by earlier versions have no headers.
--- a/src/dispatch/classify.cpp
+++ b/src/dispatch/classify.cpp
@@ -1,5 +1,7 @@
 #include "classify.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <charconv>
 #include <cmath>
 
@@ -230,6 +232,8 @@
     if (!summary.response_attribution ||
         !is_attributed(*summary.response_attribution))
         return result_class::cut;
+    if (!is_final_status(head.status))
+        return result_class::cut;
     bool const is_misdirected = head.status == misdirected_status;
     if (is_misdirected || (head.status >= 400 && head.states_not_run))
     {
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -146,6 +146,9 @@
         if (path == "/shed")
             return "HTTP/1.1 503 No\r\nX-Outcome: not_run\r\n"
                    "Content-Length: 0\r\n\r\n";
+        if (path.starts_with("/status/"))
+            return "HTTP/1.1 " + path.substr(8) +
+                   " X\r\nX-Outcome: not_run\r\nContent-Length: 0\r\n\r\n";
         // A body of 1 MiB without the last byte.
         if (path == "/large_then_stall")
             return "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" +
@@ -367,6 +370,25 @@
     CHECK(clock_now() - closed_at < std::chrono::seconds(1));
 }
 
+TEST_CASE("a response with an invalid status is cut")
+{
+    // Guards against statuses that callers cannot read, and against a refusal
+    // that is believed although its status is none.
+    for (char const* const status : {"000", "099", "600", "999", "abc", "2xx",
+                                     "20", "2000", "-200", "+200"})
+    {
+        INFO(status);
+        test_server server;
+        fixture duty;
+        duty.send(server.address(), "/status/" + std::string(status));
+        finished const done = duty.wait_for_result();
+        INFO("class " << int(done.result) << " status " << done.status << " "
+                      << done.detail);
+        CHECK(done.result == result_class::cut);
+        CHECK(done.status == 0);
+    }
+}
+
 TEST_CASE("a statement of a server is read, and a malformed one is marked")
 {
     header_names names;
--- a/src/dispatch/transfer.cpp
+++ b/src/dispatch/transfer.cpp
@@ -1,5 +1,7 @@
 #include "transfer.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -289,6 +291,9 @@
                                     to_string(*ended.response_attribution));
     else if (code != CURLE_OK)
         result.detail = curl_easy_strerror(code);
+    else if (!is_final_status(ended.head.status))
+        result.detail =
+            fmt::format("response with the status {}", ended.head.status);
     else if (result.result == result_class::cut)
         result.detail = "response without a length, or refusal without the id";
     if (result.result == result_class::answered ||
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "caller_request.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <array>
 #include <charconv>
 
@@ -89,6 +91,10 @@
                            std::string_view caller_id,
                            header_names const& names)
 {
+    if (!is_final_status(response.status))
+        return to_response(
+            make_refusal(caller_id, error_kind::answer_cut, "invalid status"),
+            caller_id, names);
     http::response encoded;
     encoded.status = response.status;
     encoded.content_type = response.content_type;
--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -145,6 +145,17 @@
                      "X-Outcome=not_run Retry-After=1 ");
 }
 
+TEST_CASE("a response with an invalid status is not sent to the caller")
+{
+    for (int const status : {0, 99, 199, 600, 999, -1})
+    {
+        front::caller_response invalid;
+        invalid.status = status;
+        invalid.run_outcome = outcome::ran;
+        CHECK(front::to_response(invalid, "order-17", {}).status == 502);
+    }
+}
+
 TEST_CASE("query values are decoded and absent ones are empty")
 {
     CHECK(uri::query_value("/e?path=%2Fa%20b&x=1", "path") == "/a b");
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -1,5 +1,7 @@
 #include "convert.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -291,6 +293,15 @@
     return out;
 }
 
+/// A response with an invalid status counts as one that was cut.
+work_result make_cut(work_result&& result)
+{
+    result.kind = error_kind::answer_cut;
+    result.run_outcome = outcome::unknown;
+    result.status = error_response_for(result.kind).status;
+    return std::move(result);
+}
+
 work_result from_gen(gen::WorkResult const& in)
 {
     work_result out;
@@ -299,6 +310,8 @@
     out.kind = to_enum<error_kind>(in.kind, error_kind_count);
     out.run_outcome = to_enum<outcome>(in.outcome, 3);
     out.status = in.status;
+    if (out.run_outcome == outcome::ran && !is_final_status(in.status))
+        return make_cut(std::move(out));
     out.content_type = in.content_type;
     out.body = in.body;
     out.server = in.server;
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -89,6 +89,22 @@
     CHECK(received.statuses[1].start_wait == duration(0));
 }
 
+TEST_CASE("a result with an invalid status is decoded as cut")
+{
+    for (int const status : {0, 99, 199, 600, 999, -1})
+    {
+        work_result result;
+        result.run_outcome = outcome::ran;
+        result.status = status;
+        auto const decoded = wire::decode(
+            wire::encode("new key", {5, 6}, result, now), keys, now);
+        auto const& received = std::get<work_result>(decoded.content);
+        CHECK(received.kind == error_kind::answer_cut);
+        CHECK(received.run_outcome == outcome::unknown);
+        CHECK(received.status == 502);
+    }
+}
+
 TEST_CASE("every kind of payload is decoded as the same kind")
 {
     std::vector<peer::payload> const payloads{
