--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -74,6 +74,7 @@
 {
     work_result result;
     result.retry_after = duration(2500);
+    result.is_service_wide = true;
     result.statuses.resize(2);
     result.statuses[0].statement = {true, 9, 0, false};
     result.statuses[0].start_wait = duration(1500);
@@ -81,6 +82,7 @@
     auto const decoded = wire::decode(frame, keys, now);
     auto const& received = std::get<work_result>(decoded.content);
     CHECK(received.retry_after == duration(2500));
+    CHECK(received.is_service_wide);
     CHECK(received.statuses[0].statement.is_known);
     CHECK(received.statuses[0].statement.incarnation == 9);
     CHECK(received.statuses[0].start_wait == duration(1500));
@@ -88,6 +90,22 @@
     CHECK(received.statuses[1].start_wait == duration(0));
 }
 
+TEST_CASE("a result with an invalid status is decoded as cut")
+{
+    for (int const status : {0, 99, 199, 600, 999, -1})
+    {
+        work_result result;
+        result.run_outcome = outcome::ran;
+        result.status = status;
+        auto const decoded = wire::decode(
+            wire::encode("new key", {5, 6}, result, now), keys, now);
+        auto const& received = std::get<work_result>(decoded.content);
+        CHECK(received.kind == error_kind::answer_cut);
+        CHECK(received.run_outcome == outcome::unknown);
+        CHECK(received.status == 502);
+    }
+}
+
 TEST_CASE("every kind of payload is decoded as the same kind")
 {
     std::vector<peer::payload> const payloads{
