End requests at once when a service's retry limit is used up

Retry-After was rounded up to whole seconds.

Change: a refusal with reason repeat_limit tells when its home expects room. Routing counts the homes that refused for it within 1 s; from 3 homes and half of those that replied on, no retry is sent: what has not run gets overloaded with that time, what has run keeps its failure (E0206). Waits that a home or routing gave are written with up to one decimal; constant hints stay whole seconds. Claimed requests get the wait as well.

Tests of routing, admission, front, core, daemon, peer and wire pass.

--- a/src/admission/admit.cpp
+++ b/src/admission/admit.cpp
@@ -312,6 +312,18 @@
         state.started, now);
 }
 
+/// See work_result::retry_after.
+duration time_to_retry(admission_state const& state,
+                       work_request const& request, time_point now)
+{
+    service_state const& service = state.services.at(request.service);
+    return time_to_room(
+        service.arrivals, count_queued_retries(service),
+        *service.policy.retry_limit,
+        {request.is_retry, request.retry_weight, request.retry_limit_servers},
+        state.started, now);
+}
+
 refusal check_request(admission_state const& state, work_request const& request,
                       time_point now)
 {
@@ -324,7 +336,7 @@
         return {error_kind::no_server, "not_homed_here"};
     service_state const& service = found->second;
     if (exceeds_retry_limit(state, service, request, now))
-        return {error_kind::overloaded, "repeat_limit"};
+        return {error_kind::overloaded, retry_limit_reason};
     return request.server.empty()
                ? check_any_server(state, found->second, request, now)
                : check_server(state, found->second, request.server, request,
@@ -382,6 +394,9 @@
     if (refused.kind != error_kind::none)
     {
         refuse(state, request, refused.kind, refused.reason, now, out);
+        if (refused.reason == retry_limit_reason)
+            out.results.back().result.retry_after =
+                time_to_retry(state, request, now);
         return;
     }
     service_state& service = state.services.at(request.service);
--- a/src/admission/retry_limit.hpp
+++ b/src/admission/retry_limit.hpp
@@ -56,6 +56,14 @@
                 retry_allowance const& limit, arriving_request const& request,
                 time_point started, time_point now);
 
+/// Time until the limit is expected to have room for a request that it refuses
+/// now: until the retries of enough past seconds are outside of its window,
+/// while first requests arrive as before. At most the window.
+duration time_to_room(arrival_counts const& counts, double queued,
+                      retry_allowance const& limit,
+                      arriving_request const& request, time_point started,
+                      time_point now);
+
 } // namespace gooseberrycove::admission
 
 #endif
--- a/src/admission/retry_limit_test.cpp
+++ b/src/admission/retry_limit_test.cpp
@@ -87,3 +87,23 @@
     CHECK(may_arrive(home, 0, limit, {true, 1, 1}, calls_start - 2s,
                      calls_start));
 }
+
+TEST_CASE("a used up retry limit tells when its oldest retries count no more")
+{
+    // Guards against callers and daemons that ask again at once.
+    retry_allowance const limit{0, 4};
+    arrival_counts counts;
+    time_point const start{1000s};
+    for (int i = 0; i < 3; ++i)
+        count_arrival(counts, 1, start + i * 2s);
+    time_point const now = start + 5300ms;
+    arriving_request const retry{true, 1, 1};
+    REQUIRE_FALSE(may_arrive(counts, 0, limit, retry, never_restarted, now));
+    duration const wait =
+        time_to_room(counts, 0, limit, retry, never_restarted, now);
+    // The sum has 11 slices, of which that of the first retry ends first.
+    CHECK(wait == 5700ms);
+    CHECK(may_arrive(counts, 0, limit, retry, never_restarted, now + wait));
+    CHECK_FALSE(
+        may_arrive(counts, 0, limit, retry, never_restarted, now + wait - 1ms));
+}
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace gooseberrycove
@@ -94,6 +95,18 @@
     return error_responses;
 }
 
+std::string retry_after_text(duration wait)
+{
+    auto const tenths =
+        std::chrono::ceil<std::chrono::duration<std::int64_t, std::deci>>(
+            std::max(wait, min_retry_after))
+            .count();
+    std::string text = std::to_string(tenths / 10);
+    if (tenths % 10 != 0)
+        text += "." + std::to_string(tenths % 10);
+    return text;
+}
+
 std::string problem_document(error_kind kind, std::string_view detail,
                              std::string_view request)
 {
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -97,9 +97,9 @@
     encoded.headers.push_back({names.request_id, std::string(caller_id)});
     encoded.headers.push_back(
         {"X-Outcome", std::string(to_string(response.run_outcome))});
-    if (response.retry_after_s > 0)
+    if (response.retry_after.count() > 0)
         encoded.headers.push_back(
-            {"Retry-After", std::to_string(response.retry_after_s)});
+            {"Retry-After", retry_after_text(response.retry_after)});
     return encoded;
 }
 
@@ -112,7 +112,7 @@
     refusal.content_type = "application/problem+json";
     refusal.body = problem_document(kind, detail, caller_id);
     refusal.run_outcome = properties.run_outcome;
-    refusal.retry_after_s = properties.retry_after_s;
+    refusal.retry_after = std::chrono::seconds(properties.retry_after_s);
     return refusal;
 }
 
--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -145,6 +145,17 @@
                      "X-Outcome=not_run Retry-After=1 ");
 }
 
+TEST_CASE("Retry-After has a fraction only where the wait has one")
+{
+    // Guards against callers that wait a second for a slot free in 0.1 s, and
+    // against a wait of 0, at which they would ask again at once.
+    using namespace std::chrono_literals;
+    CHECK(retry_after_text(1us) == "0.1");
+    CHECK(retry_after_text(310ms) == "0.4");
+    CHECK(retry_after_text(1s) == "1");
+    CHECK(retry_after_text(10'950ms) == "11");
+}
+
 TEST_CASE("query values are decoded and absent ones are empty")
 {
     CHECK(uri::query_value("/e?path=%2Fa%20b&x=1", "path") == "/a b");
--- a/src/include/gooseberrycove/admission.hpp
+++ b/src/include/gooseberrycove/admission.hpp
@@ -10,6 +10,7 @@
 #include <gooseberrycove/work.hpp>
 
 #include <atomic>
+#include <string_view>
 #include <variant>
 
 namespace gooseberrycove::admission
@@ -25,6 +26,10 @@
     bool is_queued_only = false;
 };
 
+/// work_result::detail of a refusal because the service's retry limit is used
+/// up.
+inline constexpr std::string_view retry_limit_reason = "repeat_limit";
+
 /// Share of the work in progress at the servers homed here that counts as
 /// retries, 0 to 1. Written by admission and read by routing, which handles
 /// the calls that these servers make.
--- a/src/include/gooseberrycove/error.hpp
+++ b/src/include/gooseberrycove/error.hpp
@@ -1,6 +1,8 @@
 #ifndef GOOSEBERRYCOVE_ERROR_HPP
 #define GOOSEBERRYCOVE_ERROR_HPP
 
+#include <gooseberrycove/types.hpp>
+
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -68,6 +70,13 @@
 /// All responses, in the order of error_kind.
 std::span<error_response const> all_error_responses();
 
+/// Shortest time that a Retry-After header tells.
+inline constexpr duration min_retry_after = std::chrono::milliseconds(100);
+
+/// Value of a Retry-After header: seconds, rounded up to one decimal, without a
+/// fraction for full seconds.
+std::string retry_after_text(duration wait);
+
 /// RFC 9457 problem document with the members type, title, status, detail,
 /// kind, outcome and request_id.
 std::string problem_document(error_kind kind, std::string_view detail,
--- a/src/include/gooseberrycove/front.hpp
+++ b/src/include/gooseberrycove/front.hpp
@@ -25,7 +25,8 @@
     std::vector<header_field> headers;
     std::string body;
     outcome run_outcome = outcome::unknown;
-    int retry_after_s = 0;
+    /// Value of the Retry-After header; zero omits it.
+    duration retry_after{0};
 };
 
 /// Closes each connection after its next response. Requests are still accepted
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -213,6 +213,7 @@
     work.accepted_failure_probability = target.chosen.failure_probability;
     work.is_retry = is_retry(request);
     work.retry_weight = work.is_retry ? 1 : request.retry_weight;
+    request.attempts.back().is_limited = work.retry_weight > 0;
     work.retry_limit_servers = count_retry_limit_servers(assessed);
     auto const statement = service.statements.find(candidate.server);
     if (statement != service.statements.end())
--- a/src/routing/finish.cpp
+++ b/src/routing/finish.cpp
@@ -192,13 +192,11 @@
         .field("detail", detail)
         .field("passed_over", passed_over);
     out.log.push_back(std::move(line));
-    out.responses.push_back({request.original.id,
-                             request.original.caller_id,
-                             kind,
-                             std::string(detail),
-                             {},
-                             request.priority_name,
-                             request.original.received});
+    work_result result;
+    result.retry_after = request.retry_after;
+    out.responses.push_back({request.original.id, request.original.caller_id,
+                             kind, std::string(detail), std::move(result),
+                             request.priority_name, request.original.received});
 }
 
 void refuse(routing_state& state, request_state& request, error_kind kind,
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -41,6 +41,34 @@
     return service.homes_limit_retries || take_retry(service.budget, now);
 }
 
+/// When the service's retry limit is expected to have room, if it is used up
+/// and another attempt of the request would be a retry.
+std::optional<time_point> awaited_retry_room(routing_state& state,
+                                             request_state const& request,
+                                             time_point now)
+{
+    if ((request.servers_reached == 0 && !has_open_attempt(request)) ||
+        request.servers_reached >= request.max_servers_reached ||
+        request.attempts.size() >= max_homes_for(request))
+        return std::nullopt;
+    return retry_room(service_of(state, request.service).limited_replies, now);
+}
+
+/// Names the retry limit as the reason of a failure that has not run, and when
+/// it is expected to have room.
+void state_retry_limit(request_state& request, time_point room_at,
+                       time_point now)
+{
+    if (request.failure.run_outcome != outcome::not_run ||
+        now >= request.deadline)
+        return;
+    request.failure.kind = error_kind::overloaded;
+    request.failure.detail = "the retry limit of the service is used up";
+    duration const wait = std::max(min_retry_after, room_at - now);
+    if (request.retry_after.count() == 0 || wait < request.retry_after)
+        request.retry_after = wait;
+}
+
 bool is_success(work_result const& result)
 {
     return result.kind == error_kind::none &&
@@ -56,6 +84,8 @@
 {
     if (request.is_answered || has_open_attempt(request) || state.is_stopping)
         return false;
+    if (awaited_retry_room(state, request, now))
+        return false;
     if (run_outcome == outcome::not_run && !has_reached_server)
         return true;
     if (run_outcome != outcome::not_run && !request.repeatable)
@@ -81,6 +111,18 @@
         return;
     if (has_open_attempt(request))
         return;
+    if (auto const room_at = awaited_retry_room(state, request, now))
+    {
+        state_retry_limit(request, *room_at, now);
+        event_line line(event::retry_withheld);
+        line.field("request", request.original.caller_id)
+            .field("service", request.service)
+            .field("room_ms",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       *room_at - now)
+                       .count());
+        out.log.push_back(std::move(line));
+    }
     respond_failure(state, request, now, out);
 }
 
@@ -98,7 +140,8 @@
 {
     if (count_open_attempts(request) != 1 ||
         request.attempts.size() >= max_homes_for(request) ||
-        request.servers_reached + 1 >= request.max_servers_reached)
+        request.servers_reached + 1 >= request.max_servers_reached ||
+        awaited_retry_room(state, request, now))
         return;
     service_state& service = service_of(state, request.service);
     if (!(is_hedge ? take_hedge(service.budget, now) : may_retry(service, now)))
@@ -184,6 +227,12 @@
     if (result.home.id == 0 && attempt->home != state.own_daemon)
         record_unresponsive(state.evidence, attempt->home.id,
                             no_response_penalty, now);
+    if (attempt->is_limited && result.home.id != 0)
+        record_retry_reply(service_of(state, request.service).limited_replies,
+                           result.home.id,
+                           result.run_outcome == outcome::not_run &&
+                               result.detail == admission::retry_limit_reason,
+                           result.retry_after, now);
     close_attempt(state, request, *attempt);
     normalize(result);
     if (result.run_outcome == outcome::ran && result.service_time.count() > 0)
--- a/src/routing/retry.hpp
+++ b/src/routing/retry.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 
 namespace gooseberrycove::routing
@@ -32,6 +33,30 @@
 /// the retry budget. Returns false when the budget is used up.
 bool take_hedge(retry_budget& budget, time_point now);
 
+/// Replies of homes to attempts that a service's retry limit covers.
+struct retry_replies
+{
+    struct reply
+    {
+        time_point at;
+        bool is_refused = false;
+        time_point room_at;
+    };
+    std::map<std::uint64_t, reply> homes;
+};
+
+/// Records the last reply of \p home and removes those older than 1 s.
+/// \param is_refused   the home refused because the limit is used up
+/// \param retry_after  when the home expects room; zero when not told
+void record_retry_reply(retry_replies& replies, std::uint64_t home,
+                        bool is_refused, duration retry_after, time_point now);
+
+/// When the limit is expected to have room, if it is used up: at least 3 homes,
+/// and half of those that replied in the last second, have refused because of
+/// it.
+std::optional<time_point> retry_room(retry_replies const& replies,
+                                     time_point now);
+
 /// Decaying histogram of the latencies of successful attempts. Its buckets are
 /// 25% apart, which is precise enough for a hedging delay.
 struct latency_histogram
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -45,11 +45,9 @@
     encoded.body =
         problem_document(response.kind, response.detail, response.caller_id);
     encoded.run_outcome = row.run_outcome;
-    encoded.retry_after_s = row.retry_after_s;
+    encoded.retry_after = std::chrono::seconds(row.retry_after_s);
     if (row.retry_after_s > 0 && response.result.retry_after.count() > 0)
-        encoded.retry_after_s = static_cast<int>(
-            std::chrono::ceil<std::chrono::seconds>(response.result.retry_after)
-                .count());
+        encoded.retry_after = response.result.retry_after;
     return encoded;
 }
 
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -74,6 +74,8 @@
     time_point sent_at;
     bool is_open = true;
     bool is_other_data_centre = false;
+    /// The service's retry limit covers it; see work_request::retry_weight.
+    bool is_limited = false;
 };
 
 enum class phase : std::uint8_t
@@ -141,6 +143,7 @@
     reported_probabilities probability_reports;
     reported_statements statements;
     retry_budget budget;
+    retry_replies limited_replies;
     latency_histogram latency;
 };
 
