Forget failing calls after ten seconds without a failure

After the evidence was void, a single failure refused work again. The end of a run now clears the state first. The extended test failed before and passes; gcove_admission_test passes.

--- a/src/admission/failing_calls.cpp
+++ b/src/admission/failing_calls.cpp
@@ -59,6 +59,8 @@
                 time_point now)
 {
     bool const was_failing = outcomes.is_failing;
+    outcomes.is_failing =
+        was_failing && now - outcomes.last_failure <= max_evidence_age;
     outcomes.samples.push_back({now, has_failed});
     remove_old_samples(outcomes, now);
     if (has_failed)
--- a/src/admission/failing_calls_test.cpp
+++ b/src/admission/failing_calls_test.cpp
@@ -128,4 +128,7 @@
     CHECK(outcomes.is_failing);
     CHECK(check_calls(outcomes, now));
     CHECK_FALSE(check_calls(outcomes, now + 11s));
+    // A single failure later is no reason to stop again.
+    CHECK(record_run(outcomes, true, now + 11s, now + 11s));
+    CHECK_FALSE(check_calls(outcomes, now + 11s));
 }
