--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -4489,6 +4489,11 @@
 void AccountReport::__set_entries(const std::vector<AccountReportEntry> & val) {
   this->entries = val;
 }
+
+void AccountReport::__set_entitled(const int32_t val) {
+  this->entitled = val;
+__isset.entitled = true;
+}
 std::ostream& operator<<(std::ostream& out, const AccountReport& obj)
 {
   obj.printTo(out);
@@ -4585,6 +4590,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entitled);
+          this->__isset.entitled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4638,6 +4651,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.entitled) {
+    xfer += oprot->writeFieldBegin("entitled", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->entitled);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4652,6 +4670,7 @@
   swap(a.stamp, b.stamp);
   swap(a.lease_ms, b.lease_ms);
   swap(a.entries, b.entries);
+  swap(a.entitled, b.entitled);
   swap(a.__isset, b.__isset);
 }
 
@@ -4663,6 +4682,7 @@
   stamp = other106.stamp;
   lease_ms = other106.lease_ms;
   entries = other106.entries;
+  entitled = other106.entitled;
   __isset = other106.__isset;
 }
 AccountReport& AccountReport::operator=(const AccountReport& other107) {
@@ -4673,6 +4693,7 @@
   stamp = other107.stamp;
   lease_ms = other107.lease_ms;
   entries = other107.entries;
+  entitled = other107.entitled;
   __isset = other107.__isset;
   return *this;
 }
@@ -4686,6 +4707,7 @@
   out << ", " << "stamp=" << to_string(stamp);
   out << ", " << "lease_ms=" << to_string(lease_ms);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "entitled="; (__isset.entitled ? (out << to_string(entitled)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4893,6 +4915,11 @@
 void AccountGrant::__set_entries(const std::vector<AccountGrantEntry> & val) {
   this->entries = val;
 }
+
+void AccountGrant::__set_entitled(const int32_t val) {
+  this->entitled = val;
+__isset.entitled = true;
+}
 std::ostream& operator<<(std::ostream& out, const AccountGrant& obj)
 {
   obj.printTo(out);
@@ -4981,6 +5008,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entitled);
+          this->__isset.entitled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5030,6 +5065,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.entitled) {
+    xfer += oprot->writeFieldBegin("entitled", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->entitled);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5043,6 +5083,7 @@
   swap(a.number, b.number);
   swap(a.stamp, b.stamp);
   swap(a.entries, b.entries);
+  swap(a.entitled, b.entitled);
   swap(a.__isset, b.__isset);
 }
 
@@ -5053,6 +5094,7 @@
   number = other116.number;
   stamp = other116.stamp;
   entries = other116.entries;
+  entitled = other116.entitled;
   __isset = other116.__isset;
 }
 AccountGrant& AccountGrant::operator=(const AccountGrant& other117) {
@@ -5062,6 +5104,7 @@
   number = other117.number;
   stamp = other117.stamp;
   entries = other117.entries;
+  entitled = other117.entitled;
   __isset = other117.__isset;
   return *this;
 }
@@ -5074,6 +5117,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "stamp=" << to_string(stamp);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "entitled="; (__isset.entitled ? (out << to_string(entitled)) : (out << "<null>"));
   out << ")";
 }
 
