--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -239,6 +239,14 @@
     {
         on_status_update(duty.state, update, now, out);
     }
+    void operator()(members::service_view_ptr&& view) const
+    {
+        if (duty.state.services.contains(view->service))
+        {
+            std::string const service = view->service;
+            duty.state.views[service] = std::move(view);
+        }
+    }
     void operator()(shutdown_notice&& notice) const
     {
         on_shutdown_notice(duty.state, notice, now, out);
@@ -252,6 +260,7 @@
 {
     duty_state duty;
     duty.state.own_daemon = out.own_daemon;
+    duty.state.max_siblings = out.max_siblings;
     duty.state.started = clock_now();
     run_duty(
         requests,
--- a/src/admission/admission_thread.hpp
+++ b/src/admission/admission_thread.hpp
@@ -31,6 +31,8 @@
     retry_share* local_retry_share = nullptr;
     /// May be null.
     metrics* counts = nullptr;
+    /// See admission_state.
+    std::size_t max_siblings = 0;
 };
 
 /// Runs the duty until \p requests is closed and empty. The owner waits for the
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -1,6 +1,7 @@
 #include "refuse.hpp"
 
 #include "schedule.hpp"
+#include "siblings.hpp"
 
 namespace gooseberrycove::admission
 {
@@ -78,6 +79,10 @@
     work_result result = make_result(state, request, kind, run_outcome, now);
     result.status = error_response_for(kind).status;
     result.detail = reason;
+    auto const view = state.views.find(request.service);
+    if (view != state.views.end() && run_outcome == outcome::not_run)
+        result.siblings = find_spare_siblings(*view->second, state.own_daemon,
+                                              state.max_siblings, now);
     auto const server = state.servers.find(request.server);
     if (server != state.servers.end())
         result.retry_after = time_to_start(server->second.stated_limit,
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -122,6 +122,10 @@
     /// When the daemon ends, once its shutdown has begun.
     time_point shutdown_end = time_point::max();
     bool is_draining = false;
+    /// Servers of other homes that a refusal names; 0 names none.
+    std::size_t max_siblings = 0;
+    /// The last view of each service homed here.
+    std::map<std::string, members::service_view_ptr, std::less<>> views;
 };
 
 /// Result of an attempt and the daemon that receives it.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -155,13 +155,15 @@
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
         &counts, &retry_share, !values.text("headers", "account_key").empty(),
-        values.real("daemon", "cross_data_centre_cost")});
+        values.real("daemon", "cross_data_centre_cost"),
+        values.number("daemon", "refusal_siblings") > 0});
     claims_wiring = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, own_daemon, address,
                        peer_keys.current()});
     admission_wiring = std::make_unique<admission::wiring>(admission::wiring{
         &dispatch, &health, &members, &routing, &peer, &claims, own_daemon,
-        address, &work_in_flight, &retry_share, &counts});
+        address, &work_in_flight, &retry_share, &counts,
+        values.number("daemon", "refusal_siblings")});
     dispatch::server_http_options dialect;
     dialect.names = read_header_names(values);
     dialect.max_body_bytes = values.number("daemon", "max_body_bytes");
@@ -189,7 +191,8 @@
     members_wiring = std::make_unique<members::wiring>(
         members::wiring{&peer, &routing, &admission, &health, &config, &claims,
                         &store, record, values.addresses("daemon", "seeds"),
-                        own_daemon.id ^ own_daemon.incarnation, &counts});
+                        own_daemon.id ^ own_daemon.incarnation, &counts,
+                        values.number("daemon", "refusal_siblings") > 0});
     config_wiring = std::make_unique<config::wiring>(
         config::wiring{routing, admission, members, peer, store, record.address,
                        uses_row_store(values), is_ready, &counts});
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -131,6 +131,9 @@
                  "seconds that a request waits in its data centre rather than "
                  "send 1 MiB to another one; at 0 each request has the same "
                  "constant cost"),
+    number_setting("refusal_siblings", "0", 0, 16,
+                   "servers with free slots at other homes that a refusal of "
+                   "this daemon names"),
     optional_setting(
         "undelimited_answers", setting_type::boolean, "false",
         "whether an answer of a backend server may have no length and "
--- a/src/include/gooseberrycove/admission.hpp
+++ b/src/include/gooseberrycove/admission.hpp
@@ -52,7 +52,8 @@
 using message =
     std::variant<std::monostate, work_request, cancel, dispatch::finished,
                  members::homed_server, config::in_force, claims::fence,
-                 health::status_update, shutdown_notice, drain>;
+                 health::status_update, shutdown_notice, drain,
+                 members::service_view_ptr>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::admission
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -165,6 +166,8 @@
     bool is_home_alive = true;
     std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
+    /// When the home reported this load; unset before its first report.
+    std::optional<time_point> load_at;
 };
 
 /// Candidates of one service; sent whenever one of them changes.
--- a/src/include/gooseberrycove/work.hpp
+++ b/src/include/gooseberrycove/work.hpp
@@ -147,6 +147,17 @@
     duration start_wait{0};
 };
 
+/// Load of a server of another home, which a refusing home passes on.
+struct sibling_load
+{
+    std::string server;
+    daemon_ref home;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+    /// Time since the server's own home reported it.
+    duration age{0};
+};
+
 /// Result of one attempt.
 struct work_result
 {
@@ -170,6 +181,9 @@
     /// Status of the home's servers of this service, used by later choices.
     std::vector<server_status> statuses;
     daemon_ref home;
+    /// With a refusal: servers of the service at other homes that have free
+    /// slots.
+    std::vector<sibling_load> siblings;
 };
 
 } // namespace gooseberrycove
--- a/src/members/directory.cpp
+++ b/src/members/directory.cpp
@@ -256,6 +256,7 @@
     {
         entry.status_sequence = 0;
         entry.in_flight = entry.queued = 0;
+        entry.load_at = {};
     }
     entry.is_used = true;
     entry.home = record.home;
--- a/src/members/members_thread.cpp
+++ b/src/members/members_thread.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 namespace gooseberrycove::members
 {
@@ -16,6 +17,9 @@
 /// tick.
 constexpr duration metrics_period{1'000'000};
 
+/// Minimum time between views of a service for admission.
+constexpr duration admission_view_period{200'000};
+
 struct handler
 {
     membership_state& state;
@@ -71,6 +75,9 @@
 struct pending_messages
 {
     std::vector<service_view_ptr> views;
+    /// For admission, by service.
+    std::map<std::string, service_view_ptr> admission_views;
+    time_point next_admission_views;
     std::vector<homed_server> homed_changes;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
@@ -127,9 +134,37 @@
     append(pending.views, added);
 }
 
+/// Sends the last view of each service with a server homed here. A view that
+/// finds the ring full is dropped, because a later one replaces it.
+void send_admission_views(std::vector<service_view_ptr> const& views,
+                          pending_messages& pending, wiring const& setup,
+                          time_point now)
+{
+    if (!setup.sends_views_to_admission)
+        return;
+    for (service_view_ptr const& view : views)
+    {
+        if (std::ranges::any_of(view->candidates,
+                                [&](candidate const& one) {
+                                    return one.home == setup.own_record.daemon;
+                                }))
+            pending.admission_views[view->service] = view;
+    }
+    if (now < pending.next_admission_views || pending.admission_views.empty())
+        return;
+    pending.next_admission_views = now + admission_view_period;
+    for (auto& [service, view] : pending.admission_views)
+    {
+        if (!setup.admission->try_push(std::move(view)))
+            ++pending.dropped;
+    }
+    pending.admission_views.clear();
+}
+
 void perform_actions(actions& out, pending_messages& pending,
-                     inbox& members_inbox, wiring const& setup)
+                     inbox& members_inbox, wiring const& setup, time_point now)
 {
+    send_admission_views(out.views, pending, setup, now);
     for (event_line const& line : out.log)
         log_info(line);
     for (std::function<void()> const& reply : out.replies)
@@ -200,7 +235,7 @@
         [&](time_point now)
         {
             time_point const next = on_tick(state, now, out);
-            perform_actions(out, pending, requests, setup);
+            perform_actions(out, pending, requests, setup, now);
             out = actions{};
             log_dropped(pending);
             if (now >= next_metrics)
--- a/src/members/members_thread.hpp
+++ b/src/members/members_thread.hpp
@@ -34,6 +34,8 @@
     std::uint64_t seed = 0;
     /// May be null.
     metrics* counts = nullptr;
+    /// Views of services with a server homed here go to admission too.
+    bool sends_views_to_admission = false;
 };
 
 /// Runs until \p requests is closed.
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -106,6 +106,8 @@
     /// Start of the time without a live home, or of the state gone; else the
     /// time of the last change.
     time_point unavailable_since;
+    /// When the load was reported; the clock's zero before the first report.
+    time_point load_at;
     float score = 0;
     std::uint32_t service_id = no_name;
     std::uint32_t slots = 0;
--- a/src/members/status.cpp
+++ b/src/members/status.cpp
@@ -118,6 +118,7 @@
         status.sequence <= entry->status_sequence)
         return;
     entry->status_sequence = status.sequence;
+    entry->load_at = now;
     entry->in_flight = saturate(status.in_flight);
     entry->queued = saturate(status.queued);
     entry->score = static_cast<float>(status.score);
--- a/src/members/views.cpp
+++ b/src/members/views.cpp
@@ -24,6 +24,8 @@
     result.is_home_alive = entry.is_home_live && entry.is_home_usable;
     result.in_flight = entry.in_flight;
     result.queued = entry.queued;
+    if (entry.load_at != time_point())
+        result.load_at = entry.load_at;
     if (peer_record const* const home = find_record(state, entry.home.id))
     {
         result.home_address = home->address;
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -2,10 +2,12 @@
 #include "authenticate.hpp"
 #include "decisions.hpp"
 #include "finish.hpp"
+#include "loads.hpp"
 
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberrycove::routing
 {
@@ -301,7 +303,10 @@
 void on_service_view(routing_state& state, members::service_view const& view)
 {
     service_state& service = service_of(state, view.service);
-    service.candidates = view.candidates;
+    std::vector<members::candidate> const known =
+        std::exchange(service.candidates, view.candidates);
+    if (state.keeps_newer_loads)
+        keep_newer_loads(service.candidates, known);
     auto const is_unlisted = [&](auto const& report)
     {
         return std::ranges::none_of(view.candidates,
--- a/src/routing/results.cpp
+++ b/src/routing/results.cpp
@@ -1,6 +1,7 @@
 #include "attempts.hpp"
 #include "decisions.hpp"
 #include "finish.hpp"
+#include "loads.hpp"
 
 #include <algorithm>
 
@@ -26,6 +27,7 @@
             if (candidate.server != status.server ||
                 candidate.home != result.home)
                 continue;
+            candidate.load_at = now;
             candidate.in_flight = status.in_flight;
             candidate.queued = status.queued;
             candidate.health = status.health;
@@ -215,6 +217,8 @@
         return;
     }
     request_state& request = found->second;
+    apply_siblings(service_of(state, request.service).candidates,
+                   result.siblings, now);
     auto const attempt =
         std::find_if(request.attempts.begin(), request.attempts.end(),
                      [&](attempt_state const& item)
--- a/src/routing/retry_limit_test.cpp
+++ b/src/routing/retry_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "decisions.hpp"
+#include "loads.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -123,3 +124,32 @@
     CHECK(retry_room(replies, start + 900ms) == start + 1100ms);
     CHECK_FALSE(retry_room(replies, start + 1100ms));
 }
+
+TEST_CASE("a refusal's loads of siblings replace older ones only")
+{
+    // Guards against requests sent to servers that were free seconds ago, and
+    // against a directory whose older loads replace what a refusal told.
+    std::vector<members::candidate> candidates(3);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        candidates[i].server = "s" + std::to_string(i);
+        candidates[i].home = {i + 1, 1};
+        candidates[i].in_flight = 5;
+        candidates[i].load_at = start - 1s;
+    }
+    std::vector<members::candidate> const directory = candidates;
+    std::vector<sibling_load> const siblings{{"s0", {1, 1}, 1, 0, 200ms},
+                                             {"s1", {2, 1}, 1, 0, 1500ms},
+                                             {"s2", {3, 2}, 1, 0, 200ms}};
+    apply_siblings(candidates, siblings, start);
+    CHECK(candidates[0].in_flight == 1);
+    CHECK(candidates[1].in_flight == 5);
+    CHECK(candidates[2].in_flight == 5);
+    std::vector<members::candidate> next = directory;
+    keep_newer_loads(next, candidates);
+    CHECK(next[0].in_flight == 1);
+    next[0].load_at = start;
+    next[0].in_flight = 4;
+    keep_newer_loads(next, candidates);
+    CHECK(next[0].in_flight == 4);
+}
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -275,6 +275,7 @@
     state.own_address = links.own_address;
     state.data_centre = links.data_centre;
     state.cross_data_centre_cost = links.cross_data_centre_cost;
+    state.keeps_newer_loads = links.keeps_newer_loads;
     state.caller_service = links.caller_service;
     state.random.seed(links.own_daemon.id ^ links.own_daemon.incarnation);
     config::in_force in_force;
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -31,6 +31,7 @@
     bool finds_accounts_by_key = false;
     /// See routing_state.
     double cross_data_centre_cost = 0;
+    bool keeps_newer_loads = false;
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -155,6 +155,9 @@
     /// Seconds of waiting per MiB that would leave the data centre; 0 when the
     /// bytes have no price.
     double cross_data_centre_cost = 0;
+    /// Refusals carry loads of siblings, and a load that is newer than that of
+    /// the directory stays.
+    bool keeps_newer_loads = false;
     route_means_map route_answers;
     path_delays delays;
     /// Service of this VM's backend server, sent with each work request.
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -247,6 +247,8 @@
 config::delta from_gen(gen::Delta const& in);
 members::peer_record from_gen(gen::PeerRecord const& in);
 members::server_record from_gen(gen::ServerRecord const& in);
+gen::SiblingLoad to_gen(sibling_load const& value);
+sibling_load from_gen(gen::SiblingLoad const& in);
 
 template <class To, class From>
 std::vector<To> to_gen_all(std::vector<From> const& values)
@@ -268,6 +270,23 @@
     return out;
 }
 
+gen::SiblingLoad to_gen(sibling_load const& value)
+{
+    gen::SiblingLoad out;
+    out.server = value.server;
+    out.home = to_gen(value.home);
+    out.in_flight = static_cast<std::int32_t>(value.in_flight);
+    out.queued = static_cast<std::int32_t>(value.queued);
+    out.age_us = value.age.count();
+    return out;
+}
+
+sibling_load from_gen(gen::SiblingLoad const& in)
+{
+    return {in.server, from_gen(in.home), to_count(in.in_flight),
+            to_count(in.queued), to_wait(in.age_us)};
+}
+
 gen::WorkResult to_gen(work_result const& value)
 {
     gen::WorkResult out;
@@ -286,6 +305,8 @@
     out.headers = to_gen(value.headers);
     if (value.retry_after.count() > 0)
         out.__set_retry_after_us(value.retry_after.count());
+    if (!value.siblings.empty())
+        out.__set_siblings(to_gen_all<gen::SiblingLoad>(value.siblings));
     return out;
 }
 
@@ -306,6 +327,7 @@
     out.home = from_gen(in.home);
     out.headers = from_gen(in.headers);
     out.retry_after = to_wait(in.retry_after_us);
+    out.siblings = from_gen_all<sibling_load>(in.siblings);
     return out;
 }
 
--- a/src/wire/gen-cpp/peer_types.cpp
+++ b/src/wire/gen-cpp/peer_types.cpp
@@ -1532,6 +1532,178 @@
 }
 
 
+SiblingLoad::~SiblingLoad() noexcept {
+}
+
+
+void SiblingLoad::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void SiblingLoad::__set_home(const Daemon& val) {
+  this->home = val;
+}
+
+void SiblingLoad::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void SiblingLoad::__set_queued(const int32_t val) {
+  this->queued = val;
+}
+
+void SiblingLoad::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const SiblingLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SiblingLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->home.read(iprot);
+          this->__isset.home = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SiblingLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SiblingLoad");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("home", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->home.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SiblingLoad &a, SiblingLoad &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.home, b.home);
+  swap(a.in_flight, b.in_flight);
+  swap(a.queued, b.queued);
+  swap(a.age_us, b.age_us);
+  swap(a.__isset, b.__isset);
+}
+
+SiblingLoad::SiblingLoad(const SiblingLoad& other18) {
+  server = other18.server;
+  home = other18.home;
+  in_flight = other18.in_flight;
+  queued = other18.queued;
+  age_us = other18.age_us;
+  __isset = other18.__isset;
+}
+SiblingLoad& SiblingLoad::operator=(const SiblingLoad& other19) {
+  server = other19.server;
+  home = other19.home;
+  in_flight = other19.in_flight;
+  queued = other19.queued;
+  age_us = other19.age_us;
+  __isset = other19.__isset;
+  return *this;
+}
+void SiblingLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SiblingLoad(";
+  out << "server=" << to_string(server);
+  out << ", " << "home=" << to_string(home);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "queued=" << to_string(queued);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ")";
+}
+
+
 WorkResult::~WorkResult() noexcept {
 }
 
@@ -1596,6 +1768,11 @@
   this->retry_after_us = val;
 __isset.retry_after_us = true;
 }
+
+void WorkResult::__set_siblings(const std::vector<SiblingLoad> & val) {
+  this->siblings = val;
+__isset.siblings = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkResult& obj)
 {
   obj.printTo(out);
@@ -1716,14 +1893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->statuses.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->statuses.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->statuses[_i22].read(iprot);
+              xfer += this->statuses[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1744,14 +1921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->headers.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->headers.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->headers[_i27].read(iprot);
+              xfer += this->headers[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1768,6 +1945,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->siblings.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->siblings.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->siblings[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.siblings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1832,10 +2029,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter28;
-    for (_iter28 = this->statuses.begin(); _iter28 != this->statuses.end(); ++_iter28)
+    std::vector<ServerStatus> ::const_iterator _iter35;
+    for (_iter35 = this->statuses.begin(); _iter35 != this->statuses.end(); ++_iter35)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1848,10 +2045,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HeaderField> ::const_iterator _iter29;
-    for (_iter29 = this->headers.begin(); _iter29 != this->headers.end(); ++_iter29)
+    std::vector<HeaderField> ::const_iterator _iter36;
+    for (_iter36 = this->headers.begin(); _iter36 != this->headers.end(); ++_iter36)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1862,6 +2059,19 @@
     xfer += oprot->writeI64(this->retry_after_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.siblings) {
+    xfer += oprot->writeFieldBegin("siblings", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->siblings.size()));
+      std::vector<SiblingLoad> ::const_iterator _iter37;
+      for (_iter37 = this->siblings.begin(); _iter37 != this->siblings.end(); ++_iter37)
+      {
+        xfer += (*_iter37).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1884,44 +2094,47 @@
   swap(a.home, b.home);
   swap(a.headers, b.headers);
   swap(a.retry_after_us, b.retry_after_us);
+  swap(a.siblings, b.siblings);
   swap(a.__isset, b.__isset);
 }
 
-WorkResult::WorkResult(const WorkResult& other30) {
-  id_high = other30.id_high;
-  id_low = other30.id_low;
-  attempt = other30.attempt;
-  kind = other30.kind;
-  outcome = other30.outcome;
-  status = other30.status;
-  content_type = other30.content_type;
-  body = other30.body;
-  server = other30.server;
-  detail = other30.detail;
-  service_time_us = other30.service_time_us;
-  statuses = other30.statuses;
-  home = other30.home;
-  headers = other30.headers;
-  retry_after_us = other30.retry_after_us;
-  __isset = other30.__isset;
-}
-WorkResult& WorkResult::operator=(const WorkResult& other31) {
-  id_high = other31.id_high;
-  id_low = other31.id_low;
-  attempt = other31.attempt;
-  kind = other31.kind;
-  outcome = other31.outcome;
-  status = other31.status;
-  content_type = other31.content_type;
-  body = other31.body;
-  server = other31.server;
-  detail = other31.detail;
-  service_time_us = other31.service_time_us;
-  statuses = other31.statuses;
-  home = other31.home;
-  headers = other31.headers;
-  retry_after_us = other31.retry_after_us;
-  __isset = other31.__isset;
+WorkResult::WorkResult(const WorkResult& other38) {
+  id_high = other38.id_high;
+  id_low = other38.id_low;
+  attempt = other38.attempt;
+  kind = other38.kind;
+  outcome = other38.outcome;
+  status = other38.status;
+  content_type = other38.content_type;
+  body = other38.body;
+  server = other38.server;
+  detail = other38.detail;
+  service_time_us = other38.service_time_us;
+  statuses = other38.statuses;
+  home = other38.home;
+  headers = other38.headers;
+  retry_after_us = other38.retry_after_us;
+  siblings = other38.siblings;
+  __isset = other38.__isset;
+}
+WorkResult& WorkResult::operator=(const WorkResult& other39) {
+  id_high = other39.id_high;
+  id_low = other39.id_low;
+  attempt = other39.attempt;
+  kind = other39.kind;
+  outcome = other39.outcome;
+  status = other39.status;
+  content_type = other39.content_type;
+  body = other39.body;
+  server = other39.server;
+  detail = other39.detail;
+  service_time_us = other39.service_time_us;
+  statuses = other39.statuses;
+  home = other39.home;
+  headers = other39.headers;
+  retry_after_us = other39.retry_after_us;
+  siblings = other39.siblings;
+  __isset = other39.__isset;
   return *this;
 }
 void WorkResult::printTo(std::ostream& out) const {
@@ -1942,6 +2155,7 @@
   out << ", " << "home=" << to_string(home);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
+  out << ", " << "siblings="; (__isset.siblings ? (out << to_string(siblings)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2089,21 +2303,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other32) noexcept {
-  id_high = other32.id_high;
-  id_low = other32.id_low;
-  attempt = other32.attempt;
-  origin = other32.origin;
-  queued_only = other32.queued_only;
-  __isset = other32.__isset;
-}
-Cancel& Cancel::operator=(const Cancel& other33) noexcept {
-  id_high = other33.id_high;
-  id_low = other33.id_low;
-  attempt = other33.attempt;
-  origin = other33.origin;
-  queued_only = other33.queued_only;
-  __isset = other33.__isset;
+Cancel::Cancel(const Cancel& other40) noexcept {
+  id_high = other40.id_high;
+  id_low = other40.id_low;
+  attempt = other40.attempt;
+  origin = other40.origin;
+  queued_only = other40.queued_only;
+  __isset = other40.__isset;
+}
+Cancel& Cancel::operator=(const Cancel& other41) noexcept {
+  id_high = other41.id_high;
+  id_low = other41.id_low;
+  attempt = other41.attempt;
+  origin = other41.origin;
+  queued_only = other41.queued_only;
+  __isset = other41.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2244,19 +2458,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Fence::Fence(const Fence& other34) {
-  claim = other34.claim;
-  home = other34.home;
-  sender = other34.sender;
-  sender_address = other34.sender_address;
-  __isset = other34.__isset;
+Fence::Fence(const Fence& other42) {
+  claim = other42.claim;
+  home = other42.home;
+  sender = other42.sender;
+  sender_address = other42.sender_address;
+  __isset = other42.__isset;
 }
-Fence& Fence::operator=(const Fence& other35) {
-  claim = other35.claim;
-  home = other35.home;
-  sender = other35.sender;
-  sender_address = other35.sender_address;
-  __isset = other35.__isset;
+Fence& Fence::operator=(const Fence& other43) {
+  claim = other43.claim;
+  home = other43.home;
+  sender = other43.sender;
+  sender_address = other43.sender_address;
+  __isset = other43.__isset;
   return *this;
 }
 void Fence::printTo(std::ostream& out) const {
@@ -2396,19 +2610,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceAnswer::FenceAnswer(const FenceAnswer& other36) {
-  claim = other36.claim;
-  home = other36.home;
-  state = other36.state;
-  result = other36.result;
-  __isset = other36.__isset;
+FenceAnswer::FenceAnswer(const FenceAnswer& other44) {
+  claim = other44.claim;
+  home = other44.home;
+  state = other44.state;
+  result = other44.result;
+  __isset = other44.__isset;
 }
-FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other37) {
-  claim = other37.claim;
-  home = other37.home;
-  state = other37.state;
-  result = other37.result;
-  __isset = other37.__isset;
+FenceAnswer& FenceAnswer::operator=(const FenceAnswer& other45) {
+  claim = other45.claim;
+  home = other45.home;
+  state = other45.state;
+  result = other45.result;
+  __isset = other45.__isset;
   return *this;
 }
 void FenceAnswer::printTo(std::ostream& out) const {
@@ -2514,15 +2728,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other38) {
-  sender_address = other38.sender_address;
-  after = other38.after;
-  __isset = other38.__isset;
+Pull::Pull(const Pull& other46) {
+  sender_address = other46.sender_address;
+  after = other46.after;
+  __isset = other46.__isset;
 }
-Pull& Pull::operator=(const Pull& other39) {
-  sender_address = other39.sender_address;
-  after = other39.after;
-  __isset = other39.__isset;
+Pull& Pull::operator=(const Pull& other47) {
+  sender_address = other47.sender_address;
+  after = other47.after;
+  __isset = other47.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -2660,19 +2874,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Delta::Delta(const Delta& other40) {
-  version = other40.version;
-  patch_id = other40.patch_id;
-  author = other40.author;
-  patch = other40.patch;
-  __isset = other40.__isset;
+Delta::Delta(const Delta& other48) {
+  version = other48.version;
+  patch_id = other48.patch_id;
+  author = other48.author;
+  patch = other48.patch;
+  __isset = other48.__isset;
 }
-Delta& Delta::operator=(const Delta& other41) {
-  version = other41.version;
-  patch_id = other41.patch_id;
-  author = other41.author;
-  patch = other41.patch;
-  __isset = other41.__isset;
+Delta& Delta::operator=(const Delta& other49) {
+  version = other49.version;
+  patch_id = other49.patch_id;
+  author = other49.author;
+  patch = other49.patch;
+  __isset = other49.__isset;
   return *this;
 }
 void Delta::printTo(std::ostream& out) const {
@@ -2761,14 +2975,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->entries.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->entries.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->entries[_i46].read(iprot);
+              xfer += this->entries[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2809,10 +3023,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<Delta> ::const_iterator _iter47;
-    for (_iter47 = this->entries.begin(); _iter47 != this->entries.end(); ++_iter47)
+    std::vector<Delta> ::const_iterator _iter55;
+    for (_iter55 = this->entries.begin(); _iter55 != this->entries.end(); ++_iter55)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2832,19 +3046,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Deltas::Deltas(const Deltas& other48) {
-  sender_address = other48.sender_address;
-  snapshot_version = other48.snapshot_version;
-  snapshot = other48.snapshot;
-  entries = other48.entries;
-  __isset = other48.__isset;
+Deltas::Deltas(const Deltas& other56) {
+  sender_address = other56.sender_address;
+  snapshot_version = other56.snapshot_version;
+  snapshot = other56.snapshot;
+  entries = other56.entries;
+  __isset = other56.__isset;
 }
-Deltas& Deltas::operator=(const Deltas& other49) {
-  sender_address = other49.sender_address;
-  snapshot_version = other49.snapshot_version;
-  snapshot = other49.snapshot;
-  entries = other49.entries;
-  __isset = other49.__isset;
+Deltas& Deltas::operator=(const Deltas& other57) {
+  sender_address = other57.sender_address;
+  snapshot_version = other57.snapshot_version;
+  snapshot = other57.snapshot;
+  entries = other57.entries;
+  __isset = other57.__isset;
   return *this;
 }
 void Deltas::printTo(std::ostream& out) const {
@@ -2950,15 +3164,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerVersion::PeerVersion(const PeerVersion& other50) {
-  address = other50.address;
-  version = other50.version;
-  __isset = other50.__isset;
+PeerVersion::PeerVersion(const PeerVersion& other58) {
+  address = other58.address;
+  version = other58.version;
+  __isset = other58.__isset;
 }
-PeerVersion& PeerVersion::operator=(const PeerVersion& other51) {
-  address = other51.address;
-  version = other51.version;
-  __isset = other51.__isset;
+PeerVersion& PeerVersion::operator=(const PeerVersion& other59) {
+  address = other59.address;
+  version = other59.version;
+  __isset = other59.__isset;
   return *this;
 }
 void PeerVersion::printTo(std::ostream& out) const {
@@ -3164,27 +3378,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRecord::PeerRecord(const PeerRecord& other52) {
-  daemon = other52.daemon;
-  name = other52.name;
-  data_centre = other52.data_centre;
-  address = other52.address;
-  admin_address = other52.admin_address;
-  state = other52.state;
-  refutation = other52.refutation;
-  config_version = other52.config_version;
-  __isset = other52.__isset;
-}
-PeerRecord& PeerRecord::operator=(const PeerRecord& other53) {
-  daemon = other53.daemon;
-  name = other53.name;
-  data_centre = other53.data_centre;
-  address = other53.address;
-  admin_address = other53.admin_address;
-  state = other53.state;
-  refutation = other53.refutation;
-  config_version = other53.config_version;
-  __isset = other53.__isset;
+PeerRecord::PeerRecord(const PeerRecord& other60) {
+  daemon = other60.daemon;
+  name = other60.name;
+  data_centre = other60.data_centre;
+  address = other60.address;
+  admin_address = other60.admin_address;
+  state = other60.state;
+  refutation = other60.refutation;
+  config_version = other60.config_version;
+  __isset = other60.__isset;
+}
+PeerRecord& PeerRecord::operator=(const PeerRecord& other61) {
+  daemon = other61.daemon;
+  name = other61.name;
+  data_centre = other61.data_centre;
+  address = other61.address;
+  admin_address = other61.admin_address;
+  state = other61.state;
+  refutation = other61.refutation;
+  config_version = other61.config_version;
+  __isset = other61.__isset;
   return *this;
 }
 void PeerRecord::printTo(std::ostream& out) const {
@@ -3451,33 +3665,33 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other54) {
-  server = other54.server;
-  service_name = other54.service_name;
-  slots = other54.slots;
-  state = other54.state;
-  health = other54.health;
-  score = other54.score;
-  home = other54.home;
-  sequence = other54.sequence;
-  drains = other54.drains;
-  server_incarnation = other54.server_incarnation;
-  announcement_sequence = other54.announcement_sequence;
-  __isset = other54.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other55) {
-  server = other55.server;
-  service_name = other55.service_name;
-  slots = other55.slots;
-  state = other55.state;
-  health = other55.health;
-  score = other55.score;
-  home = other55.home;
-  sequence = other55.sequence;
-  drains = other55.drains;
-  server_incarnation = other55.server_incarnation;
-  announcement_sequence = other55.announcement_sequence;
-  __isset = other55.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other62) {
+  server = other62.server;
+  service_name = other62.service_name;
+  slots = other62.slots;
+  state = other62.state;
+  health = other62.health;
+  score = other62.score;
+  home = other62.home;
+  sequence = other62.sequence;
+  drains = other62.drains;
+  server_incarnation = other62.server_incarnation;
+  announcement_sequence = other62.announcement_sequence;
+  __isset = other62.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other63) {
+  server = other63.server;
+  service_name = other63.service_name;
+  slots = other63.slots;
+  state = other63.state;
+  health = other63.health;
+  score = other63.score;
+  home = other63.home;
+  sequence = other63.sequence;
+  drains = other63.drains;
+  server_incarnation = other63.server_incarnation;
+  announcement_sequence = other63.announcement_sequence;
+  __isset = other63.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -3593,14 +3807,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->peers.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->peers.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->peers[_i60].read(iprot);
+              xfer += this->peers[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3613,14 +3827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->servers.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->servers.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->servers[_i65].read(iprot);
+              xfer += this->servers[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3633,14 +3847,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->buckets.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->buckets.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readI32(this->buckets[_i70]);
+              xfer += iprot->readI32(this->buckets[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3685,10 +3899,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter71;
-    for (_iter71 = this->peers.begin(); _iter71 != this->peers.end(); ++_iter71)
+    std::vector<PeerRecord> ::const_iterator _iter79;
+    for (_iter79 = this->peers.begin(); _iter79 != this->peers.end(); ++_iter79)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3697,10 +3911,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter72;
-    for (_iter72 = this->servers.begin(); _iter72 != this->servers.end(); ++_iter72)
+    std::vector<ServerRecord> ::const_iterator _iter80;
+    for (_iter80 = this->servers.begin(); _iter80 != this->servers.end(); ++_iter80)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3709,10 +3923,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter73;
-    for (_iter73 = this->buckets.begin(); _iter73 != this->buckets.end(); ++_iter73)
+    std::vector<int32_t> ::const_iterator _iter81;
+    for (_iter81 = this->buckets.begin(); _iter81 != this->buckets.end(); ++_iter81)
     {
-      xfer += oprot->writeI32((*_iter73));
+      xfer += oprot->writeI32((*_iter81));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3735,25 +3949,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Sync::Sync(const Sync& other74) {
-  sender = other74.sender;
-  sender_address = other74.sender_address;
-  reply_wanted = other74.reply_wanted;
-  digest = other74.digest;
-  peers = other74.peers;
-  servers = other74.servers;
-  buckets = other74.buckets;
-  __isset = other74.__isset;
-}
-Sync& Sync::operator=(const Sync& other75) {
-  sender = other75.sender;
-  sender_address = other75.sender_address;
-  reply_wanted = other75.reply_wanted;
-  digest = other75.digest;
-  peers = other75.peers;
-  servers = other75.servers;
-  buckets = other75.buckets;
-  __isset = other75.__isset;
+Sync::Sync(const Sync& other82) {
+  sender = other82.sender;
+  sender_address = other82.sender_address;
+  reply_wanted = other82.reply_wanted;
+  digest = other82.digest;
+  peers = other82.peers;
+  servers = other82.servers;
+  buckets = other82.buckets;
+  __isset = other82.__isset;
+}
+Sync& Sync::operator=(const Sync& other83) {
+  sender = other83.sender;
+  sender_address = other83.sender_address;
+  reply_wanted = other83.reply_wanted;
+  digest = other83.digest;
+  peers = other83.peers;
+  servers = other83.servers;
+  buckets = other83.buckets;
+  __isset = other83.__isset;
   return *this;
 }
 void Sync::printTo(std::ostream& out) const {
@@ -3889,14 +4103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->peers.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->peers.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->peers[_i80].read(iprot);
+              xfer += this->peers[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3909,14 +4123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->servers.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->servers.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->servers[_i85].read(iprot);
+              xfer += this->servers[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3929,14 +4143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statuses.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->statuses.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->statuses.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->statuses[_i90].read(iprot);
+              xfer += this->statuses[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3989,10 +4203,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerRecord> ::const_iterator _iter91;
-    for (_iter91 = this->peers.begin(); _iter91 != this->peers.end(); ++_iter91)
+    std::vector<PeerRecord> ::const_iterator _iter99;
+    for (_iter99 = this->peers.begin(); _iter99 != this->peers.end(); ++_iter99)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4001,10 +4215,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter92;
-    for (_iter92 = this->servers.begin(); _iter92 != this->servers.end(); ++_iter92)
+    std::vector<ServerRecord> ::const_iterator _iter100;
+    for (_iter100 = this->servers.begin(); _iter100 != this->servers.end(); ++_iter100)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4013,10 +4227,10 @@
   xfer += oprot->writeFieldBegin("statuses", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statuses.size()));
-    std::vector<ServerStatus> ::const_iterator _iter93;
-    for (_iter93 = this->statuses.begin(); _iter93 != this->statuses.end(); ++_iter93)
+    std::vector<ServerStatus> ::const_iterator _iter101;
+    for (_iter101 = this->statuses.begin(); _iter101 != this->statuses.end(); ++_iter101)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4041,29 +4255,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Packet::Packet(const Packet& other94) {
-  kind = other94.kind;
-  sender = other94.sender;
-  sender_address = other94.sender_address;
-  number = other94.number;
-  probe_address = other94.probe_address;
-  config_version = other94.config_version;
-  peers = other94.peers;
-  servers = other94.servers;
-  statuses = other94.statuses;
-  __isset = other94.__isset;
-}
-Packet& Packet::operator=(const Packet& other95) {
-  kind = other95.kind;
-  sender = other95.sender;
-  sender_address = other95.sender_address;
-  number = other95.number;
-  probe_address = other95.probe_address;
-  config_version = other95.config_version;
-  peers = other95.peers;
-  servers = other95.servers;
-  statuses = other95.statuses;
-  __isset = other95.__isset;
+Packet::Packet(const Packet& other102) {
+  kind = other102.kind;
+  sender = other102.sender;
+  sender_address = other102.sender_address;
+  number = other102.number;
+  probe_address = other102.probe_address;
+  config_version = other102.config_version;
+  peers = other102.peers;
+  servers = other102.servers;
+  statuses = other102.statuses;
+  __isset = other102.__isset;
+}
+Packet& Packet::operator=(const Packet& other103) {
+  kind = other103.kind;
+  sender = other103.sender;
+  sender_address = other103.sender_address;
+  number = other103.number;
+  probe_address = other103.probe_address;
+  config_version = other103.config_version;
+  peers = other103.peers;
+  servers = other103.servers;
+  statuses = other103.statuses;
+  __isset = other103.__isset;
   return *this;
 }
 void Packet::printTo(std::ostream& out) const {
@@ -4174,15 +4388,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PathCheck::PathCheck(const PathCheck& other96) noexcept {
-  number = other96.number;
-  answer = other96.answer;
-  __isset = other96.__isset;
+PathCheck::PathCheck(const PathCheck& other104) noexcept {
+  number = other104.number;
+  answer = other104.answer;
+  __isset = other104.__isset;
 }
-PathCheck& PathCheck::operator=(const PathCheck& other97) noexcept {
-  number = other97.number;
-  answer = other97.answer;
-  __isset = other97.__isset;
+PathCheck& PathCheck::operator=(const PathCheck& other105) noexcept {
+  number = other105.number;
+  answer = other105.answer;
+  __isset = other105.__isset;
   return *this;
 }
 void PathCheck::printTo(std::ostream& out) const {
@@ -4478,35 +4692,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other98) {
-  sender = other98.sender;
-  work = other98.work;
-  work_result = other98.work_result;
-  cancel = other98.cancel;
-  fence = other98.fence;
-  fence_answer = other98.fence_answer;
-  pull = other98.pull;
-  deltas = other98.deltas;
-  peer_version = other98.peer_version;
-  sync = other98.sync;
-  packet = other98.packet;
-  path_check = other98.path_check;
-  __isset = other98.__isset;
-}
-Message& Message::operator=(const Message& other99) {
-  sender = other99.sender;
-  work = other99.work;
-  work_result = other99.work_result;
-  cancel = other99.cancel;
-  fence = other99.fence;
-  fence_answer = other99.fence_answer;
-  pull = other99.pull;
-  deltas = other99.deltas;
-  peer_version = other99.peer_version;
-  sync = other99.sync;
-  packet = other99.packet;
-  path_check = other99.path_check;
-  __isset = other99.__isset;
+Message::Message(const Message& other106) {
+  sender = other106.sender;
+  work = other106.work;
+  work_result = other106.work_result;
+  cancel = other106.cancel;
+  fence = other106.fence;
+  fence_answer = other106.fence_answer;
+  pull = other106.pull;
+  deltas = other106.deltas;
+  peer_version = other106.peer_version;
+  sync = other106.sync;
+  packet = other106.packet;
+  path_check = other106.path_check;
+  __isset = other106.__isset;
+}
+Message& Message::operator=(const Message& other107) {
+  sender = other107.sender;
+  work = other107.work;
+  work_result = other107.work_result;
+  cancel = other107.cancel;
+  fence = other107.fence;
+  fence_answer = other107.fence_answer;
+  pull = other107.pull;
+  deltas = other107.deltas;
+  peer_version = other107.peer_version;
+  sync = other107.sync;
+  packet = other107.packet;
+  path_check = other107.path_check;
+  __isset = other107.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -33,6 +33,8 @@
 
 class ServerStatus;
 
+class SiblingLoad;
+
 class WorkResult;
 
 class Cancel;
@@ -648,8 +650,78 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj);
 
+typedef struct _SiblingLoad__isset {
+  _SiblingLoad__isset() : server(false), home(false), in_flight(false), queued(false), age_us(false) {}
+  bool server :1;
+  bool home :1;
+  bool in_flight :1;
+  bool queued :1;
+  bool age_us :1;
+} _SiblingLoad__isset;
+
+class SiblingLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  SiblingLoad(const SiblingLoad&);
+  SiblingLoad& operator=(const SiblingLoad&);
+  SiblingLoad() noexcept
+              : server(),
+                in_flight(0),
+                queued(0),
+                age_us(0) {
+  }
+
+  virtual ~SiblingLoad() noexcept;
+  std::string server;
+  Daemon home;
+  int32_t in_flight;
+  int32_t queued;
+  int64_t age_us;
+
+  _SiblingLoad__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_home(const Daemon& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const SiblingLoad & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(home == rhs.home))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const SiblingLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SiblingLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SiblingLoad &a, SiblingLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const SiblingLoad& obj);
+
 typedef struct _WorkResult__isset {
-  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false) {}
+  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false), siblings(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -665,6 +737,7 @@
   bool home :1;
   bool headers :1;
   bool retry_after_us :1;
+  bool siblings :1;
 } _WorkResult__isset;
 
 class WorkResult : public virtual ::apache::thrift::TBase {
@@ -703,6 +776,7 @@
   Daemon home;
   std::vector<HeaderField>  headers;
   int64_t retry_after_us;
+  std::vector<SiblingLoad>  siblings;
 
   _WorkResult__isset __isset;
 
@@ -736,6 +810,8 @@
 
   void __set_retry_after_us(const int64_t val);
 
+  void __set_siblings(const std::vector<SiblingLoad> & val);
+
   bool operator == (const WorkResult & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -770,6 +846,10 @@
       return false;
     else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
       return false;
+    if (__isset.siblings != rhs.__isset.siblings)
+      return false;
+    else if (__isset.siblings && !(siblings == rhs.siblings))
+      return false;
     return true;
   }
   bool operator != (const WorkResult &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -74,6 +74,14 @@
   14: optional i64 start_wait_us
 }
 
+struct SiblingLoad {
+  1: string server
+  2: Daemon home
+  3: i32 in_flight
+  4: i32 queued
+  5: i64 age_us
+}
+
 struct WorkResult {
   1: i64 id_high
   2: i64 id_low
@@ -90,6 +98,7 @@
   13: Daemon home
   14: list<HeaderField> headers
   15: optional i64 retry_after_us
+  16: optional list<SiblingLoad> siblings
 }
 
 struct Cancel {
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -73,6 +73,7 @@
 {
     work_result result;
     result.retry_after = duration(2500);
+    result.siblings = {{"s9", {3, 4}, 2, 1, duration(700)}};
     result.statuses.resize(2);
     result.statuses[0].statement = {true, 9, 0, false};
     result.statuses[0].start_wait = duration(1500);
@@ -80,6 +81,12 @@
     auto const decoded = wire::decode(frame, keys, now);
     auto const& received = std::get<work_result>(decoded.content);
     CHECK(received.retry_after == duration(2500));
+    REQUIRE(received.siblings.size() == 1);
+    CHECK(received.siblings[0].server == "s9");
+    CHECK(received.siblings[0].home == daemon_ref{3, 4});
+    CHECK(received.siblings[0].in_flight == 2);
+    CHECK(received.siblings[0].queued == 1);
+    CHECK(received.siblings[0].age == duration(700));
     CHECK(received.statuses[0].statement.is_known);
     CHECK(received.statuses[0].statement.incarnation == 9);
     CHECK(received.statuses[0].start_wait == duration(1500));
