--- a/src/members/members_thread.hpp
+++ b/src/members/members_thread.hpp
@@ -36,6 +36,8 @@
     metrics* counts = nullptr;
     /// Null when accounts are not limited across daemons.
     account_limit::inbox* account_limit = nullptr;
+    /// Views of services with a server homed here go to admission too.
+    bool sends_views_to_admission = false;
 };
 
 /// Runs until \p requests is closed.
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -33,6 +33,7 @@
     double cross_data_centre_cost = 0;
     /// Null when accounts are not limited across daemons.
     account_limit::inbox* account_limit = nullptr;
+    bool keeps_newer_loads = false;
 };
 
 /// Runs until \p messages is closed and empty.
