Stop counting a daemon that has left

Cause: a daemon that was leaving counted for a further 60 s after members had dropped it, as if it had died, and the others had less of each limit.

Change: a daemon whose last state was leaving is no longer entitled when it is not listed any more.

Measured: tests of account_limit and testsuite/account_limits pass.

--- a/src/account_limit/entitlement.cpp
+++ b/src/account_limit/entitlement.cpp
@@ -49,8 +49,9 @@
     ++state.fleet_version;
     for (auto& [id, known] : state.daemons)
     {
+        // One that was leaving has ended and does not count as dead.
         if (known.is_listed)
-            known.last_listed = now;
+            known.last_listed = known.member.is_live ? now : now - dead_time;
         known.is_listed = false;
         known.member.is_live = false;
     }
--- a/src/account_limit/simulation_test.cpp
+++ b/src/account_limit/simulation_test.cpp
@@ -148,6 +148,19 @@
     CHECK(static_cast<double>(fleet.most_in_window()) <= bound(50, 50));
 }
 
+// Guards against daemons that are counted for too short or too long a time.
+TEST_CASE("A dead daemon counts for 60 s, one that was leaving does not")
+{
+    bool const is_leaving = GENERATE(false, true);
+    time_point const now{seconds(1000)};
+    limit_state state = make_state({1, 1}, "1", now);
+    on_fleet(state, {true, {{{2, 1}, "2", !is_leaving}}}, now);
+    CHECK(count_entitled(state, now + seconds(100)) == 2);
+    on_fleet(state, {true, {}}, now + seconds(100));
+    CHECK(count_entitled(state, now + seconds(159)) == (is_leaving ? 1 : 2));
+    CHECK(count_entitled(state, now + seconds(161)) == 1);
+}
+
 // Guards against a fleet of one daemon that never uses its limit.
 TEST_CASE("A daemon alone uses the whole limit")
 {
