Reset positions in the store when it is restored from a copy

Cause: versions fall and are assigned again, and rows that daemons wrote are gone. A watch could miss changes, lost patches stayed lost, and a claim that was acknowledged could be granted a second time. Change: replies carry the era of the header Store-Era. Each duty compares it and resets its positions: the document is read anew, watches end at random times, lost patches, rendezvous rows and claims are written again, and claims pause for 40 s. Claim rows tell the era and version of their grant. A claim of an earlier era is released only by the fences of its homes. A patch whose base came into force while the head was read is validated before it is written; it was written without tables before. Not run on processes.

--- a/src/claims/claim.cpp
+++ b/src/claims/claim.cpp
@@ -49,6 +49,11 @@
                  time_point now, actions& out)
 {
     job.row_version = version;
+    if (is_paused(state, now))
+    {
+        job.has_uncertain_write = true;
+        return abandon(state, job, now, out);
+    }
     if (now >= job.request.deadline)
     {
         send_refusal(job, error_kind::deadline_unmet,
@@ -57,6 +62,9 @@
         return finish_job(state, job, now, out);
     }
     job.phase = job_phase::running;
+    job.granted_restores = state.restores;
+    job.own_row.era = state.era.era;
+    job.own_row.granted_version = version;
     job.has_uncertain_write = false;
     job.retries = 0;
     claim_result result;
@@ -102,6 +110,9 @@
         send_refusal(job, error_kind::in_progress, "", out);
         return finish_job(state, job, now, out);
     }
+    // A takeover of this claim may be lost until its daemon writes it again.
+    if (is_paused(state, now))
+        return abandon(state, job, now, out);
     job.fenced_row = *found;
     job.row_version = row.version;
     job.phase = job_phase::fencing;
@@ -145,7 +156,8 @@
 {
     if (reply.result == store::status::ok && !reply.rows.empty())
         return evaluate_row(state, job, reply.rows.front(), now, out);
-    if (is_too_late(state, job, now))
+    if (is_too_late(state, job, now) ||
+        (reply.result == store::status::not_found && is_paused(state, now)))
         return abandon(state, job, now, out);
     if (reply.result != store::status::not_found)
         return schedule_retry(state, job, now);
@@ -181,6 +193,9 @@
 void insert_row(claims_state& state, claim_job& job, time_point now,
                 actions& out)
 {
+    // Recorded responses are replayed meanwhile.
+    if (is_paused(state, now))
+        return start_read_back(state, job, now, out);
     job.phase = job_phase::inserting;
     write_row(state, job, 0, now, out);
 }
@@ -188,6 +203,8 @@
 void write_takeover(claims_state& state, claim_job& job, time_point now,
                     actions& out)
 {
+    if (is_paused(state, now))
+        return abandon(state, job, now, out);
     if (job.own_row.id != job.fenced_row.id ||
         job.own_row.epoch != job.fenced_row.epoch + 1)
     {
--- a/src/claims/claims_thread.cpp
+++ b/src/claims/claims_thread.cpp
@@ -42,6 +42,10 @@
     {
         on_state_request(state, request, now, out);
     }
+    void operator()(store_era const& seen) const
+    {
+        on_store_era(state, seen, now, out);
+    }
     void operator()(store::reply const& reply) const
     {
         on_store_reply(state, reply, now, out);
--- a/src/claims/fencing.cpp
+++ b/src/claims/fencing.cpp
@@ -57,6 +57,8 @@
                         time_point now, actions& out)
 {
     claim_row finished_row = row;
+    if (finished_row.granted_version == 0)
+        finished_row.granted_version = job.row_version;
     finished_row.is_done = true;
     finished_row.result = result;
     job.own_row = std::move(finished_row);
--- a/src/claims/job.cpp
+++ b/src/claims/job.cpp
@@ -41,6 +41,7 @@
     call.op = std::move(operation);
     job.pending_call = call.number;
     job.pending_since = now;
+    job.call_restores = state.restores;
     job.is_retry_scheduled = false;
     out.store.push_back(std::move(call));
 }
@@ -54,6 +55,9 @@
                time_point now, actions& out)
 {
     job.own_row.written = unix_time(state, now);
+    if (job.phase == job_phase::inserting ||
+        job.phase == job_phase::taking_over)
+        job.own_row.era = state.era.era;
     store::transaction write;
     write.conditions.push_back({job.store_key, version});
     write.puts.push_back({job.store_key, encode_row(job.own_row)});
@@ -63,9 +67,12 @@
 void schedule_retry(claims_state const& state, claim_job& job, time_point now)
 {
     int const doublings = std::min(job.retries, 10);
-    duration const delay =
+    duration delay =
         std::min(state.limits.initial_retry_delay * (1 << doublings),
                  state.limits.max_retry_delay);
+    // Lost rows have to be written again before the pause ends.
+    if (is_paused(state, now))
+        delay = std::min(delay, state.limits.max_retry_delay_in_pause);
     ++job.retries;
     job.is_retry_scheduled = true;
     job.retry_at = now + delay;
--- a/src/claims/job.hpp
+++ b/src/claims/job.hpp
@@ -77,6 +77,32 @@
 void on_page_reply(claims_state& state, store::reply const& reply,
                    time_point now, actions& out);
 
+// restore.cpp
+/// Whether the store was restored so lately that rows written by other daemons
+/// may still be missing. No claim is granted meanwhile.
+bool is_paused(claims_state const& state, time_point now);
+/// Whether the store was restored after the claim was granted.
+bool is_of_earlier_era(claims_state const& state, claim_job const& job);
+/// Whether the job's claim was granted after the one that the restored store
+/// holds, so that its row has to be written again.
+bool is_granted_after(claims_state const& state, claim_job const& job,
+                      claim_row const& found, std::uint64_t found_version);
+/// Whether the row belongs to a claim that is not granted during the pause and
+/// whose row will be removed. Its writer did not know the new era.
+bool is_still_pending(claims_state const& state, claim_job const& job,
+                      claim_row const& found, time_point now);
+void schedule_restore_retry(claim_job& job, time_point now);
+/// Pauses claims, and schedules writing the rows of this daemon again.
+void on_new_store_era(claims_state& state, time_point now, actions& out);
+/// Starts writing lost rows again.
+void restore_rows(claims_state& state, time_point now);
+/// Keeps the final row of the job for a later restore.
+void keep_settled_row(claims_state& state, claim_job const& job,
+                      time_point now);
+/// Handles a reply to a running job, whose row is written again.
+void on_restore_reply(claims_state& state, claim_job& job,
+                      store::reply const& reply, time_point now, actions& out);
+
 // mint.cpp
 /// Whether the text has the form of a minted key.
 bool is_minted(std::string_view key);
--- a/src/claims/row.cpp
+++ b/src/claims/row.cpp
@@ -104,6 +104,12 @@
     row.claimant = to_daemon(value.at("claimant"));
     row.written = value.at("written").get<std::uint64_t>();
     row.is_done = value.at("state").get<std::string>() == "done";
+    // Absent while the store reports no era.
+    if (auto const granted = value.find("granted"); granted != value.end())
+    {
+        row.era = granted->at(0).get<std::uint64_t>();
+        row.granted_version = granted->at(1).get<std::uint64_t>();
+    }
     if (row.is_done)
         row.result = to_result(value.at("answer"));
     return row;
@@ -132,6 +138,8 @@
                   {"claimant", to_json(row.claimant)},
                   {"written", row.written},
                   {"state", row.is_done ? "done" : "claimed"}};
+    if (row.era > 0)
+        value["granted"] = json::array({row.era, row.granted_version});
     if (row.is_done)
         value["answer"] = to_json(row.result);
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/claims/row.hpp
+++ b/src/claims/row.hpp
@@ -26,6 +26,10 @@
     /// Unix time of the write in seconds, used to delete old rows only.
     std::uint64_t written = 0;
     work_result result;
+    /// Era of the store in which the claim was granted, or 0, and the version
+    /// of the row at the grant; 0 stands for the present version of the row.
+    std::uint64_t era = 0;
+    std::uint64_t granted_version = 0;
 };
 
 std::string row_key(std::string_view account, std::string_view key);
--- a/src/claims/settle.cpp
+++ b/src/claims/settle.cpp
@@ -27,8 +27,20 @@
 
 /// Reports the end of a job whose row has its final content, and removes the
 /// job.
-void finish_settled(claims_state& state, claim_job& job, actions& out)
+void finish_settled(claims_state& state, claim_job& job, time_point now,
+                    actions& out)
 {
+    // A restored store may have lost a takeover of this claim, so only the
+    // homes can confirm that it did not run.
+    if (job.phase == job_phase::releasing && !job.is_release_reported &&
+        is_of_earlier_era(state, job))
+    {
+        if (job.fences.empty())
+            start_fencing(state, job, job.own_row, now, out);
+        return schedule_retry(state, job, now);
+    }
+    if (job.phase == job_phase::recording || job.phase == job_phase::abandoning)
+        keep_settled_row(state, job, now);
     if (job.phase == job_phase::releasing)
         report_release(job, true, out);
     if (job.phase == job_phase::recording)
@@ -47,12 +59,16 @@
                   time_point now, actions& out)
 {
     std::optional<claim_row> const found = decode_row(row.value);
-    bool const is_own = found && found->grant == job.own_row.grant;
+    bool const has_own_grant = found && found->grant == job.own_row.grant;
+    bool const is_own =
+        has_own_grant ||
+        (found && is_granted_after(state, job, *found, row.version));
     if (job.phase == job_phase::recording && found &&
         found->id == job.own_row.id && found->is_done)
-        return finish_settled(state, job, out);
-    if (job.phase == job_phase::abandoning && is_own && found->claimant.id == 0)
-        return finish_settled(state, job, out);
+        return finish_settled(state, job, now, out);
+    if (job.phase == job_phase::abandoning && has_own_grant &&
+        found->claimant.id == 0)
+        return finish_settled(state, job, now, out);
     if (is_own)
     {
         job.row_version = row.version;
@@ -60,6 +76,8 @@
             return delete_row(state, job, now, out);
         return settle(state, job, now, out);
     }
+    if (found && is_still_pending(state, job, *found, now))
+        return schedule_restore_retry(job, now);
     // Another daemon took the claim over, or the key has a new claim.
     if (job.phase == job_phase::removing)
         return schedule_cleanup_read(state, job, now);
@@ -72,11 +90,13 @@
 void on_row_absent(claims_state& state, claim_job& job, time_point now,
                    actions& out)
 {
-    if (job.phase == job_phase::recording)
+    bool const is_lost =
+        job.phase == job_phase::abandoning && is_of_earlier_era(state, job);
+    if (job.phase == job_phase::recording || is_lost)
         return write_row(state, job, 0, now, out);
     if (job.phase == job_phase::removing)
         return schedule_cleanup_read(state, job, now);
-    finish_settled(state, job, out);
+    finish_settled(state, job, now, out);
 }
 
 /// The call was refused, or its effect is unknown.
@@ -111,7 +131,7 @@
     {
     case store::status::ok:
         if (!job.is_read_call)
-            return finish_settled(state, job, out);
+            return finish_settled(state, job, now, out);
         return has_row ? on_row_found(state, job, reply.rows.front(), now, out)
                        : on_row_absent(state, job, now, out);
     case store::status::condition_failed:
--- a/src/claims/state.cpp
+++ b/src/claims/state.cpp
@@ -25,6 +25,8 @@
     if (job.pending_call != reply.number)
         return;
     job.pending_call = 0;
+    if (job.phase == job_phase::running)
+        return on_restore_reply(state, job, reply, now, out);
     if (is_settling(job))
         return on_settle_reply(state, job, reply, now, out);
     on_claim_reply(state, job, reply, now, out);
@@ -48,9 +50,11 @@
             {}};
 }
 
-claim_state state_of_reply(claims_state const& state, store::reply const& reply)
+claim_state state_of_reply(claims_state const& state, store::reply const& reply,
+                           time_point now)
 {
-    if (reply.result == store::status::not_found)
+    // An absent row proves nothing while lost rows are written again.
+    if (reply.result == store::status::not_found && !is_paused(state, now))
         return {error_kind::no_route, {}};
     if (reply.result != store::status::ok || reply.rows.empty())
         return {error_kind::store_unavailable, {}};
@@ -68,13 +72,14 @@
 }
 
 void on_query_reply(claims_state& state, store::reply const& reply,
-                    actions& out)
+                    time_point now, actions& out)
 {
     auto const found = state.queries.find(ticket_of(reply.number));
     if (found == state.queries.end() ||
         found->second.pending_call != reply.number)
         return;
-    deliver_state(found->second.request, state_of_reply(state, reply), out);
+    deliver_state(found->second.request, state_of_reply(state, reply, now),
+                  out);
     state.queries.erase(found);
 }
 
@@ -106,7 +111,7 @@
         timeout_replies.emplace_back().number = query.pending_call;
     }
     for (store::reply const& reply : timeout_replies)
-        on_query_reply(state, reply, out);
+        on_query_reply(state, reply, now, out);
 }
 
 } // namespace
@@ -152,20 +157,34 @@
 void on_store_reply(claims_state& state, store::reply const& reply,
                     time_point now, actions& out)
 {
-    if (ticket_of(reply.number) == 0)
-        return on_page_reply(state, reply, now, out);
+    store::era_change const change = store::observe_era(state.era, reply);
+    if (change == store::era_change::newer)
+        on_new_store_era(state, now, out);
     auto const found = state.jobs.find(ticket_of(reply.number));
+    bool const is_sent_before_restore =
+        found != state.jobs.end() &&
+        found->second.call_restores != state.restores;
+    // The restored store may have lost the write, or have applied it to a row
+    // that got the expected version again.
+    store::reply lost;
+    lost.number = reply.number;
+    store::reply const* const used =
+        change == store::era_change::older || is_sent_before_restore ? &lost
+                                                                     : &reply;
+    if (ticket_of(reply.number) == 0)
+        return on_page_reply(state, *used, now, out);
     if (found == state.jobs.end())
-        return on_query_reply(state, reply, out);
-    on_job_reply(state, found->second, reply, now, out);
+        return on_query_reply(state, *used, now, out);
+    on_job_reply(state, found->second, *used, now, out);
 }
 
 time_point on_tick(claims_state& state, time_point now, actions& out)
 {
+    restore_rows(state, now);
     std::vector<std::uint64_t> active_jobs;
     for (auto const& [ticket, job] : state.jobs)
     {
-        if (job.phase != job_phase::running)
+        if (job.phase != job_phase::running || job.must_restore)
             active_jobs.push_back(ticket);
     }
     for (std::uint64_t const ticket : active_jobs)
@@ -176,7 +195,8 @@
     }
     expire_queries(state, now, out);
     read_due_page(state, now, out);
-    bool const is_busy = !active_jobs.empty() || !state.queries.empty();
+    bool const is_busy = !active_jobs.empty() || !state.queries.empty() ||
+                         !state.rows_to_restore.empty();
     return now + (is_busy ? busy_tick_period : idle_tick_period);
 }
 
--- a/src/claims/state.hpp
+++ b/src/claims/state.hpp
@@ -5,6 +5,7 @@
 #include <gooseberrycove/claims.hpp>
 #include <gooseberrycove/event.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,6 +27,7 @@
     /// Delay of the first retry; it doubles with each further one.
     duration initial_retry_delay{200'000};
     duration max_retry_delay{30'000'000};
+    duration max_retry_delay_in_pause{2'000'000};
     /// The outcome of a store call without a reply is unknown after this time.
     duration call_timeout{10'000'000};
     /// Reads of the row of an abandoned claim, because its write may take
@@ -44,6 +46,14 @@
     duration min_page_period{10'000'000};
     /// Kept small because a row may hold a response of 1 MiB.
     std::size_t rows_per_page = 20;
+    /// No claim is granted for this time after the store was restored from a
+    /// copy. Longer than a watch of the document, after which the last daemon
+    /// learns of the restore and writes its claims again.
+    duration restore_pause{40'000'000};
+    /// Rows are written again if the store is restored within this time after
+    /// they got their final content.
+    duration settled_retention{60'000'000};
+    std::size_t max_settled_bytes = std::size_t{8} << 20;
 };
 
 enum class job_phase : std::uint8_t
@@ -97,6 +107,12 @@
     bool has_seen_other_claim = false;
     /// claim_released was sent to routing.
     bool is_release_reported = false;
+    /// Values of claims_state::restores at the last store call and at the
+    /// grant.
+    std::uint64_t call_restores = 0;
+    std::uint64_t granted_restores = 0;
+    /// The store may have lost the row of a running claim.
+    bool must_restore = false;
     claim_ref fenced_claim;
     std::vector<pending_fence> fences;
     time_point fencing_started;
@@ -121,6 +137,14 @@
     work_result result;
 };
 
+/// A row with its final content, kept in case the store loses it.
+struct settled_row
+{
+    std::string store_key;
+    claim_row row;
+    time_point keep_until;
+};
+
 /// A state_request that waits for its row.
 struct state_query
 {
@@ -150,6 +174,17 @@
     std::vector<daemon_ref> live_daemons;
     bool has_received_live_daemons = false;
 
+    store::era_position era;
+    /// How often the store was restored from a copy since the start.
+    std::uint64_t restores = 0;
+    /// No claim is granted before this time.
+    time_point claims_resume_at;
+    /// Oldest first.
+    std::deque<settled_row> settled_rows;
+    std::size_t settled_bytes = 0;
+    /// Rows that the store may have lost.
+    std::deque<settled_row> rows_to_restore;
+
     /// By serial number. A key that is missing here was evicted.
     std::map<std::uint64_t, minted_key> minted_keys;
     std::uint64_t next_serial = 1;
@@ -200,6 +235,8 @@
                      time_point now, actions& out);
 void on_state_request(claims_state& state, state_request const& request,
                       time_point now, actions& out);
+void on_store_era(claims_state& state, store_era const& seen, time_point now,
+                  actions& out);
 void on_store_reply(claims_state& state, store::reply const& reply,
                     time_point now, actions& out);
 
--- a/src/config/commit.cpp
+++ b/src/config/commit.cpp
@@ -212,7 +212,8 @@
 
 void start_next_patch(state& duty, time_point now, actions& out)
 {
-    if (duty.commit || duty.queued_patches.empty())
+    if (duty.commit || duty.queued_patches.empty() ||
+        now < duty.commits_resume_at)
         return;
     duty.commit.emplace();
     duty.commit->request = std::move(duty.queued_patches.front());
@@ -275,8 +276,11 @@
     std::uint64_t const version = duty.current->version();
     if (stored > version)
         return catch_up(duty, now, out);
+    // A patch for a version that came into force during the read is not yet
+    // validated.
     if (stored == base && base == version)
-        return send_write(duty, now, out);
+        return duty.commit->next_data ? send_write(duty, now, out)
+                                      : begin_commit(duty, now, out);
     if (base > version)
         return refuse_patch(duty, error_kind::stale_version,
                             fmt::format("version {} is in force", version), now,
@@ -328,8 +332,24 @@
     }
 }
 
+void stop_commit_of_earlier_era(state& duty, time_point now, actions& out)
+{
+    if (!duty.commit)
+        return;
+    bool const may_be_written =
+        duty.commit->is_ambiguous || duty.commit->step == commit_step::write;
+    refuse_patch(duty,
+                 may_be_written ? error_kind::internal
+                                : error_kind::store_unavailable,
+                 may_be_written ? "the patch may or may not be in force"
+                                : "the store was restored from a copy",
+                 now, out);
+}
+
 void tick_commit(state& duty, time_point now, actions& out)
 {
+    // A patch waits in the queue after the store was restored from a copy.
+    start_next_patch(duty, now, out);
     if (!duty.commit)
         return;
     commit_state& commit = *duty.commit;
--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -19,6 +19,8 @@
     bool is_current = false;
     tables_ptr admission;
     std::optional<std::uint64_t> members{};
+    std::uint64_t members_era = 0;
+    std::uint64_t claims_era = 0;
 };
 
 struct duty_thread
@@ -50,6 +52,11 @@
     if (thread.last_sent.admission != current &&
         thread.wires.admission.try_push(in_force{current}))
         thread.last_sent.admission = current;
+    std::uint64_t const era = thread.duty.era.era;
+    if (thread.last_sent.claims_era != era &&
+        thread.wires.claims.try_push(
+            claims::store_era{era, thread.duty.is_store_restored}))
+        thread.last_sent.claims_era = era;
     if (!thread.duty.is_ready)
         return;
     thread.wires.ready.store(true);
@@ -59,9 +66,14 @@
     if (thread.wires.counters)
         thread.wires.counters->set_config_version(version,
                                                   thread.duty.entry_errors);
-    if (thread.last_sent.members != version &&
-        thread.wires.members.try_push(members::active_config_version{version}))
+    bool const is_sent = thread.last_sent.members == version &&
+                         thread.last_sent.members_era == era;
+    if (!is_sent && thread.wires.members.try_push(
+                        members::active_config_version{version, era}))
+    {
         thread.last_sent.members = version;
+        thread.last_sent.members_era = era;
+    }
 }
 
 void send_store_request(duty_thread& thread, store::request&& request,
--- a/src/config/config_thread.hpp
+++ b/src/config/config_thread.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_CONFIG_CONFIG_THREAD_HPP
 
 #include <gooseberrycove/admission.hpp>
+#include <gooseberrycove/claims.hpp>
 #include <gooseberrycove/config.hpp>
 #include <gooseberrycove/members.hpp>
 #include <gooseberrycove/metrics.hpp>
@@ -23,6 +24,7 @@
     members::inbox& members;
     peer::inbox& peer;
     store::inbox& store;
+    claims::inbox& claims;
     /// Own peer address, `ip:port`.
     std::string own_address;
     /// The operator writes whole documents into the store.
--- a/src/config/document_watch.cpp
+++ b/src/config/document_watch.cpp
@@ -16,6 +16,8 @@
 constexpr duration initial_retry_delay = std::chrono::milliseconds(250);
 constexpr duration max_retry_delay = std::chrono::seconds(2);
 
+constexpr duration min_watch_time = std::chrono::seconds(1);
+
 /// Log lines for the errors of one version.
 constexpr std::size_t max_logged_entry_errors = 16;
 
@@ -45,6 +47,19 @@
         static_cast<duration::rep>(half + next_random(duty) % half));
 }
 
+/// A watch that is open while the store is restored may not return changes.
+/// With random watch times, some daemon's watch ends soon after, and the others
+/// learn of a newer version from it.
+duration next_watch_time(state& duty)
+{
+    if (duty.era.era == 0)
+        return document_watch_time;
+    auto const range = static_cast<std::uint64_t>(
+        (document_watch_time - min_watch_time).count());
+    return min_watch_time +
+           duration(static_cast<duration::rep>(next_random(duty) % range));
+}
+
 void refuse_document(std::uint64_t revision, std::string_view path,
                      std::string_view reason, actions& out)
 {
@@ -125,7 +140,7 @@
     else if (!has_pending_call(duty, call_purpose::watch_document))
         add_call(duty, call_purpose::watch_document,
                  store::watch_row{std::move(key), duty.document_revision,
-                                  document_watch_time},
+                                  next_watch_time(duty)},
                  now, out);
 }
 
--- a/src/config/simulation_test.cpp
+++ b/src/config/simulation_test.cpp
@@ -376,6 +376,11 @@
     store_down(fleet, is_active);
     restarts(fleet, is_active);
 }
+void restore_store(simulated_fleet& fleet, bool is_active)
+{
+    if (is_active)
+        platform_rules::restore_from_copy(fleet.platform(), 4s, fleet.now());
+}
 void all_faults(simulated_fleet& fleet, bool is_active)
 {
     lose_replies(fleet, is_active);
@@ -396,6 +401,7 @@
     {"most messages between daemons are lost", message_loss},
     {"crash and restart", restarts},
     {"long pauses", long_pause},
+    {"store restored from a copy", restore_store},
     {"restart while the store is down", restart_in_outage},
     {"all at once", all_faults},
 };
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -57,7 +57,8 @@
     get_snapshot,
     put_snapshot,
     read_history,
-    read_document, ///< of an operator who keeps it in the store
+    restore_patches, ///< patches that the store lost
+    read_document,   ///< of an operator who keeps it in the store
     watch_document
 };
 
@@ -160,6 +161,12 @@
     /// Highest version that the store or a peer has reported.
     std::uint64_t highest_seen_version = 0;
 
+    store::era_position era;
+    bool is_store_restored = false;
+    /// No patch is committed before this time, so that the patches that a
+    /// restored store lost are written again first.
+    time_point commits_resume_at;
+
     head_row head;
     /// The last poll, or the last read or watch of the document, had no usable
     /// reply.
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -2,6 +2,7 @@
 
 #include "config/document.hpp"
 #include "config/document_watch.hpp"
+#include "config/store_era.hpp"
 
 #include <algorithm>
 
@@ -78,6 +79,7 @@
         return;
     record_head(duty, reply.rows.empty() ? store::row{} : reply.rows[0], out);
     update_readiness(duty, out);
+    restore_patches(duty, now, out);
     if (duty.head.value.version <= duty.current->version())
         return;
     if (!duty.is_ready || duty.peers.empty())
@@ -161,8 +163,8 @@
                              purpose == call_purpose::put_snapshot;
     // A snapshot of 540,000 accounts and 76,000 routes has about 60 MB.
     duration timeout = std::chrono::seconds(is_snapshot ? 60 : 2);
-    if (purpose == call_purpose::watch_document)
-        timeout += document_watch_time;
+    if (auto const* watch = std::get_if<store::watch_row>(&op))
+        timeout += watch->wait;
     std::uint64_t const number = ++duty.last_call_number;
     duty.calls.push_back({number, purpose, now + timeout + reply_grace_period});
     out.calls.push_back({number, std::move(op), timeout, nullptr});
@@ -416,6 +418,13 @@
 void on_store_reply(state& duty, store::reply const& reply, time_point now,
                     actions& out)
 {
+    store::era_change const change = store::observe_era(duty.era, reply);
+    if (change == store::era_change::older)
+        return on_store_reply(
+            duty, {reply.number, store::status::unknown, {}, {}, 0}, now, out);
+    // Also erases the watch of the earlier era, whose reply may lack changes.
+    if (change == store::era_change::newer)
+        on_new_store_era(duty, now, out);
     auto const found = std::find_if(duty.calls.begin(), duty.calls.end(),
                                     [&](store_call const& pending)
                                     { return pending.number == reply.number; });
@@ -438,6 +447,8 @@
         return on_snapshot_reply(duty, reply, now, out);
     case call_purpose::put_snapshot:
         return on_put_snapshot_reply(duty, reply, now);
+    case call_purpose::restore_patches:
+        return on_restore_reply(duty, reply, now);
     case call_purpose::read_history:
         return on_history_reply(duty, reply, out);
     case call_purpose::read_document:
--- a/src/config/versions.hpp
+++ b/src/config/versions.hpp
@@ -74,6 +74,9 @@
                         actions& out);
 void on_write_reply(state& duty, store::reply const& reply, time_point now,
                     actions& out);
+/// Ends the patch in progress. Its condition is no longer valid, because a
+/// restored store assigns versions again.
+void stop_commit_of_earlier_era(state& duty, time_point now, actions& out);
 void tick_commit(state& duty, time_point now, actions& out);
 
 } // namespace gooseberrycove::config
--- a/src/config/versions_test.cpp
+++ b/src/config/versions_test.cpp
@@ -437,12 +437,13 @@
     members::inbox to_members(64);
     peer::inbox to_peer(request_ring_capacity);
     store::inbox to_store(64);
+    claims::inbox to_claims(64);
     std::atomic<bool> ready = false;
     std::thread duty_thread(
         [&]
         {
             run(messages, {to_routing, to_admission, to_members, to_peer,
-                           to_store, "127.0.0.1:1", false, ready});
+                           to_store, to_claims, "127.0.0.1:1", false, ready});
         });
     std::thread platform_thread(
         [&]
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -73,6 +73,7 @@
     GOOSEBERRYCOVE_EVENT(claim_released),
     GOOSEBERRYCOVE_EVENT(store_call_failed),
     GOOSEBERRYCOVE_EVENT(store_recovered),
+    GOOSEBERRYCOVE_EVENT(store_restored),
     GOOSEBERRYCOVE_EVENT(peer_refused),
     GOOSEBERRYCOVE_EVENT(peer_connection_lost),
     GOOSEBERRYCOVE_EVENT(admin_refused),
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -189,9 +189,9 @@
         members::wiring{&peer, &routing, &admission, &health, &config, &claims,
                         &store, record, values.addresses("daemon", "seeds"),
                         own_daemon.id ^ own_daemon.incarnation, &counts});
-    config_wiring = std::make_unique<config::wiring>(
-        config::wiring{routing, admission, members, peer, store, record.address,
-                       uses_row_store(values), is_ready, &counts});
+    config_wiring = std::make_unique<config::wiring>(config::wiring{
+        routing, admission, members, peer, store, claims, record.address,
+        uses_row_store(values), is_ready, &counts});
     admin_wiring = std::make_unique<admin::wiring>(admin::wiring{
         record.admin_address, values.addresses("daemon", "also_admin"), name,
         &admin_keys, &announce_keys, &counts, &members, &config, &routing,
--- a/src/fake_platform/http.cpp
+++ b/src/fake_platform/http.cpp
@@ -53,8 +53,10 @@
         restinio::http_status_code_t{
             static_cast<std::uint16_t>(response.status)},
         response.status == 200 ? "OK" : "Error"};
-    request->create_response(std::move(line))
-        .append_header(restinio::http_field::content_type, "application/json")
+    auto sent = request->create_response(std::move(line));
+    if (response.era > 0)
+        sent.append_header("Store-Era", std::to_string(response.era));
+    sent.append_header(restinio::http_field::content_type, "application/json")
         .set_body(std::move(response.body))
         .done();
 }
@@ -119,7 +121,7 @@
             request->header().get_field_or("X-Client", "");
         admission const admitted =
             on_call(m_platform, client, is_write(operation), clock_now());
-        run(request, std::move(operation), admitted);
+        run(request, client, std::move(operation), admitted);
     }
 
     http_response handle_control(http_call const& call)
@@ -127,12 +129,17 @@
         if (call.path == "/stats")
             return {200, render_counters(m_platform)};
         if (call.method == "POST")
+        {
             parse_faults(call.body, m_platform.faults);
+            if (duration const age = parse_copy_age(call.body); age.count() > 0)
+                restore_from_copy(m_platform, age, clock_now());
+        }
         return {200, render_faults(m_platform.faults)};
     }
 
     void run(restinio::request_handle_t const& request,
-             store::operation operation, admission admitted)
+             std::string const& client, store::operation operation,
+             admission admitted)
     {
         switch (admitted.result)
         {
@@ -146,10 +153,12 @@
             break;
         }
         auto effect =
-            [this, request, admitted, operation = std::move(operation)]
+            [this, request, client, admitted, operation = std::move(operation)]
         {
-            http_response reply =
-                render_reply(operation, on_operation(m_platform, operation));
+            store::reply const result =
+                on_operation(m_platform, operation, client);
+            http_response reply = render_reply(operation, result);
+            reply.era = result.era;
             if (admitted.lose_reply)
                 return;
             run_after(m_loop, admitted.delay / 2,
--- a/src/fake_platform/json_codec.cpp
+++ b/src/fake_platform/json_codec.cpp
@@ -145,6 +145,23 @@
     active = std::move(result);
 }
 
+duration parse_copy_age(std::string_view body)
+{
+    std::int64_t age_ms = 0;
+    try
+    {
+        age_ms = json::parse(body).value("restore_age_ms", std::int64_t{0});
+    }
+    catch (json::exception const& failure)
+    {
+        throw error(error_kind::bad_request, failure.what());
+    }
+    if (age_ms < 0 || age_ms > max_copy_age.count() / 1000)
+        throw error(error_kind::bad_request,
+                    "restore_age_ms: allowed: 0 to 30000");
+    return std::chrono::milliseconds(age_ms);
+}
+
 std::string render_faults(faults const& active)
 {
     constexpr std::string_view modes[] = {"up", "down", "slow"};
@@ -166,6 +183,7 @@
                 {"refused_down", counts.refused_down},
                 {"cut_requests", counts.cut_requests},
                 {"lost_replies", counts.lost_replies},
+                {"era", platform.era},
                 {"rows", platform.rows.size()},
                 {"objects", platform.objects.size()}}
         .dump();
--- a/src/fake_platform/json_codec.hpp
+++ b/src/fake_platform/json_codec.hpp
@@ -24,6 +24,8 @@
 {
     int status = 200;
     std::string body;
+    /// Era of the store; 0 adds no header.
+    std::uint64_t era = 0;
 };
 
 /// \param object_name  decoded name for a path that starts with /object/
@@ -37,6 +39,9 @@
 /// Replaces the faults that the body names. \throws error(bad_request)
 void parse_faults(std::string_view body, faults& active);
 
+/// Age of the copy from which POST /faults restores the store, or 0.
+duration parse_copy_age(std::string_view body);
+
 std::string render_faults(faults const& active);
 std::string render_counters(state const& platform);
 
--- a/src/fake_platform/platform.cpp
+++ b/src/fake_platform/platform.cpp
@@ -44,6 +44,45 @@
     return {found->first, found->second.version, found->second.value};
 }
 
+void record_row(state& platform, std::string const& key,
+                std::string_view client)
+{
+    auto const found = platform.rows.find(key);
+    std::optional<stored_value> earlier;
+    if (found != platform.rows.end())
+        earlier = found->second;
+    platform.undo_log.push_back({platform.last_call_at, std::string(client),
+                                 key, false, std::move(earlier),
+                                 platform.last_version});
+}
+
+void record_object(state& platform, std::string const& name,
+                   std::string_view client)
+{
+    auto const found = platform.objects.find(name);
+    std::optional<stored_value> earlier;
+    if (found != platform.objects.end())
+        earlier = stored_value{0, found->second};
+    platform.undo_log.push_back({platform.last_call_at, std::string(client),
+                                 name, true, std::move(earlier),
+                                 platform.last_version});
+}
+
+void undo_last(state& platform)
+{
+    undo_entry entry = std::move(platform.undo_log.back());
+    platform.undo_log.pop_back();
+    platform.last_version = entry.earlier_version;
+    if (entry.is_object && entry.earlier)
+        platform.objects[entry.key] = std::move(entry.earlier->value);
+    else if (entry.is_object)
+        platform.objects.erase(entry.key);
+    else if (entry.earlier)
+        platform.rows[entry.key] = std::move(*entry.earlier);
+    else
+        platform.rows.erase(entry.key);
+}
+
 store::reply run(state& platform, store::get_row const& operation)
 {
     store::reply reply;
@@ -78,7 +117,8 @@
     return reply;
 }
 
-store::reply run(state& platform, store::transaction const& operation)
+store::reply run(state& platform, store::transaction const& operation,
+                 std::string_view client)
 {
     store::reply reply;
     for (store::condition const& condition : operation.conditions)
@@ -95,11 +135,15 @@
     }
     for (store::put const& put : operation.puts)
     {
+        record_row(platform, put.key, client);
         platform.rows[put.key] = {++platform.last_version, put.value};
         reply.rows.push_back({put.key, platform.last_version, {}});
     }
     for (std::string const& key : operation.deletes)
+    {
+        record_row(platform, key, client);
         platform.rows.erase(key);
+    }
     reply.result = store::status::ok;
     return reply;
 }
@@ -116,8 +160,10 @@
     return reply;
 }
 
-store::reply run(state& platform, store::put_object const& operation)
+store::reply run(state& platform, store::put_object const& operation,
+                 std::string_view client)
 {
+    record_object(platform, operation.name, client);
     platform.objects[operation.name] = operation.content;
     store::reply reply;
     reply.result = store::status::ok;
@@ -140,6 +186,10 @@
                   bool counts_as_write, time_point now)
 {
     using decision = admission::decision;
+    platform.last_call_at = now;
+    while (!platform.undo_log.empty() &&
+           platform.undo_log.front().written_at + max_copy_age < now)
+        platform.undo_log.pop_front();
     faults const& faults = platform.faults;
     if (contains(faults.cut_requests, client))
     {
@@ -167,11 +217,39 @@
     return {decision::run, lost, delay};
 }
 
-store::reply on_operation(state& platform, store::operation const& operation)
+store::reply on_operation(state& platform, store::operation const& operation,
+                          std::string_view client)
 {
-    return std::visit([&](auto const& alternative)
-                      { return run(platform, alternative); },
-                      operation);
+    store::reply reply = std::visit(
+        [&](auto const& alternative)
+        {
+            if constexpr (requires { run(platform, alternative, client); })
+                return run(platform, alternative, client);
+            else
+                return run(platform, alternative);
+        },
+        operation);
+    reply.era = platform.era;
+    return reply;
+}
+
+void restore_from_copy(state& platform, duration age, time_point now)
+{
+    std::map<std::string, std::string> rewritten;
+    while (!platform.undo_log.empty() &&
+           platform.undo_log.back().written_at > now - age)
+    {
+        undo_entry const& last = platform.undo_log.back();
+        auto const row = platform.rows.find(last.key);
+        // The first entry found for a key is the latest one.
+        if (last.client == "operator" && !last.is_object &&
+            row != platform.rows.end())
+            rewritten.emplace(last.key, row->second.value);
+        undo_last(platform);
+    }
+    ++platform.era;
+    for (auto const& [key, value] : rewritten)
+        platform.rows[key] = {++platform.last_version, value};
 }
 
 bool is_write(store::operation const& operation)
--- a/src/fake_platform/platform.hpp
+++ b/src/fake_platform/platform.hpp
@@ -5,7 +5,9 @@
 #include <gooseberrycove/types.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,9 @@
     std::vector<std::string> cut_replies;
 };
 
+/// Longest age of the copy from which the store can be restored.
+inline constexpr duration max_copy_age = std::chrono::seconds(30);
+
 /// Token bucket that holds the tokens of one second at most.
 struct rate_limit
 {
@@ -58,6 +63,18 @@
     std::string value;
 };
 
+/// Undoes the change of one row or object.
+struct undo_entry
+{
+    time_point written_at;
+    std::string client;
+    std::string key;
+    bool is_object = false;
+    /// Earlier content; nothing when the key was absent.
+    std::optional<stored_value> earlier;
+    std::uint64_t earlier_version = 0;
+};
+
 struct state
 {
     std::map<std::string, stored_value, std::less<>> rows;
@@ -65,6 +82,12 @@
     /// Version of the last write. One counter for all keys, so that the
     /// version of a key also rises over a deletion of its row.
     std::uint64_t last_version = 0;
+    /// Increases each time the store is restored from a copy.
+    std::uint64_t era = 1;
+    /// Changes within max_copy_age, oldest first.
+    std::deque<undo_entry> undo_log;
+    /// Time of the last call, at which its changes count as written.
+    time_point last_call_at;
     gooseberrycove::fake_platform::faults faults;
     rate_limit reads;
     rate_limit writes;
@@ -97,7 +120,14 @@
                   bool counts_as_write, time_point now);
 
 /// Runs the operation. reply::result is never refused or unknown.
-store::reply on_operation(state& platform, store::operation const& operation);
+/// \param client  who made the call; changes of `operator` survive a restore
+store::reply on_operation(state& platform, store::operation const& operation,
+                          std::string_view client = {});
+
+/// Restores the store from a copy of the given age: undoes later changes, lets
+/// versions be assigned again, and then writes again what the client
+/// `operator` had written.
+void restore_from_copy(state& platform, duration age, time_point now);
 
 /// Whether the operation counts against writes_per_s.
 bool is_write(store::operation const& operation);
--- a/src/fake_platform/platform_test.cpp
+++ b/src/fake_platform/platform_test.cpp
@@ -109,3 +109,26 @@
         error);
     CHECK_THROWS_AS(parse_operation({"GET", "/other", {}, ""}, ""), error);
 }
+
+TEST_CASE("a restore undoes late writes and assigns their versions again")
+{
+    state platform = make_platform();
+    on_call(platform, "d", true, start);
+    put(platform, "old", 0);
+    time_point const later = start + std::chrono::seconds(5);
+    on_call(platform, "d", true, later);
+    put(platform, "late", 0);
+    on_operation(platform,
+                 store::transaction{{}, {{"old", "w"}, {"doc", "new"}}, {}},
+                 "operator");
+    put(platform, "old", 3);
+    restore_from_copy(platform, std::chrono::seconds(2),
+                      later + std::chrono::seconds(1));
+    auto const late = on_operation(platform, store::get_row{"late"});
+    CHECK(late.result == status::not_found);
+    CHECK(late.era == 2);
+    // The operator writes again; its rows follow the version of the copy.
+    auto const document = on_operation(platform, store::get_row{"doc"});
+    CHECK(document.rows.at(0).value == "new");
+    CHECK(document.rows.at(0).version == 2);
+}
--- a/src/include/gooseberrycove/claims.hpp
+++ b/src/include/gooseberrycove/claims.hpp
@@ -124,9 +124,18 @@
 };
 
 /// Messages that the claims duty handles.
-using message = std::variant<std::monostate, claim_request, claim_end,
-                             fence_response, members::live_daemons,
-                             mint_request, state_request, store::reply>;
+/// Newest era of the store that another duty has seen.
+struct store_era
+{
+    std::uint64_t era = 0;
+    /// The store was restored from a copy during this run of the daemon.
+    bool is_restored = false;
+};
+
+using message =
+    std::variant<std::monostate, claim_request, claim_end, fence_response,
+                 members::live_daemons, mint_request, state_request, store_era,
+                 store::reply>;
 using inbox = ring<message>;
 
 } // namespace gooseberrycove::claims
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -72,6 +72,7 @@
 
     store_call_failed = 900,
     store_recovered = 901,
+    store_restored = 902,
 
     peer_refused = 1000,
     peer_connection_lost = 1001,
--- a/src/include/gooseberrycove/members.hpp
+++ b/src/include/gooseberrycove/members.hpp
@@ -200,6 +200,8 @@
 struct active_config_version
 {
     std::uint64_t version = 0;
+    /// Newest era of the store that this process has seen.
+    std::uint64_t store_era = 0;
 };
 
 struct listing
--- a/src/include/gooseberrycove/store.hpp
+++ b/src/include/gooseberrycove/store.hpp
@@ -98,8 +98,44 @@
     /// Version of the newest write that the reply reflects; 0 when the
     /// platform does not report it.
     std::uint64_t revision = 0;
+    /// Increases each time the store is restored from a copy; 0 when the
+    /// platform does not report it.
+    std::uint64_t era = 0;
 };
 
+/// Era of the replies that a duty has used.
+struct era_position
+{
+    std::uint64_t era = 0;
+    /// The store has replied, with or without an era.
+    bool has_reply = false;
+};
+
+enum class era_change
+{
+    none,
+    newer, ///< versions, rows and revisions known so far are invalid
+    older  ///< what the reply shows may have been lost
+};
+
+/// Compares the era of a reply with that of the earlier ones and records it.
+/// An era that is first reported after replies without one is a newer era.
+inline era_change observe_era(era_position& position, reply const& received)
+{
+    if (received.era == 0)
+    {
+        position.has_reply = position.has_reply ||
+                             received.result == status::ok ||
+                             received.result == status::not_found;
+        return era_change::none;
+    }
+    if (received.era < position.era)
+        return era_change::older;
+    bool const is_newer = received.era > position.era && position.has_reply;
+    position = {received.era, true};
+    return is_newer ? era_change::newer : era_change::none;
+}
+
 /// One call to the platform. `deliver` is called on the store thread and pushes
 /// the reply into the ring of the requesting duty.
 struct request
@@ -143,6 +179,8 @@
     std::function<reply(operation const&, std::uint64_t number,
                         transfer_end const&)>
         decode;
+    /// Response header with the number of the era; empty: none is reported.
+    std::string era_header{};
 };
 
 /// The HTTP interface of src/fake_platform.
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -546,3 +546,32 @@
     on_announce_request(daemon.state, {details, {}}, daemon.now, daemon.out);
     CHECK(daemon.state.homed_servers.size() == 1);
 }
+
+TEST_CASE("a rendezvous row that a restored store lost is written again")
+{
+    // Guards against daemons that cannot find each other after a restart,
+    // because the rows are checked only every 5 min by a few daemons.
+    daemon_fixture fixture;
+    fixture.state.has_rendezvous_row = true;
+    fixture.state.rendezvous_era = {1, true};
+    fixture.state.next_rendezvous = fixture.now + seconds(300);
+    on_active_config_version(fixture.state, {7, 2}, fixture.now, fixture.out);
+    fixture.out = {};
+    for (int step = 0; step < 60 && fixture.out.store_requests.empty(); ++step)
+    {
+        fixture.now += duration(50'000);
+        on_tick(fixture.state, fixture.now, fixture.out);
+    }
+    REQUIRE(fixture.out.store_requests.size() == 1);
+    store::reply rows;
+    rows.number = fixture.out.store_requests[0].number;
+    rows.result = store::status::ok;
+    rows.era = 2;
+    fixture.out = {};
+    on_store_reply(fixture.state, rows, fixture.now, fixture.out);
+    REQUIRE(fixture.out.store_requests.size() == 1);
+    auto const* write =
+        std::get_if<store::transaction>(&fixture.out.store_requests[0].op);
+    REQUIRE(write != nullptr);
+    CHECK(write->puts.at(0).value == record_of(own_daemon).address);
+}
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -18,6 +18,8 @@
 /// After a restart of all daemons at once the fleet serves no requests until
 /// they have found each other, which takes one period.
 constexpr duration alone_scan_period{1'000'000};
+/// The daemons check their rows at different times after a restore.
+constexpr std::uint64_t max_check_delay_us = 2'000'000;
 
 std::string slot_key(std::uint64_t slot)
 {
@@ -64,8 +66,29 @@
     out.store_requests.push_back(std::move(request));
 }
 
+/// Uses the era of a reply. Returns false when the reply shows rows of an
+/// earlier era.
+bool accept_reply(membership_state& state, store::reply const& reply)
+{
+    store::era_change const change =
+        store::observe_era(state.rendezvous_era, reply);
+    if (change == store::era_change::newer)
+        state.must_check_rendezvous = state.has_rendezvous_row;
+    return change != store::era_change::older;
+}
+
 } // namespace
 
+void check_rendezvous_era(membership_state& state, std::uint64_t store_era,
+                          time_point now)
+{
+    if (store_era <= state.rendezvous_era.era || !state.has_rendezvous_row)
+        return;
+    state.must_check_rendezvous = true;
+    state.next_rendezvous =
+        now + duration(static_cast<int>(state.random() % max_check_delay_us));
+}
+
 void run_rendezvous(membership_state& state, time_point now, actions& out)
 {
     if (now < state.next_rendezvous ||
@@ -81,7 +104,8 @@
     state.next_rendezvous =
         now + period + duration(static_cast<int>(state.random() % quarter));
     // 16 daemons of the fleet, on average, rewrite a row in each period.
-    bool const is_chosen = state.random() % (other_daemons + 1) < slot_count;
+    bool const is_chosen = state.random() % (other_daemons + 1) < slot_count ||
+                           state.must_check_rendezvous;
     if (!is_alone && !is_chosen)
         return;
     state.should_write_rendezvous = is_chosen;
@@ -94,8 +118,21 @@
 void on_store_reply(membership_state& state, store::reply const& reply,
                     time_point now, actions& out)
 {
-    if (reply.number != scan_number || reply.result != store::status::ok)
+    bool const is_usable = accept_reply(state, reply);
+    if (reply.number == write_number && reply.result == store::status::ok)
+        state.has_rendezvous_row = true;
+    if (reply.number != scan_number)
         return;
+    if (!is_usable || reply.result != store::status::ok)
+    {
+        // The next regular scan is minutes away.
+        if (state.must_check_rendezvous)
+            state.next_rendezvous = now + alone_scan_period;
+        return;
+    }
+    state.should_write_rendezvous =
+        state.should_write_rendezvous || state.must_check_rendezvous;
+    state.must_check_rendezvous = false;
     state.rendezvous_addresses.clear();
     for (store::row const& row : reply.rows)
         state.rendezvous_addresses.push_back(row.value);
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -6,6 +6,7 @@
 #include "members/peers.hpp"
 #include "members/probe.hpp"
 #include "members/status.hpp"
+#include "members/sync.hpp"
 
 #include <algorithm>
 
@@ -96,9 +97,10 @@
 }
 
 void on_active_config_version(membership_state& state,
-                              active_config_version const& active, time_point,
-                              actions&)
+                              active_config_version const& active,
+                              time_point now, actions&)
 {
+    check_rendezvous_era(state, active.store_era, now);
     state.own_record.config_version =
         std::max(state.own_record.config_version, active.version);
 }
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -228,6 +228,11 @@
     time_point started;
     std::uint64_t status_sequence = 0;
     std::vector<std::string> rendezvous_addresses;
+    store::era_position rendezvous_era;
+    /// This run of the daemon has written a rendezvous row.
+    bool has_rendezvous_row = false;
+    /// The store was restored from a copy, so the row may be gone.
+    bool must_check_rendezvous = false;
 
     time_point last_tick;
     time_point next_ping;
--- a/src/members/sync.hpp
+++ b/src/members/sync.hpp
@@ -17,6 +17,11 @@
 /// live; afterwards compares digests with a random peer once a period.
 void run_sync(membership_state& state, time_point now, actions& out);
 
+/// Reads the rows soon when the store was restored from a copy since the last
+/// reply and this daemon had written a row.
+void check_rendezvous_era(membership_state& state, std::uint64_t store_era,
+                          time_point now);
+
 /// Reads the rendezvous rows of the table service when due, and decides at
 /// random whether to write this daemon's address to one of them.
 void run_rendezvous(membership_state& state, time_point now, actions& out);
--- a/src/store/http_codec.cpp
+++ b/src/store/http_codec.cpp
@@ -110,6 +110,8 @@
         return status::refused;
     case 404:
         return is_transaction ? status::refused : status::not_found;
+    case 410:
+        return is_transaction ? status::refused : status::history_lost;
     case 409:
         return is_transaction ? status::condition_failed : status::unknown;
     default:
@@ -148,7 +150,7 @@
 
 protocol fake_platform_protocol()
 {
-    return {encode, decode};
+    return {encode, decode, "Store-Era"};
 }
 
 } // namespace gooseberrycove::store
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -235,3 +235,39 @@
     CHECK(replies[0].rows.at(0).key == "a");
     CHECK(replies[1].rows.at(0).key == "b");
 }
+
+TEST_CASE("replies carry the number of the era, or 0 without a valid one")
+{
+    auto const response = [](std::string_view field)
+    {
+        std::string const body = R"({"versions":{"k":2}})";
+        return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
+                           field, body.size(), body);
+    };
+    scripted_server server({response("store-era: 12\r\n"), response(""),
+                            response("Store-Era: 3x\r\n")});
+    auto const replies = call_all(server.url(), {write_op, write_op, write_op});
+    REQUIRE(replies.size() == 3);
+    CHECK(replies[0].era == 12);
+    CHECK(replies[1].era == 0);
+    CHECK(replies[2].era == 0);
+}
+
+TEST_CASE("an era is newer only after a reply of an earlier one")
+{
+    reply seen;
+    seen.result = status::ok;
+    era_position position;
+    seen.era = 4;
+    CHECK(observe_era(position, seen) == era_change::none);
+    seen.era = 5;
+    CHECK(observe_era(position, seen) == era_change::newer);
+    CHECK(observe_era(position, seen) == era_change::none);
+    seen.era = 4;
+    CHECK(observe_era(position, seen) == era_change::older);
+    era_position without_era;
+    seen.era = 0;
+    CHECK(observe_era(without_era, seen) == era_change::none);
+    seen.era = 1;
+    CHECK(observe_era(without_era, seen) == era_change::newer);
+}
--- a/src/store/store_thread.cpp
+++ b/src/store/store_thread.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <charconv>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -129,6 +130,21 @@
     state.transfers.emplace(handle, std::move(active));
 }
 
+/// Era in the response to \p handle, or 0.
+std::uint64_t read_era(CURL* handle, std::string const& header_name)
+{
+    curl_header* header = nullptr;
+    if (header_name.empty() ||
+        curl_easy_header(handle, header_name.c_str(), 0, CURLH_HEADER, -1,
+                         &header) != CURLHE_OK)
+        return 0;
+    std::string_view const text(header->value);
+    std::uint64_t era = 0;
+    auto const [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), era);
+    return failure == std::errc() && end == text.data() + text.size() ? era : 0;
+}
+
 void finish_transfer(client_state& state, CURL* handle, CURLcode code)
 {
     curl_multi_remove_handle(state.multi.get(), handle);
@@ -142,6 +158,7 @@
                            static_cast<int>(http_status), active.body};
     reply result = state.http_protocol.decode(active.requested.op,
                                               active.requested.number, end);
+    result.era = read_era(handle, state.http_protocol.era_header);
     bool const has_failed =
         result.result == status::refused || result.result == status::unknown;
     log_state_change(state, has_failed,
