Explain limits, costs, the choice and refusals of a placement

Cause: gcove_ctl explain showed standings only, and looking up a split route for it advanced the split and the random generator. Change: explain shows the route's and the account's limits, load, failure probability, age of news and the cost inside and outside of the data centre for each candidate, the choice and the rule that refuses at entry. Not run on processes.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <charconv>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -377,6 +378,12 @@
     if (request.method.empty() || request.path.empty())
         return refuse(exchange, error_kind::bad_request,
                       "required: query parameters method and path");
+    std::string const body = uri::query_value(exchange->target(), "body_bytes");
+    char const* const end = body.data() + body.size();
+    auto const parsed = std::from_chars(body.data(), end, request.body_bytes);
+    if (!body.empty() && (parsed.ec != std::errc() || parsed.ptr != end))
+        return refuse(exchange, error_kind::bad_request,
+                      "body_bytes: allowed: a number of bytes");
     request.deliver =
         make_reply_callback(exchange, [](routing::explanation const& decision)
                             { return explain_response(decision); });
--- a/src/admin/documents.cpp
+++ b/src/admin/documents.cpp
@@ -226,29 +226,73 @@
     return json_response({{"services", std::move(list)}});
 }
 
+namespace
+{
+
+json explained_candidate(routing::explanation::entry const& item)
+{
+    json entry{{"server", item.server_info.server},
+               {"eligible", item.eligible},
+               {"reason", item.reason},
+               {"health", to_string(item.server_info.health)},
+               {"state", state_name(item.server_info.state)},
+               {"in_flight", item.server_info.in_flight},
+               {"queued", item.server_info.queued},
+               {"slots", item.server_info.slots},
+               {"data_centre", item.server_info.home_data_centre},
+               {"local", item.is_local},
+               {"load", item.load},
+               {"failure_probability", item.failure_probability},
+               {"cost_inside", item.cost_inside},
+               {"cost_outside", item.cost_outside}};
+    if (item.news_age)
+        entry["news_age_ms"] = item.news_age->count() / 1000;
+    return entry;
+}
+
+} // namespace
+
 http::response explain_response(routing::explanation const& decision)
 {
     if (decision.kind != error_kind::none)
-        return problem_response(decision.kind,
-                                "no routing decision for this request");
+    {
+        http::response out = problem_response(decision.kind, decision.detail);
+        // 401 would stand for a wrong administration key.
+        if (decision.kind != error_kind::no_configuration)
+            out.status = 404;
+        return out;
+    }
     json list = json::array();
     for (routing::explanation::entry const& item : decision.candidates)
-        list.push_back({{"server", item.server_info.server},
-                        {"eligible", item.eligible},
-                        {"reason", item.reason},
-                        {"health", to_string(item.server_info.health)},
-                        {"state", state_name(item.server_info.state)},
-                        {"in_flight", item.server_info.in_flight},
-                        {"queued", item.server_info.queued},
-                        {"slots", item.server_info.slots},
-                        {"data_centre", item.server_info.home_data_centre}});
-    return json_response({{"route", decision.route},
-                          {"service", decision.service},
-                          {"priority", decision.priority},
-                          {"repeatable", decision.repeatable},
-                          {"floor_slots", decision.floor_slots},
-                          {"healthy_slots", decision.healthy_slots},
-                          {"candidates", std::move(list)}});
+        list.push_back(explained_candidate(item));
+    json document{{"route", decision.route},
+                  {"service", decision.service},
+                  {"priority", decision.priority},
+                  {"repeatable", decision.repeatable},
+                  {"needs_account", decision.needs_account},
+                  {"needs_claim", decision.needs_claim},
+                  {"timeout_ms", decision.timeout.count() / 1000},
+                  {"attempts", decision.attempts},
+                  {"max_body_bytes", decision.max_body_bytes},
+                  {"floor_slots", decision.floor_slots},
+                  {"healthy_slots", decision.healthy_slots},
+                  {"chosen", decision.chosen_server},
+                  {"chosen_reason", decision.chosen_reason},
+                  {"candidates", std::move(list)}};
+    if (decision.entry_refusal != error_kind::none)
+    {
+        document["refused"] = error_response_for(decision.entry_refusal).name;
+        document["refused_by"] = decision.entry_rule;
+    }
+    if (!decision.account.empty())
+    {
+        document["account"] = decision.account;
+        document["account_rate"] = decision.account_rate;
+        document["account_burst"] = decision.account_burst;
+    }
+    if (decision.account_tokens)
+        document["account_tokens"] = *decision.account_tokens;
+    return json_response(document);
 }
 
 members::announcement read_announcement(std::string_view body,
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -52,13 +52,18 @@
     return request;
 }
 
-std::string explain_target(std::vector<std::string> const& arguments)
+std::string explain_target(std::vector<std::string> const& arguments,
+                           options const& flags)
 {
     std::string target = fmt::format("/explain?method={}&path={}",
                                      uri::percent_encode(arguments[0]),
                                      uri::percent_encode(arguments[1]));
     if (arguments.size() > 2)
         target += "&account=" + uri::percent_encode(arguments[2]);
+    if (!flags.host.empty())
+        target += "&host=" + uri::percent_encode(flags.host);
+    if (flags.body_bytes > 0)
+        target += fmt::format("&body_bytes={}", flags.body_bytes);
     return target;
 }
 
@@ -126,7 +131,7 @@
                 {},
                 {}};
     case verb::explain:
-        return {"GET", explain_target(arguments), {}, {}};
+        return {"GET", explain_target(arguments, flags), {}, {}};
     }
     return {};
 }
@@ -153,7 +158,8 @@
   daemons                     daemons as the asked one sees them
   drain NAME, undrain NAME    takes a backend server out of use, or back
   explain METHOD PATH [ACCOUNT]
-                              where such a request would go, and why
+                              where such a request would go, and why; sends
+                              nothing
 
 FILE may be - for standard input.
 
@@ -166,6 +172,10 @@
   --patch_id=TEXT        unique id of the patch (generated); give the id of a
                          patch whose outcome is unknown to submit it again
   --author=TEXT          recorded with the patch ($USER)
+  --host=NAME            host of the explained request
+  --body_bytes=N         size of the body of the explained request (0)
+  --from=DAEMON          explain: asks this daemon, which the daemon at --admin
+                         knows by name
   --since=N              first version left out of history (0)
   --until=N              version at which watch ends (never)
 
@@ -178,7 +188,8 @@
   gcove_ctl ... explain GET /catalogue/17 shop
 
 exit codes: 0 done, 1 refused, 2 wrong usage or settings, 3 the daemon cannot
-be reached, 4 the patch is based on a stale version
+be reached, 4 the patch is based on a stale version, 5 nothing to explain:
+unknown path, account, service or daemon
 )";
 }
 
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -20,7 +20,8 @@
     exit_refused = 1,
     exit_usage = 2,
     exit_unreachable = 3,
-    exit_stale = 4
+    exit_stale = 4,
+    exit_not_found = 5 ///< explain: unknown path, account, service or daemon
 };
 
 /// Words or flags that are not a valid command; what() lists what is allowed.
@@ -63,6 +64,9 @@
     std::string author;
     /// History starts after this version.
     std::uint64_t since_version = 0;
+    /// Explained request: its host, and the size of its body.
+    std::string host;
+    std::uint64_t body_bytes = 0;
 };
 
 struct http_request
--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -122,3 +122,32 @@
     CHECK(result == wanted);
     CHECK(render(verb::config_diff, 200, R"({"a":2})").errors == "version 7\n");
 }
+
+TEST_CASE("explain names the host, the body and the daemon that is asked")
+{
+    options flags;
+    flags.host = "shop.example";
+    flags.body_bytes = 70;
+    CHECK(build_request(parse({"explain", "PUT", "/x", "kim"}), flags, "")
+              .target ==
+          "/explain?method=PUT&path=%2Fx&account=kim&host=shop.example"
+          "&body_bytes=70");
+    std::string_view const daemons =
+        R"({"daemons":[{"name":"d1","admin":"127.0.0.1:7"},{"name":"d2"}]})";
+    CHECK(admin_address_of(daemons, "d1") == "127.0.0.1:7");
+    CHECK(admin_address_of(daemons, "d3").empty());
+    CHECK(admin_address_of("[]", "d1").empty());
+}
+
+TEST_CASE("explain of something unknown has an exit code of its own")
+{
+    // Guards against scripts that take a wrong key for an unknown path.
+    command const explain = parse({"explain", "GET", "/x"});
+    std::string const problem = R"({"kind":"no_route","detail":"no route"})";
+    auto const unknown =
+        render_response(explain, {}, {404, {}, problem}, {}, false);
+    CHECK(unknown.code == exit_not_found);
+    CHECK(unknown.errors.find("no route") != std::string::npos);
+    CHECK(render_response(explain, {}, {401, {}, problem}, {}, false).code ==
+          exit_refused);
+}
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -18,6 +18,9 @@
 DEFINE_uint32(timeout_s, 15, "limit for one request in seconds");
 DEFINE_int64(base, -1, "version that a patch is based on");
 DEFINE_string(patch_id, "", "unique id of the patch; generated when empty");
+DEFINE_string(host, "", "host of the explained request");
+DEFINE_uint64(body_bytes, 0, "size of the body of the explained request");
+DEFINE_string(from, "", "daemon that explains; the one at --admin when empty");
 DEFINE_string(author, "", "recorded with the patch; $USER when empty");
 DEFINE_uint64(since, 0, "first version left out of history");
 DEFINE_uint64(until, 0, "version at which watch ends; 0 is never");
@@ -55,6 +58,8 @@
     flags.author =
         FLAGS_author.empty() && user != nullptr ? user : FLAGS_author;
     flags.since_version = FLAGS_since;
+    flags.host = FLAGS_host;
+    flags.body_bytes = FLAGS_body_bytes;
     for (std::string const& text : {flags.patch_id, flags.author})
     {
         // Both are sent as HTTP headers, where control characters
@@ -93,12 +98,26 @@
         throw usage_error("--timeout_s: allowed: 1 or more");
 }
 
+/// Address of the daemon that --from names. Empty when it is not known.
+std::string find_daemon(std::string_view key)
+{
+    http_response const listed =
+        send_request(FLAGS_admin, key, {"GET", "/daemons", {}, {}},
+                     std::chrono::seconds(FLAGS_timeout_s));
+    return admin_address_of(listed.body, FLAGS_from);
+}
+
 command_output send_command(command const& requested, options const& flags,
                             std::string_view key, std::string_view file_content)
 {
     http_request const request = build_request(requested, flags, file_content);
+    std::string address = FLAGS_admin;
+    if (requested.action == verb::explain && !FLAGS_from.empty())
+        address = find_daemon(key);
+    if (address.empty())
+        return {exit_not_found, {}, "unknown daemon '" + FLAGS_from + "'\n"};
     http_response const response = send_request(
-        FLAGS_admin, key, request, std::chrono::seconds(FLAGS_timeout_s));
+        address, key, request, std::chrono::seconds(FLAGS_timeout_s));
     return render_response(requested, flags, response, file_content,
                            FLAGS_output == "json");
 }
--- a/src/ctl/render.cpp
+++ b/src/ctl/render.cpp
@@ -21,8 +21,10 @@
     "address", "state", "config_version"};
 constexpr std::string_view patch_columns[] = {"version", "patch_id", "author",
                                               "patch"};
-constexpr std::string_view candidate_columns[] = {"server", "eligible",
-                                                  "reason"};
+constexpr std::string_view candidate_columns[] = {
+    "server",      "eligible",    "reason",
+    "data_centre", "load",        "failure_probability",
+    "news_age_ms", "cost_inside", "cost_outside"};
 
 /// Text of one table cell; objects and arrays are written as JSON on one line.
 std::string cell(json const& row, std::string_view column)
@@ -40,11 +42,14 @@
 std::string render_explanation(json const& body)
 {
     std::string out;
-    for (std::string_view key : {"route", "service", "priority", "repeatable",
-                                 "floor_slots", "healthy_slots", "kind"})
+    for (std::string_view key :
+         {"route", "service", "priority", "repeatable", "needs_account",
+          "needs_claim", "timeout_ms", "attempts", "max_body_bytes", "account",
+          "account_rate", "account_burst", "account_tokens", "floor_slots",
+          "healthy_slots", "refused", "refused_by", "chosen", "chosen_reason"})
     {
         if (body.contains(key))
-            out += fmt::format("{:<14}{}\n", key, cell(body, key));
+            out += fmt::format("{:<16}{}\n", key, cell(body, key));
     }
     return out + render_table(body.value("candidates", json::array()),
                               candidate_columns);
@@ -123,6 +128,11 @@
         return {exit_stale, {}, render_stale(flags, body)};
     if (is_patch && status == 422 && body.contains("faults"))
         return {exit_refused, {}, render_patch_errors(body)};
+    bool const is_unknown_target =
+        requested.action == verb::explain && status == 404;
+    if (is_unknown_target)
+        return {
+            exit_not_found, {}, render_problem(requested, flags, status, body)};
     int const code =
         is_patch && status == 412 ? int{exit_stale} : int{exit_refused};
     return {code, {}, render_problem(requested, flags, status, body)};
@@ -140,6 +150,19 @@
 
 } // namespace
 
+std::string admin_address_of(std::string_view daemons, std::string_view name)
+{
+    json const body = json::parse(daemons, nullptr, false);
+    if (!body.is_object())
+        return {};
+    for (json const& daemon : body.value("daemons", json::array()))
+    {
+        if (cell(daemon, "name") == name)
+            return cell(daemon, "admin");
+    }
+    return {};
+}
+
 std::uint64_t newest_version(http_response const& response, std::uint64_t since)
 {
     json const body = json::parse(response.body, nullptr, false);
--- a/src/ctl/render.hpp
+++ b/src/ctl/render.hpp
@@ -35,6 +35,10 @@
                                http_response const& response,
                                std::string_view file_content, bool as_json);
 
+/// Administration address of the daemon \p name in the body of a response to
+/// GET /daemons; empty when it is not listed.
+std::string admin_address_of(std::string_view daemons, std::string_view name);
+
 /// Highest version in the response to a history request, but at least \p since.
 std::uint64_t newest_version(http_response const& response,
                              std::uint64_t since);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -167,6 +167,7 @@
     dialect.max_buffered_bytes = bounds.max_buffered;
     dialect.accepts_undelimited =
         values.boolean("daemon", "undelimited_answers");
+    routing_wiring->max_body_bytes = values.number("daemon", "max_body_bytes");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
         dispatch::wiring{&admission, &health, std::move(dialect), &counts});
     peer_wiring = std::make_unique<peer::wiring>(peer::wiring{
--- a/src/include/gooseberrycove/routing.hpp
+++ b/src/include/gooseberrycove/routing.hpp
@@ -8,6 +8,7 @@
 #include <gooseberrycove/work.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,7 +56,24 @@
 /// Reason why each candidate of a service is eligible or not, for the operator.
 struct explanation
 {
+    /// The lookup failed: no_configuration, unauthenticated for an unknown
+    /// account, no_route, or no_server for a service without servers.
     error_kind kind = error_kind::none;
+    std::string detail;
+    /// The rule that would refuse the request at entry, or none.
+    error_kind entry_refusal = error_kind::none;
+    std::string entry_rule;
+    std::string account;
+    float account_rate = 0;
+    float account_burst = 0;
+    /// Tokens in this daemon's own bucket, if it has one for the account.
+    std::optional<float> account_tokens;
+    duration timeout{0};
+    std::uint32_t attempts = 0;
+    bool needs_account = false;
+    /// Non-repeatable requests need an idempotency key and a claim.
+    bool needs_claim = false;
+    std::size_t max_body_bytes = 0;
     std::string route;
     std::string service;
     std::string priority;
@@ -67,8 +85,20 @@
         members::candidate server_info;
         bool eligible = false;
         std::string reason;
+        /// (in flight + queued) / slots, as this daemon counts it.
+        double load = 0;
+        double failure_probability = 0;
+        /// Age of the failure probability, if its home has reported one.
+        std::optional<duration> news_age;
+        double cost_inside = 0;
+        double cost_outside = 0;
+        bool is_local = false;
     };
     std::vector<entry> candidates;
+    /// One of the choices that this daemon would make now; each choice compares
+    /// a random sample. Empty when no candidate is eligible.
+    std::string chosen_server;
+    std::string chosen_reason;
 };
 
 struct explain_request
@@ -77,6 +107,7 @@
     std::string host;
     std::string path;
     std::string account;
+    std::size_t body_bytes = 0;
     std::function<void(explanation&&)> deliver;
 };
 
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -407,6 +407,17 @@
     return static_cast<double>(busy) / std::max(1U, candidate.slots);
 }
 
+candidate_costs costs_of(choice_input const& input, std::size_t index)
+{
+    std::string const own = input.candidates[index].home_data_centre;
+    std::string const other = own + "/other";
+    choice_input inside = input;
+    inside.data_centre = own;
+    choice_input outside = input;
+    outside.data_centre = other;
+    return {cost_of(inside, index), cost_of(outside, index)};
+}
+
 choice choose(choice_input const& input, std::mt19937_64& random)
 {
     if (choice const trial = choose_trial(input, random);
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -163,6 +163,15 @@
     std::span<duration const> start_waits = {};
 };
 
+/// Cost of a candidate without noise, as if its home were in the own data
+/// centre and as if it were in another.
+struct candidate_costs
+{
+    double inside = 0;
+    double outside = 0;
+};
+candidate_costs costs_of(choice_input const& input, std::size_t index);
+
 /// Chooses the cheapest of a few random candidates. The cost is the load, plus
 /// costs for the standing, the failure probability, the wait for the server's
 /// own limit and another data centre.
--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -49,6 +49,7 @@
 
 /// Explains how a request would be routed, without starting it.
 explanation explain(routing_state const& state, lookup_result const& lookup,
+                    explain_request const& request, std::size_t max_body_bytes,
                     time_point now);
 
 /// Summarizes the capacity of each service that has candidates, as this daemon
--- a/src/routing/rate_limit.cpp
+++ b/src/routing/rate_limit.cpp
@@ -46,6 +46,23 @@
 
 } // namespace
 
+std::optional<float> find_tokens(rate_limiter const& limiter,
+                                 config::account_view const& account,
+                                 time_point now)
+{
+    if (account.rate <= 0 || limiter.buckets.empty())
+        return std::nullopt;
+    std::uint64_t const key = hash_name(account.name) | 1;
+    for (token_bucket const& bucket :
+         std::span(limiter.buckets)
+             .subspan(key % limiter.sets * limiter.ways, limiter.ways))
+    {
+        if (bucket.account_key == key)
+            return tokens_at(bucket, now);
+    }
+    return std::nullopt;
+}
+
 bool take_token(rate_limiter& limiter, config::account_view const& account,
                 time_point now)
 {
--- a/src/routing/rate_limit.hpp
+++ b/src/routing/rate_limit.hpp
@@ -4,6 +4,7 @@
 #include <gooseberrycove/config.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace gooseberrycove::routing
@@ -33,6 +34,11 @@
 bool take_token(rate_limiter& limiter, config::account_view const& account,
                 time_point now);
 
+/// Tokens in the bucket of \p account at \p now; nothing without a bucket.
+std::optional<float> find_tokens(rate_limiter const& limiter,
+                                 config::account_view const& account,
+                                 time_point now);
+
 } // namespace gooseberrycove::routing
 
 #endif
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -141,8 +141,8 @@
     std::string_view path;
 };
 
-lookup_result look_up(routing_state& state, config::in_force const& in_force,
-                      lookup_key const& key)
+lookup_result look_up(split_positions& splits, std::mt19937_64& random,
+                      config::in_force const& in_force, lookup_key const& key)
 {
     config::tables_ptr const& tables = in_force.current;
     lookup_result lookup;
@@ -159,8 +159,7 @@
     if (!lookup.route)
         return lookup;
     if (!lookup.route->split.empty())
-        lookup.route->service =
-            next_part(state.splits, *lookup.route, state.random);
+        lookup.route->service = next_part(splits, *lookup.route, random);
     if (auto const* service = tables->find_service(lookup.route->service))
     {
         lookup.floor_slots = service->floor_slots;
@@ -206,7 +205,7 @@
         if (links.finds_accounts_by_key)
             account_key = hash_secret(request.credentials);
         lookup_result const lookup = look_up(
-            state, in_force,
+            state.splits, state.random, in_force,
             {account_name(request.credentials), account_key, request.method,
              request.host, uri::path_of(request.target)});
         if (is_claim_query(request.method, uri::path_of(request.target)))
@@ -250,12 +249,15 @@
     }
     void operator()(explain_request const& request) const
     {
+        // Copies, because choosing the part of a split route changes both.
+        split_positions splits = state.splits;
+        std::mt19937_64 random = state.random;
+        lookup_result const lookup =
+            look_up(splits, random, in_force,
+                    {request.account, std::nullopt, request.method,
+                     request.host, uri::path_of(request.path)});
         request.deliver(
-            explain(state,
-                    look_up(state, in_force,
-                            {request.account, std::nullopt, request.method,
-                             request.host, uri::path_of(request.path)}),
-                    now));
+            explain(state, lookup, request, links.max_body_bytes, now));
     }
     void operator()(refuse_unstarted const&) const
     {
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -29,6 +29,8 @@
     admission::retry_share const* local_retry_share = nullptr;
     /// Callers send the key of an account alone.
     bool finds_accounts_by_key = false;
+    /// Larger bodies are refused at the front; 0 when not told.
+    std::size_t max_body_bytes = 0;
 };
 
 /// Runs until \p messages is closed and empty.
