--- a/testsuite/faults.sh
+++ b/testsuite/faults.sh
@@ -81,7 +81,7 @@
     server_stop) kill -TERM "${pid_of[$target]}" ;;
     server_gray) post_body "${server_address[$target]}/faults" "$extra" ;;
     server_drain) drain_anywhere "$target" ;;
-    platform_mode | platform_lose) platform_faults "$extra" ;;
+    platform_mode | platform_lose | platform_restore) platform_faults "$extra" ;;
     platform_cut_requests) platform_faults "{\"cut_requests\":[\"$target\"]}" ;;
     platform_cut_replies) platform_faults "{\"cut_replies\":[\"$target\"]}" ;;
     link_cut) link_command "cut $target $extra" ;;
@@ -114,6 +114,7 @@
         ;;
     server_gray) post_body "${server_address[$target]}/faults" '{}' ;;
     server_drain) undrain_anywhere "$target" ;;
+    platform_restore) true ;;
     platform_mode) platform_faults '{"mode":"up"}' ;;
     platform_lose) platform_faults '{"lose_reply":0}' ;;
     platform_cut_requests) platform_faults '{"cut_requests":[]}' ;;
