--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -188,6 +188,7 @@
     dialect.max_buffered_bytes = bounds.max_buffered;
     dialect.accepts_undelimited =
         values.boolean("daemon", "undelimited_answers");
+    routing_wiring->max_body_bytes = values.number("daemon", "max_body_bytes");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
         dispatch::wiring{&admission, &health, std::move(dialect), &counts});
     peer_wiring = std::make_unique<peer::wiring>(peer::wiring{
@@ -213,9 +214,9 @@
                         own_daemon.id ^ own_daemon.incarnation, &counts,
                         has_fleet_limits ? &account_limit : nullptr,
                         values.number("daemon", "refusal_siblings") > 0});
-    config_wiring = std::make_unique<config::wiring>(
-        config::wiring{routing, admission, members, peer, store, record.address,
-                       uses_row_store(values), is_ready, &counts});
+    config_wiring = std::make_unique<config::wiring>(config::wiring{
+        routing, admission, members, peer, store, claims, record.address,
+        uses_row_store(values), is_ready, &counts});
     admin_wiring = std::make_unique<admin::wiring>(admin::wiring{
         record.admin_address, values.addresses("daemon", "also_admin"), name,
         &admin_keys, &announce_keys, &counts, &members, &config, &routing,
--- a/src/routing/data_centre.cpp
+++ b/src/routing/data_centre.cpp
@@ -18,9 +18,9 @@
 /// Headers, framing and statuses of a request and its result together.
 constexpr double overhead_bytes = 2048;
 constexpr double bytes_per_mib = 1024.0 * 1024.0;
-/// Loads and failure probabilities are compared with noise of up to 0.25, so a
-/// smaller difference is no reason to send any bytes across.
-constexpr double min_cost = 0.25;
+/// Without it, small differences of failure probabilities send lookups across
+/// although servers here have free slots.
+constexpr double min_cost = unpriced_crossing_cost;
 /// A difference of 2/3 in the failure probability of repeatable work costs 2,
 /// so failing servers are left whatever the price of the bytes.
 constexpr double max_cost = 2;
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -34,6 +34,8 @@
     /// Null when accounts are not limited across daemons.
     account_limit::inbox* account_limit = nullptr;
     bool keeps_newer_loads = false;
+    /// Larger bodies are refused at the front; 0 when not told.
+    std::size_t max_body_bytes = 0;
 };
 
 /// Runs until \p messages is closed and empty.
