Bound the memory and the connections that callers' bodies take

Change: the front reads bodies itself, through the socket type and the parser callbacks that RESTinio takes from its traits, and counts them against one budget, 25% of memory_mb (256 MiB without it). front/body_budget decides who gives way. Bodies over the limit or without room are read without being kept and refused with 413 or 503. Accepting pauses at (descriptors - 300) / 2 connections. The body is moved from the exchange to routing, a frame is encoded with fewer copies, large receive buffers are freed after their frame, and with memory_mb freed blocks from 128 KiB go back to the system. The help of memory_mb and descriptors says what they bound.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -40,6 +40,7 @@
     GOOSEBERRYCOVE_EVENT(request_retried),
     GOOSEBERRYCOVE_EVENT(request_hedged),
     GOOSEBERRYCOVE_EVENT(request_answered),
+    GOOSEBERRYCOVE_EVENT(body_without_room),
     GOOSEBERRYCOVE_EVENT(work_refused),
     GOOSEBERRYCOVE_EVENT(work_started),
     GOOSEBERRYCOVE_EVENT(server_stated),
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -150,7 +150,9 @@
         &routing,
         &callers_in_flight,
         bounds.max_in_flight,
-        values.number("daemon", "max_pipelined")});
+        values.number("daemon", "max_pipelined"),
+        bounds.max_all_bodies,
+        bounds.max_connections});
     routing_wiring = std::make_unique<routing::wiring>(routing::wiring{
         &front, &admission, &peer, &claims, own_daemon, address,
         values.text("daemon", "data_centre"), values.text("daemon", "service"),
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -100,9 +100,12 @@
                  "seconds from SIGTERM until the process is killed; reread on "
                  "SIGHUP"),
     number_setting("memory_mb", "", 16, 1e6,
-                   "MiB of memory at which the process is killed"),
+                   "MiB of memory at which the process is killed; "
+                   "bounds the answers and the request bodies that are held"),
     number_setting("descriptors", "", 1, 1e9,
-                   "file descriptors that the process may have open"),
+                   "file descriptors that the process may have open; "
+                   "bounds the requests in flight and the connections of "
+                   "callers"),
     real_setting("drain_seconds", "", 3600,
                  "seconds that a shutdown waits for requests in flight; "
                  "derived when empty; reread on SIGHUP"),
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include <gooseberrycove/log.hpp>
 
 #include <curl/curl.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <unistd.h>
 
@@ -18,6 +19,9 @@
 
 constexpr int exit_failed = 1;
 
+/// Blocks of this size are returned to the system as soon as they are freed.
+constexpr int returned_block_bytes = 128 << 10;
+
 sigset_t block_signals()
 {
     sigset_t signals;
@@ -36,6 +40,15 @@
     set_log_level(static_cast<severity>(values.number("daemon", "log_level")));
 }
 
+/// Keeps the memory of freed bodies from staying with the process. By default
+/// the C library raises the size of returned blocks to that of the largest body
+/// freed so far.
+void bound_kept_memory(deployment const& given)
+{
+    if (given.memory)
+        mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
+}
+
 /// \throws settings_error for settings that contradict each other
 void check_conflicts(deployment const& given)
 {
@@ -53,6 +66,8 @@
                  .field("drain_limit_ms", to_milliseconds(bounds.drain_limit))
                  .field("max_buffered", bounds.max_buffered)
                  .field("max_in_flight", bounds.max_in_flight)
+                 .field("max_all_bodies", bounds.max_all_bodies)
+                 .field("max_connections", bounds.max_connections)
                  .field("assumed", assumed_settings(given)));
 }
 
@@ -134,6 +149,7 @@
     apply_log_level(values);
     deployment const given = read_deployment(values);
     deployment_bounds bounds = derive_bounds(given);
+    bound_kept_memory(given);
     auto const process = make_daemon(values);
     std::atomic<bool> has_failed{false};
     log_info(event_line(event::process_started)
--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -34,6 +34,13 @@
 /// way to callers.
 constexpr std::uint64_t buffered_percent = 60;
 
+/// Share of the memory for request bodies, until their responses are written.
+/// Messages between daemons encode one body at a time, which takes several
+/// times its size and is not part of this share.
+constexpr std::uint64_t bodies_percent = 25;
+/// Without a stated memory.
+constexpr std::uint64_t default_max_all_bodies = std::uint64_t{256} << 20;
+
 /// Descriptors for files, listeners, other daemons and the platform.
 constexpr std::uint64_t reserved_descriptors = 300;
 /// A request holds the connection of its caller and one to a backend server.
@@ -80,8 +87,9 @@
 
 deployment_bounds derive_bounds(deployment const& given)
 {
-    deployment_bounds bounds{duration(0), default_drain_limit,
-                             default_max_buffered, max_in_flight};
+    deployment_bounds bounds{
+        duration(0),   default_drain_limit,    default_max_buffered,
+        max_in_flight, default_max_all_bodies, 0};
     if (given.shutdown_time)
         bounds.drain_limit =
             *given.shutdown_time -
@@ -93,14 +101,21 @@
              bounds.drain_limit});
     bounds.drain_notice = given.drain_notice.value_or(bounds.drain_notice);
     if (given.memory)
+    {
         bounds.max_buffered = *given.memory * buffered_percent / 100;
+        bounds.max_all_bodies = *given.memory * bodies_percent / 100;
+    }
     bounds.max_buffered = given.max_buffered.value_or(bounds.max_buffered);
     if (given.descriptors)
-        bounds.max_in_flight = std::clamp<std::uint64_t>(
+    {
+        bounds.max_connections = std::max<std::uint64_t>(
             (*given.descriptors -
              std::min(*given.descriptors, reserved_descriptors)) /
                 descriptors_per_request,
-            1, max_in_flight);
+            1);
+        bounds.max_in_flight =
+            std::min<std::uint64_t>(bounds.max_connections, max_in_flight);
+    }
     return bounds;
 }
 
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-routing::caller_request read_request(http::exchange const& exchange,
+routing::caller_request read_request(http::exchange& exchange,
                                      request_options const& options,
                                      std::mt19937_64& generator, time_point now)
 {
@@ -53,7 +53,11 @@
     if (request.caller_id.size() > max_caller_id_bytes)
         throw error(error_kind::bad_request,
                     names.request_id + ": allowed: up to 1024 bytes");
-    if (exchange.body().size() > options.max_body_bytes)
+    if (exchange.body_refusal() == error_kind::overloaded)
+        throw error(error_kind::overloaded,
+                    "no memory for the body beside those of other requests");
+    if (exchange.body_refusal() == error_kind::too_large ||
+        exchange.body().size() > options.max_body_bytes)
         throw error(error_kind::too_large,
                     "the body is larger than " +
                         std::to_string(options.max_body_bytes) + " bytes");
@@ -79,7 +83,7 @@
             names.request_id, names.time_allowed, names.expected_server,
             names.caller_service, names.account_key, names.account_name,
             "Content-Type", "Idempotency-Key", "traceparent"});
-    request.body = exchange.body();
+    request.body = exchange.take_body();
     request.idempotency_key = key;
     request.traceparent = exchange.header("traceparent");
     return request;
--- a/src/front/caller_request.hpp
+++ b/src/front/caller_request.hpp
@@ -18,10 +18,10 @@
     std::size_t max_body_bytes = default_max_body;
 };
 
-/// Reads a caller's request.
+/// Reads a caller's request and takes the body from the exchange.
 /// \param generator  source of the fleet's own request id
-/// \throws error of kind bad_request or too_large
-routing::caller_request read_request(http::exchange const& exchange,
+/// \throws error of kind bad_request, too_large or overloaded
+routing::caller_request read_request(http::exchange& exchange,
                                      request_options const& options,
                                      std::mt19937_64& generator,
                                      time_point now);
--- a/src/front/front_test.cpp
+++ b/src/front/front_test.cpp
@@ -41,13 +41,15 @@
 class test_front
 {
 public:
-    explicit test_front(std::size_t max_pipelined = http::default_max_pipelined)
+    explicit test_front(std::size_t max_pipelined = http::default_max_pipelined,
+                        std::size_t max_all_bodies = 0)
     {
         setup.address = free_address();
         setup.counts = &counts;
         setup.routing = &routing;
         setup.in_flight = &in_flight;
         setup.max_pipelined = max_pipelined;
+        setup.max_all_bodies = max_all_bodies;
         m_thread = std::thread(
             [this]
             {
@@ -135,6 +137,12 @@
         asio::write(m_socket, asio::buffer(bytes));
     }
 
+    void send_bytes(std::string const& bytes)
+    {
+        asio::error_code ignored;
+        asio::write(m_socket, asio::buffer(bytes), ignored);
+    }
+
     /// Reads until the daemon closes the connection.
     std::string read_to_end()
     {
@@ -392,3 +400,88 @@
     CHECK(bytes.substr(head.size() + 4).starts_with("HTTP/1.1 200"));
     CHECK(bytes.ends_with("body of b"));
 }
+
+namespace
+{
+
+std::string with_body(std::string const& path, std::size_t bytes)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: shop\r\n"
+                       "Content-Length: {}\r\n\r\n",
+                       path, bytes) +
+           std::string(bytes, 'x');
+}
+
+} // namespace
+
+TEST_CASE("bodies arrive whole, also in chunks and in a row of requests")
+{
+    // Guards against bytes that are lost or passed to another request: the
+    // front reads bodies in place of the HTTP library.
+    test_front front;
+    test_caller caller(front.setup.address);
+    caller.send_bytes("POST /a HTTP/1.1\r\nHost: shop\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "1\r\na\r\n2;note=1\r\nbc\r\n0\r\nTrailer: t\r\n\r\n" +
+                      with_body("/b", 300'000) + with_body("/c", 0) +
+                      with_body("/d", 2));
+    auto const requests = front.take_requests(4);
+    REQUIRE(requests.size() == 4);
+    CHECK(requests[0].body == "abc");
+    CHECK(requests[1].body == std::string(300'000, 'x'));
+    CHECK(requests[2].body.empty());
+    CHECK(requests[3].body == "xx");
+}
+
+TEST_CASE("a row beyond its limit goes on with the bodies that were not read")
+{
+    // Guards against a request that is parsed after a response was written.
+    test_front front(1);
+    test_caller caller(front.setup.address);
+    caller.send_bytes(with_body("/a", 1) + with_body("/b", 2) +
+                      with_body("/c", 3));
+    for (std::size_t size = 1; size <= 3; ++size)
+    {
+        auto const requests = front.take_requests(1);
+        REQUIRE(requests.size() == 1);
+        CHECK(requests[0].body.size() == size);
+        front.answer(requests[0], "answer");
+    }
+}
+
+TEST_CASE("a body without room is refused as not run until others have ended")
+{
+    // Guards against memory that grows with the callers, and against room that
+    // is not given back.
+    constexpr std::size_t large = 200 * 1024;
+    test_front front(http::default_max_pipelined, large * 2);
+    test_caller first(front.setup.address);
+    first.send_bytes(with_body("/first", large));
+    auto const held = front.take_requests(1);
+    REQUIRE(held.size() == 1);
+    test_caller second(front.setup.address);
+    second.send_bytes(with_body("/refused", large));
+    std::string const refusal = second.read_bytes(200);
+    INFO(refusal);
+    CHECK(refusal.starts_with("HTTP/1.1 503"));
+    CHECK(refusal.find("X-Outcome: not_run") != refusal.npos);
+    second.send_bytes(with_body("/small", 100));
+    auto const small = front.take_requests(1);
+    REQUIRE(small.size() == 1);
+    CHECK(small[0].target == "/small");
+    front.answer(held[0], "done");
+    REQUIRE(wait_until([&] { return front.in_flight == 1; }));
+    front.answer(small[0], "done");
+    REQUIRE(wait_until([&] { return front.in_flight == 0; }));
+    first.send_bytes(with_body("/again", large));
+    CHECK(front.take_requests(1).size() == 1);
+}
+
+TEST_CASE("a body over the limit is refused with a response")
+{
+    test_front front;
+    test_caller caller(front.setup.address);
+    std::size_t const size = front.setup.requests.max_body_bytes + 1;
+    caller.send_bytes(with_body("/a", size));
+    CHECK(caller.read_bytes(12) == "HTTP/1.1 413");
+}
--- a/src/front/front_thread.cpp
+++ b/src/front/front_thread.cpp
@@ -56,6 +56,8 @@
     void on_request(http::exchange_ptr exchange);
     void on_closed(std::uint64_t connection);
     void on_written(std::uint64_t connection);
+    void on_no_room(std::string const& client, std::uint64_t bytes,
+                    bool ends_connection);
     void on_caller_response(caller_response const& response);
     void on_give_up();
     void handle_messages();
@@ -101,9 +103,16 @@
     { on_request(std::move(exchange)); };
     handlers.on_closed = [this](std::uint64_t connection)
     { on_closed(connection); };
+    handlers.on_no_room = [this](std::string const& client, std::uint64_t bytes,
+                                 bool ends_connection)
+    { on_no_room(client, bytes, ends_connection); };
     http::listener_options const options{
-        m_setup.address, hard_body_limit(m_setup.requests.max_body_bytes),
-        m_setup.max_pipelined};
+        m_setup.address,
+        hard_body_limit(m_setup.requests.max_body_bytes),
+        m_setup.max_pipelined,
+        m_setup.requests.max_body_bytes,
+        m_setup.max_all_bodies,
+        m_setup.max_connections};
     m_listener.emplace(m_context, options, std::move(handlers));
     m_waker = m_messages.set_waker(
         [this] { asio::post(m_context, [this] { handle_messages(); }); });
@@ -193,6 +202,18 @@
     publish_in_flight();
 }
 
+void front_loop::on_no_room(std::string const& client, std::uint64_t bytes,
+                            bool ends_connection)
+{
+    // A request that is read to its end is counted when it is refused.
+    if (ends_connection)
+        m_setup.counts->count_refusal("body", error_kind::overloaded);
+    log_info(event_line(event::body_without_room)
+                 .field("client", client)
+                 .field("bytes", bytes)
+                 .field("connection", ends_connection ? "ended" : "kept"));
+}
+
 void front_loop::on_closed(std::uint64_t connection)
 {
     auto const found = m_pipelines.find(connection);
--- a/src/front/front_thread.hpp
+++ b/src/front/front_thread.hpp
@@ -27,6 +27,10 @@
     /// Largest number of requests of one connection that are read and have no
     /// complete response.
     std::size_t max_pipelined = http::default_max_pipelined;
+    /// Limit of memory for all request bodies; 0 for none.
+    std::size_t max_all_bodies = 0;
+    /// Callers' connections at which accepting pauses; 0 for no limit.
+    std::size_t max_connections = 0;
 };
 
 /// Runs until \p messages is closed.
--- a/src/front/http_listener.cpp
+++ b/src/front/http_listener.cpp
@@ -1,9 +1,13 @@
+#include "body_reader.hpp"
 #include <gooseberrycove/error.hpp>
 #include <gooseberrycove/http.hpp>
 #include <gooseberrycove/settings.hpp>
 
 #include <restinio/all.hpp>
 
+#include <limits>
+#include <utility>
+
 namespace gooseberrycove::http
 {
 
@@ -18,6 +22,8 @@
 /// Longer than any request's deadline, so that the deadline ends a request
 /// first.
 constexpr std::chrono::minutes response_timeout{10};
+/// Interval of the search for bodies without progress, while any is unfinished.
+constexpr std::chrono::seconds stall_check_interval{2};
 
 struct close_notifier
 {
@@ -37,6 +43,9 @@
 struct server_traits : restinio::default_single_thread_traits_t
 {
     using connection_state_listener_t = close_notifier;
+    using stream_socket_t = counted_socket;
+    using http_methods_mapper_t = body_methods;
+    static constexpr bool use_connection_count_limiter = true;
 };
 
 class restinio_exchange : public exchange
@@ -44,10 +53,17 @@
 public:
     explicit restinio_exchange(restinio::request_handle_t request)
         : m_request(std::move(request)),
-          m_method(m_request->header().method().c_str())
+          m_method(m_request->header().method().c_str()),
+          m_body(parsed_connection->take()),
+          m_open_exchanges(parsed_connection->open_exchanges)
     {
+        ++*m_open_exchanges;
     }
 
+    ~restinio_exchange() override { --*m_open_exchanges; }
+    restinio_exchange(restinio_exchange const&) = delete;
+    restinio_exchange& operator=(restinio_exchange const&) = delete;
+
     std::string_view method() const override { return m_method; }
 
     std::string_view target() const override
@@ -74,7 +90,11 @@
         return fields;
     }
 
-    std::string_view body() const override { return m_request->body(); }
+    std::string_view body() const override { return m_body.bytes; }
+
+    std::string take_body() override { return std::exchange(m_body.bytes, {}); }
+
+    error_kind body_refusal() const override { return m_body.refusal; }
 
     std::uint64_t connection() const override
     {
@@ -134,6 +154,10 @@
 
     restinio::request_handle_t m_request;
     std::string m_method;
+    /// Keeps its place in the budget when the bytes are taken, because their
+    /// taker holds them until there is a response.
+    held_body m_body;
+    std::shared_ptr<std::size_t> m_open_exchanges;
     bool m_has_responded = false;
 };
 
@@ -146,6 +170,7 @@
     implementation(asio::io_context& context, listener_options const& given,
                    handlers callbacks)
         : m_handlers(std::move(callbacks)),
+          m_ledger(make_ledger(context, given)), m_stall_timer(context),
           m_server(
               restinio::external_io_context(context),
               [&](auto& settings)
@@ -179,6 +204,10 @@
                           .max_url_size(max_url_bytes)
                           .max_field_value_size(max_header_value_bytes)
                           .max_body_size(given.max_body));
+                  settings.max_parallel_connections(
+                      given.max_connections > 0
+                          ? given.max_connections
+                          : std::numeric_limits<std::size_t>::max());
                   settings.acceptor_options_setter(
                       [](auto& options) {
                           options.set_option(
@@ -189,9 +218,60 @@
                       { options.set_option(asio::ip::tcp::no_delay(true)); });
               })
     {
+        m_ledger->on_no_room = [this](std::string const& client,
+                                      std::uint64_t bytes, bool ends_connection)
+        {
+            if (m_handlers.on_no_room)
+                m_handlers.on_no_room(client, bytes, ends_connection);
+        };
+        m_ledger->on_first_unfinished = [this] { watch_stalls(); };
+    }
+
+    ~implementation()
+    {
+        // Connections live as long as the io_context.
+        m_ledger->on_no_room = {};
+        m_ledger->on_first_unfinished = {};
+    }
+
+    /// Attaches the ledger to the context, where the server's sockets find it.
+    static std::shared_ptr<body_ledger>
+    make_ledger(asio::io_context& context, listener_options const& given)
+    {
+        auto ledger = std::make_shared<body_ledger>();
+        ledger->limits.max_read = given.max_body;
+        ledger->limits.max_kept =
+            given.max_kept_body > 0 ? given.max_kept_body : given.max_body;
+        ledger->budget.max_bytes = given.max_all_bodies;
+        attach_ledger(context, ledger);
+        return ledger;
+    }
+
+    void watch_stalls()
+    {
+        if (m_ledger->budget.max_bytes == 0 || m_is_watching)
+            return;
+        m_is_watching = true;
+        m_stall_timer.expires_after(stall_check_interval);
+        m_stall_timer.async_wait(
+            [this](asio::error_code const& failure)
+            {
+                if (failure)
+                    return;
+                m_is_watching = false;
+                for (std::uint64_t const body :
+                     front::find_overdue_bodies(m_ledger->budget, clock_now()))
+                    m_ledger->readers.at(body)->give_way();
+                if (m_ledger->unfinished > 0)
+                    watch_stalls();
+            });
     }
 
     handlers m_handlers;
+    // Before the server, whose sockets look for it.
+    std::shared_ptr<body_ledger> m_ledger;
+    asio::steady_timer m_stall_timer;
+    bool m_is_watching = false;
     server m_server;
 };
 
--- a/src/include/gooseberrycove/deployment.hpp
+++ b/src/include/gooseberrycove/deployment.hpp
@@ -43,6 +43,10 @@
     std::uint64_t max_buffered = 0;
     /// Callers' requests without a response.
     std::uint64_t max_in_flight = 0;
+    /// Memory for the bodies of all requests of callers, in bytes.
+    std::uint64_t max_all_bodies = 0;
+    /// Connections of callers at which accepting pauses; 0 for no limit.
+    std::uint64_t max_connections = 0;
 };
 
 /// Reads the fields from checked settings.
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -32,6 +32,7 @@
     request_retried = 202,
     request_hedged = 203,
     request_answered = 204,
+    body_without_room = 205,
 
     work_refused = 301,
     work_started = 302,
--- a/src/include/gooseberrycove/http.hpp
+++ b/src/include/gooseberrycove/http.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYCOVE_HTTP_HPP
 #define GOOSEBERRYCOVE_HTTP_HPP
 
+#include <gooseberrycove/error.hpp>
 #include <gooseberrycove/header.hpp>
 
 #include <asio/io_context.hpp>
@@ -42,6 +43,11 @@
     /// All headers in the order of the request.
     virtual std::vector<header_field> headers() const = 0;
     virtual std::string_view body() const = 0;
+    /// Returns the body; body() may be empty from then on.
+    virtual std::string take_body() { return std::string(body()); }
+    /// Why the body was not kept: too_large or overloaded. None when body() is
+    /// whole.
+    virtual error_kind body_refusal() const { return error_kind::none; }
     /// Number of the connection, as passed to handlers::on_closed.
     virtual std::uint64_t connection() const = 0;
 
@@ -60,6 +66,12 @@
     std::function<void(exchange_ptr)> on_request;
     /// Called when a connection ended, with or without open requests.
     std::function<void(std::uint64_t connection)> on_closed;
+    /// Called when listener_options::max_all_bodies has no room for a body, of
+    /// which \p bytes were read. Its request is passed on with the refusal
+    /// `overloaded` once it is read, unless the connection ends.
+    std::function<void(std::string const& client, std::uint64_t bytes,
+                       bool ends_connection)>
+        on_no_room;
 };
 
 struct listener_options
@@ -71,6 +83,13 @@
     /// Requests of one connection that are read and have no complete response.
     /// Further ones stay unread until a response is written.
     std::size_t max_pipelined = default_max_pipelined;
+    /// A larger body is read without being kept; see exchange::body_refusal().
+    /// 0: max_body.
+    std::size_t max_kept_body = 0;
+    /// Limit of memory for all bodies until their responses; 0 for none.
+    std::size_t max_all_bodies = 0;
+    /// Open connections at which accepting pauses; 0 for no limit.
+    std::size_t max_connections = 0;
 };
 
 /// HTTP server on one thread's io_context.
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// A larger buffer is freed after its frame, because a connection that carried
+/// one large body would hold its memory while idle.
+constexpr std::size_t max_kept_buffer = std::size_t{64} << 10;
+
 std::size_t frame_length(std::span<unsigned char const, 4> bytes)
 {
     std::size_t length = 0;
@@ -119,6 +123,8 @@
                 return self->report_end();
             self->m_last_use = clock_now();
             self->m_handlers.on_frame(*self, self->m_incoming);
+            if (self->m_incoming.capacity() > max_kept_buffer)
+                self->m_incoming = {};
             if (!self->m_has_ended)
                 self->read_length();
         });
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -19,21 +19,26 @@
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
-/// HMAC-SHA256 over the version and the encoded message, truncated to \ref
-/// mac_size bytes.
-std::string compute_mac(std::string_view key, unsigned char version,
-                        std::string_view encoded)
+/// HMAC-SHA256 over \p covered, the version and the encoded message, truncated
+/// to \ref mac_size bytes.
+std::string compute_mac(std::string_view key, std::string_view covered)
 {
-    std::string mac_input(1, static_cast<char>(version));
-    mac_input += encoded;
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
     HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-         reinterpret_cast<unsigned char const*>(mac_input.data()),
-         mac_input.size(), digest.data(), &size);
+         reinterpret_cast<unsigned char const*>(covered.data()), covered.size(),
+         digest.data(), &size);
     return {reinterpret_cast<char const*>(digest.data()), mac_size};
 }
 
+std::string compute_mac(std::string_view key, unsigned char version,
+                        std::string_view encoded)
+{
+    std::string covered(1, static_cast<char>(version));
+    covered += encoded;
+    return compute_mac(key, covered);
+}
+
 gen::Message read_message(std::string_view encoded)
 {
     auto buffer = std::make_shared<TMemoryBuffer>(
@@ -53,19 +58,30 @@
 std::string encode(std::string_view key, daemon_ref sender,
                    peer::payload const& content, time_point now)
 {
-    gen::Message out;
-    out.sender.id = static_cast<std::int64_t>(sender.id);
-    out.sender.incarnation = static_cast<std::int64_t>(sender.incarnation);
-    to_thrift(content, now, out);
-
     auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    out.write(&protocol);
-    std::string const encoded = buffer->getBufferAsString();
-
-    std::string frame(1, static_cast<char>(protocol_version));
-    frame += compute_mac(key, protocol_version, encoded);
-    frame += encoded;
+    {
+        // Freed before the frame is allocated: a body takes memory at each
+        // step.
+        gen::Message out;
+        out.sender.id = static_cast<std::int64_t>(sender.id);
+        out.sender.incarnation = static_cast<std::int64_t>(sender.incarnation);
+        to_thrift(content, now, out);
+        TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+        out.write(&protocol);
+    }
+    std::uint8_t* encoded = nullptr;
+    std::uint32_t size = 0;
+    buffer->getBuffer(&encoded, &size);
+    std::string frame;
+    frame.reserve(frame_header_size + size);
+    frame.assign(frame_header_size, static_cast<char>(protocol_version));
+    frame.append(reinterpret_cast<char const*>(encoded), size);
+    buffer.reset();
+    // The version in the last byte of the header precedes the message, so that
+    // the code is computed without a copy of both.
+    std::string const mac =
+        compute_mac(key, std::string_view(frame).substr(mac_size));
+    frame.replace(1, mac_size, mac);
     return frame;
 }
 
