Bound the bodies that other daemons send to a home

Cause: each ingress daemon keeps its own budget, so several of them could together send a home more than it can hold; decoding also copied each body. Decoding moves the body. No case has several ingress daemons at one home.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -171,9 +171,10 @@
         values.boolean("daemon", "undelimited_answers");
     dispatch_wiring = std::make_unique<dispatch::wiring>(
         dispatch::wiring{&admission, &health, std::move(dialect), &counts});
-    peer_wiring = std::make_unique<peer::wiring>(peer::wiring{
-        own_daemon, address, values.text("daemon", "peer_bind"), &peer_keys,
-        &counts, &routing, &admission, &claims, &config, &members});
+    peer_wiring = std::make_unique<peer::wiring>(
+        peer::wiring{own_daemon, address, values.text("daemon", "peer_bind"),
+                     &peer_keys, &counts, &routing, &admission, &claims,
+                     &config, &members, bounds.max_received_bodies});
 }
 
 void daemon_process::implementation::make_control_wirings(
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -67,6 +67,7 @@
                  .field("max_buffered", bounds.max_buffered)
                  .field("max_in_flight", bounds.max_in_flight)
                  .field("max_all_bodies", bounds.max_all_bodies)
+                 .field("max_received_bodies", bounds.max_received_bodies)
                  .field("max_connections", bounds.max_connections)
                  .field("assumed", assumed_settings(given)));
 }
--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -38,6 +38,9 @@
 /// Messages between daemons encode one body at a time, which takes several
 /// times its size and is not part of this share.
 constexpr std::uint64_t bodies_percent = 25;
+/// Share of the memory for the bodies of work from other daemons until their
+/// results.
+constexpr std::uint64_t received_bodies_percent = 10;
 /// Without a stated memory.
 constexpr std::uint64_t default_max_all_bodies = std::uint64_t{256} << 20;
 
@@ -87,9 +90,13 @@
 
 deployment_bounds derive_bounds(deployment const& given)
 {
-    deployment_bounds bounds{
-        duration(0),   default_drain_limit,    default_max_buffered,
-        max_in_flight, default_max_all_bodies, 0};
+    deployment_bounds bounds{duration(0),
+                             default_drain_limit,
+                             default_max_buffered,
+                             max_in_flight,
+                             default_max_all_bodies,
+                             default_max_all_bodies,
+                             0};
     if (given.shutdown_time)
         bounds.drain_limit =
             *given.shutdown_time -
@@ -104,6 +111,8 @@
     {
         bounds.max_buffered = *given.memory * buffered_percent / 100;
         bounds.max_all_bodies = *given.memory * bodies_percent / 100;
+        bounds.max_received_bodies =
+            *given.memory * received_bodies_percent / 100;
     }
     bounds.max_buffered = given.max_buffered.value_or(bounds.max_buffered);
     if (given.descriptors)
--- a/src/deployment/deployment_test.cpp
+++ b/src/deployment/deployment_test.cpp
@@ -67,7 +67,10 @@
             CHECK(bounds.max_connections + bounds.max_in_flight < descriptors);
             CHECK(bounds.max_connections >= bounds.max_in_flight);
             CHECK(bounds.max_all_bodies > 0);
-            CHECK(bounds.max_all_bodies + bounds.max_buffered < *given.memory);
+            CHECK(bounds.max_received_bodies > 0);
+            CHECK(bounds.max_all_bodies + bounds.max_received_bodies +
+                      bounds.max_buffered <
+                  *given.memory);
         }
     }
 }
--- a/src/include/gooseberrycove/deployment.hpp
+++ b/src/include/gooseberrycove/deployment.hpp
@@ -45,6 +45,9 @@
     std::uint64_t max_in_flight = 0;
     /// Memory for the bodies of all requests of callers, in bytes.
     std::uint64_t max_all_bodies = 0;
+    /// Memory for the bodies of work that other daemons send to this home, in
+    /// bytes.
+    std::uint64_t max_received_bodies = 0;
     /// Connections of callers at which accepting pauses; 0 for no limit.
     std::uint64_t max_connections = 0;
 };
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -35,14 +35,9 @@
         if (to.admission->try_push(std::move(queued), response_reserve))
             return;
         work_request const& refused = std::get<work_request>(queued);
-        work_result result;
-        result.id = refused.id;
-        result.attempt = refused.attempt;
-        result.kind = error_kind::overloaded;
-        result.run_outcome = outcome::not_run;
-        result.detail = "the home's ring is full";
-        result.home = to.self;
-        refusal = outgoing{refused.origin_address, std::move(result)};
+        refusal = outgoing{
+            refused.origin_address,
+            make_refused_result(refused, to.self, "the home's ring is full")};
         to.counts->count_ring_drop("admission");
     }
 
@@ -95,6 +90,19 @@
     return std::move(visitor.refusal);
 }
 
+work_result make_refused_result(work_request const& refused, daemon_ref home,
+                                std::string_view detail)
+{
+    work_result result;
+    result.id = refused.id;
+    result.attempt = refused.attempt;
+    result.kind = error_kind::overloaded;
+    result.run_outcome = outcome::not_run;
+    result.detail = detail;
+    result.home = home;
+    return result;
+}
+
 work_result make_lost_work_result(request_id id, std::uint32_t attempt,
                                   bool was_sent, std::string_view address)
 {
--- a/src/peer/delivery.hpp
+++ b/src/peer/delivery.hpp
@@ -13,6 +13,10 @@
 /// payloads are dropped and counted.
 std::optional<outgoing> deliver(payload&& content, wiring const& to);
 
+/// Result for work that this home refuses as not run because it is overloaded.
+work_result make_refused_result(work_request const& refused, daemon_ref home,
+                                std::string_view detail);
+
 /// Result for work that was lost on the way to its home.
 /// \param was_sent  true when the work may have reached the home, so that its
 ///                  outcome is unknown; false gives the outcome not run
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -3,6 +3,7 @@
 #include "connection.hpp"
 #include "delivery.hpp"
 #include "reachability.hpp"
+#include "received_bodies.hpp"
 #include <gooseberrycove/event.hpp>
 #include <gooseberrycove/settings.hpp>
 #include <gooseberrycove/wire.hpp>
@@ -53,16 +54,6 @@
     std::vector<outgoing> waiting;
 };
 
-using attempt_key = std::pair<request_id, std::uint32_t>;
-
-struct attempt_key_hash
-{
-    std::size_t operator()(attempt_key const& key) const noexcept
-    {
-        return request_id_hash()(key.first) + key.second;
-    }
-};
-
 /// Event loop, sockets and connections of the peer thread.
 class peer_loop
 {
@@ -91,6 +82,8 @@
     std::shared_ptr<connection> make_connection(tcp::socket socket);
     void on_frame(connection* stream, std::string_view frame);
     void on_result(connection* stream, work_result const& result);
+    /// Refuses work whose body has no room. Returns false when it has.
+    bool refuse_large_work(work_request const& work);
     void on_end(connection& ended, std::uint64_t last_written);
     void return_lost_work(sent_work const& lost, request_id id, bool was_sent);
     void sweep();
@@ -111,6 +104,7 @@
     std::unordered_set<std::shared_ptr<connection>> m_connections;
     std::unordered_map<std::string, connection*> m_connection_by_address;
     std::unordered_map<attempt_key, sent_work, attempt_key_hash> m_sent_work;
+    received_bodies m_received_bodies;
     std::vector<message> m_batch;
     bool m_is_finishing = false;
     waker_scope m_waker;
@@ -119,6 +113,7 @@
 peer_loop::peer_loop(inbox& messages, wiring const& to)
     : m_messages(messages), m_to(to)
 {
+    m_received_bodies.max_bytes = to.max_received_bodies;
 }
 
 tcp::endpoint peer_loop::to_endpoint(std::string_view address) const
@@ -207,6 +202,9 @@
 {
     if (std::holds_alternative<work_request>(outgoing_message.content))
         return send_work(outgoing_message);
+    if (auto const* result =
+            std::get_if<work_result>(&outgoing_message.content))
+        release_body(m_received_bodies, {result->id, result->attempt});
     std::string const frame = encode(outgoing_message.content);
     if (std::holds_alternative<members::packet>(outgoing_message.content))
         return send_datagram(outgoing_message.address, frame);
@@ -408,6 +406,9 @@
                 on_check(*stream, *check);
             return;
         }
+        if (auto const* work = std::get_if<work_request>(&decoded.content);
+            work && refuse_large_work(*work))
+            return;
         auto const refusal = deliver(std::move(decoded.content), m_to);
         if (refusal)
             send(*refusal);
@@ -423,6 +424,22 @@
     }
 }
 
+bool peer_loop::refuse_large_work(work_request const& work)
+{
+    if (admit_body(m_received_bodies, {work.id, work.attempt}, work.body.size(),
+                   work.deadline, clock_now()))
+        return false;
+    m_to.counts->count_refusal("peer", error_kind::overloaded);
+    log_info(event_line(event::body_without_room)
+                 .field("client", work.origin_address)
+                 .field("bytes", std::uint64_t{work.body.size()})
+                 .field("connection", "kept"));
+    send({work.origin_address,
+          make_refused_result(work, m_to.self,
+                              "no memory for the body at the home")});
+    return true;
+}
+
 void peer_loop::on_result(connection* stream, work_result const& result)
 {
     auto const sent_entry = m_sent_work.find({result.id, result.attempt});
--- a/src/peer/peer_thread.hpp
+++ b/src/peer/peer_thread.hpp
@@ -24,6 +24,8 @@
     claims::inbox* claims = nullptr;
     config::inbox* config = nullptr;
     members::inbox* members = nullptr;
+    /// Limit of the bodies of work for this home; 0 for none.
+    std::uint64_t max_received_bodies = 0;
 };
 
 /// Runs until \p messages is closed, then writes the queued frames and returns.
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -161,7 +161,7 @@
     return out;
 }
 
-work_request from_gen(gen::Work const& in, time_point now)
+work_request from_gen(gen::Work&& in, time_point now)
 {
     work_request out;
     out.id = get_id(in);
@@ -175,7 +175,7 @@
     out.method = in.method;
     out.target = in.target;
     out.content_type = in.content_type;
-    out.body = in.body;
+    out.body = std::move(in.body);
     out.idempotency_key = in.idempotency_key;
     out.traceparent = in.traceparent;
     out.deadline =
@@ -540,10 +540,10 @@
     std::visit(payload_writer{out, now}, content);
 }
 
-peer::payload from_thrift(gen::Message const& in, time_point now)
+peer::payload from_thrift(gen::Message&& in, time_point now)
 {
     if (in.__isset.work)
-        return from_gen(in.work, now);
+        return from_gen(std::move(in.work), now);
     if (in.__isset.work_result)
         return from_gen(in.work_result);
     if (in.__isset.path_check)
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -13,7 +13,7 @@
 
 /// Returns the payload in the field that is set; monostate when none is set.
 /// \throws error of kind bad_request when a value is outside its range
-peer::payload from_thrift(gen::Message const& in, time_point now);
+peer::payload from_thrift(gen::Message&& in, time_point now);
 
 } // namespace gooseberrycove::wire
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -107,11 +107,11 @@
                     "wrong message authentication code");
     try
     {
-        gen::Message const decoded = read_message(encoded);
+        gen::Message decoded = read_message(encoded);
         message out;
         out.sender = {static_cast<std::uint64_t>(decoded.sender.id),
                       static_cast<std::uint64_t>(decoded.sender.incarnation)};
-        out.content = from_thrift(decoded, now);
+        out.content = from_thrift(std::move(decoded), now);
         return out;
     }
     catch (apache::thrift::TException const& failure)
