Spare a copy of a body that is sent to another daemon

Cause: the message for another daemon copied the body of work that nobody needs afterwards; one body of 64 MiB took 273 MiB at the ingress daemon. Change: the peer thread owns an outgoing message and encodes it with the body moved out of it. The unit tests of wire and peer, the five cases testsuite.body_* and server_and_load, server_statement, daemon_idle_stop, daemon_stop and daemon_notice pass.

--- a/src/include/gooseberrycove/wire.hpp
+++ b/src/include/gooseberrycove/wire.hpp
@@ -35,6 +35,10 @@
 std::string encode(std::string_view key, daemon_ref sender,
                    peer::payload const& content, time_point now);
 
+/// Takes the body of work from \p content, which spares a copy of it.
+std::string encode(std::string_view key, daemon_ref sender,
+                   peer::payload&& content, time_point now);
+
 /// Verifies and decodes a frame of encode().
 /// \param keys  accepted shared keys, so that a key can be rotated
 /// \throws error of kind wrong_protocol for a newer version, wrong_token for a
--- a/src/peer/peer_thread.cpp
+++ b/src/peer/peer_thread.cpp
@@ -67,17 +67,18 @@
     void accept();
     void receive();
     void drain_inbox();
-    void send(outgoing const& outgoing_message);
+    void send(outgoing outgoing_message);
     void send_datagram(std::string_view address, std::string const& frame);
     void send_stream(outgoing const& outgoing_message, std::string_view frame);
-    void send_work(outgoing const& outgoing_message);
-    void write_work(connection& stream, outgoing const& outgoing_message);
+    void send_work(outgoing& outgoing_message);
+    void write_work(connection& stream, outgoing& outgoing_message);
     void return_not_run(outgoing const& outgoing_message);
     void return_waiting_not_run(checked_connection& checked);
     void start_check_timer(time_point check_sent_at);
     void return_overdue_work();
     void on_check(connection& stream, path_check const& check);
-    std::string encode(payload const& content);
+    /// Takes the body of work.
+    std::string encode(payload&& content);
     connection& connection_to(std::string const& address);
     std::shared_ptr<connection> make_connection(tcp::socket socket);
     void on_frame(connection* stream, std::string_view frame);
@@ -180,33 +181,34 @@
     bool const is_open = m_messages.pop_all(m_batch);
     for (message& item : m_batch)
     {
-        if (auto const* outgoing_message = std::get_if<outgoing>(&item))
-            send(*outgoing_message);
+        if (auto* outgoing_message = std::get_if<outgoing>(&item))
+            send(std::move(*outgoing_message));
     }
     m_batch.clear();
     if (!is_open && !m_is_finishing)
         finish();
 }
 
-std::string peer_loop::encode(payload const& content)
+std::string peer_loop::encode(payload&& content)
 {
-    std::string frame =
-        wire::encode(m_to.keys->current(), m_to.self, content, clock_now());
-    m_to.counts->count_peer_bytes(direction::out,
-                                  carries_work(content) ? "work" : "control",
-                                  frame.size());
+    char const* const kind = carries_work(content) ? "work" : "control";
+    std::string frame = wire::encode(m_to.keys->current(), m_to.self,
+                                     std::move(content), clock_now());
+    m_to.counts->count_peer_bytes(direction::out, kind, frame.size());
     return frame;
 }
 
-void peer_loop::send(outgoing const& outgoing_message)
+void peer_loop::send(outgoing outgoing_message)
 {
     if (std::holds_alternative<work_request>(outgoing_message.content))
         return send_work(outgoing_message);
     if (auto const* result =
             std::get_if<work_result>(&outgoing_message.content))
         release_body(m_received_bodies, {result->id, result->attempt});
-    std::string const frame = encode(outgoing_message.content);
-    if (std::holds_alternative<members::packet>(outgoing_message.content))
+    bool const is_datagram =
+        std::holds_alternative<members::packet>(outgoing_message.content);
+    std::string const frame = encode(std::move(outgoing_message.content));
+    if (is_datagram)
         return send_datagram(outgoing_message.address, frame);
     send_stream(outgoing_message, frame);
 }
@@ -230,7 +232,7 @@
         connection_to(outgoing_message.address).send(frame);
 }
 
-void peer_loop::send_work(outgoing const& outgoing_message)
+void peer_loop::send_work(outgoing& outgoing_message)
 {
     if (!is_address(outgoing_message.address))
         return return_not_run(outgoing_message);
@@ -242,11 +244,11 @@
     case send_step::send:
         return write_work(stream, outgoing_message);
     case send_step::check:
-        checked.waiting.push_back(outgoing_message);
+        checked.waiting.push_back(std::move(outgoing_message));
         stream.send(encode(path_check{++m_last_check_number, false}));
         return start_check_timer(now);
     case send_step::wait:
-        checked.waiting.push_back(outgoing_message);
+        checked.waiting.push_back(std::move(outgoing_message));
         return;
     case send_step::return_not_run:
         return return_not_run(outgoing_message);
@@ -257,7 +259,7 @@
     }
 }
 
-void peer_loop::write_work(connection& stream, outgoing const& outgoing_message)
+void peer_loop::write_work(connection& stream, outgoing& outgoing_message)
 {
     work_request const& request =
         std::get<work_request>(outgoing_message.content);
@@ -267,11 +269,12 @@
     // The entry is added before send(), so that error handling that runs inside
     // send() finds it.
     m_sent_work[key] = record;
-    std::uint64_t const tag = stream.send(encode(outgoing_message.content));
+    std::uint64_t const tag =
+        stream.send(encode(std::move(outgoing_message.content)));
     if (tag == 0)
     {
         m_sent_work.erase(key);
-        return return_lost_work(record, request.id, false);
+        return return_lost_work(record, key.first, false);
     }
     m_sent_work[key].stream = &stream;
     m_sent_work[key].tag = tag;
@@ -338,8 +341,8 @@
     on_check_reply(checked.state, check.number);
     if (checked.state.check_number != 0)
         return;
-    std::vector<outgoing> const waiting = std::exchange(checked.waiting, {});
-    for (outgoing const& item : waiting)
+    std::vector<outgoing> waiting = std::exchange(checked.waiting, {});
+    for (outgoing& item : waiting)
         write_work(stream, item);
 }
 
@@ -409,9 +412,9 @@
         if (auto const* work = std::get_if<work_request>(&decoded.content);
             work && refuse_large_work(*work))
             return;
-        auto const refusal = deliver(std::move(decoded.content), m_to);
+        auto refusal = deliver(std::move(decoded.content), m_to);
         if (refusal)
-            send(*refusal);
+            send(std::move(*refusal));
     }
     catch (error const& failure)
     {
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -57,6 +57,12 @@
 
 std::string encode(std::string_view key, daemon_ref sender,
                    peer::payload const& content, time_point now)
+{
+    return encode(key, sender, peer::payload(content), now);
+}
+
+std::string encode(std::string_view key, daemon_ref sender,
+                   peer::payload&& content, time_point now)
 {
     auto buffer = std::make_shared<TMemoryBuffer>();
     {
@@ -65,7 +71,12 @@
         gen::Message out;
         out.sender.id = static_cast<std::int64_t>(sender.id);
         out.sender.incarnation = static_cast<std::int64_t>(sender.incarnation);
+        std::string body;
+        if (auto* work = std::get_if<work_request>(&content))
+            body = std::move(work->body);
         to_thrift(content, now, out);
+        if (!body.empty())
+            out.work.body = std::move(body);
         TCompactProtocolT<TMemoryBuffer> protocol(buffer);
         out.write(&protocol);
     }
