Limit accounts by a window where the deployment states one

Change: account_limit_window; the owner counts what it granted in the window and fills buckets with the burst too, once no daemon has used an entitlement by itself for a window.

--- a/src/account_limit/account_limit_thread.cpp
+++ b/src/account_limit/account_limit_thread.cpp
@@ -83,8 +83,8 @@
 
 void run(inbox& messages, wiring const& links)
 {
-    limit_state state =
-        make_state(links.own_daemon, links.own_address, clock_now());
+    limit_state state = make_state(links.own_daemon, links.own_address,
+                                   clock_now(), links.window);
     actions out;
     std::deque<routing::message> unsent;
     duration wall_offset = wall_clock_time() - clock_now().time_since_epoch();
--- a/src/account_limit/account_limit_thread.hpp
+++ b/src/account_limit/account_limit_thread.hpp
@@ -20,6 +20,8 @@
     std::string own_address;
     /// May be null.
     metrics* counts = nullptr;
+    /// See make_state().
+    duration window{0};
 };
 
 /// Runs until \p messages is closed and empty.
--- a/src/account_limit/entitlement.cpp
+++ b/src/account_limit/entitlement.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+/// Length of a slice of owned_account::granted.
+constexpr duration grant_slice = std::chrono::milliseconds(100);
 /// A bucket holds at least what fills it between two reports.
 constexpr double min_burst_seconds = 0.1;
 
@@ -62,6 +64,47 @@
     return std::max(count_entitled(state, now), state.heard_entitled);
 }
 
+void note_change(owned_group& group, time_point now)
+{
+    ++group.version;
+    group.changed_at = now;
+}
+
+/// Whether no daemon has used an entitlement by itself in the past window, so
+/// that the owner's count of the window is that of the fleet.
+bool has_whole_window(limit_state const& state, owned_group const& group,
+                      time_point now)
+{
+    return state.window.count() > 0 && now - group.changed_at >= state.window;
+}
+
+double delegated_share(owned_group const& group)
+{
+    double share = 0;
+    for (auto const& [id, part] : group.leases)
+        share += 1.0 / part.entitled;
+    return share;
+}
+
+void drop_old_grants(owned_account& owned, duration window, time_point now)
+{
+    while (!owned.granted.empty() &&
+           now - owned.granted.front().first > window + grant_slice)
+    {
+        owned.granted_sum -= owned.granted.front().second;
+        owned.granted.pop_front();
+    }
+}
+
+void record_grant(owned_account& owned, std::uint32_t count, time_point now)
+{
+    owned.granted_sum += count;
+    if (owned.granted.empty() ||
+        now - owned.granted.back().first >= grant_slice)
+        owned.granted.emplace_back(now, 0);
+    owned.granted.back().second += count;
+}
+
 /// Removes the leases that have ended and adds the shares of all to the sum.
 void sum_shares(owned_group& group, time_point now)
 {
@@ -75,7 +118,7 @@
     group.summed_at = now;
     if (std::erase_if(group.leases, [now](auto const& entry)
                       { return entry.second.until <= now; }) > 0)
-        ++group.version;
+        note_change(group, now);
 }
 
 double bucket_size(limit_state const& state, std::uint64_t account,
@@ -104,12 +147,13 @@
 } // namespace
 
 limit_state make_state(daemon_ref own_daemon, std::string_view own_address,
-                       time_point now)
+                       time_point now, duration window)
 {
     limit_state state;
     state.own_daemon = own_daemon;
     state.own_address = own_address;
     state.started = now;
+    state.window = window;
     return state;
 }
 
@@ -228,13 +272,40 @@
         owned.size_group_version = 0;
     owned.rate = rate;
     owned.burst = burst;
-    owned.tokens = std::min(bucket_size(state, account, owned, group, now),
-                            owned.tokens + rate * (group.share_seconds -
-                                                   owned.filled_share_seconds));
+    // A token bucket permits the burst once; a window permits it again and
+    // again, and take_tokens() bounds what it adds up to.
+    double const burst_rate =
+        has_whole_window(state, group, now) ? burst / seconds(state.window) : 0;
+    owned.tokens = std::min(
+        bucket_size(state, account, owned, group, now),
+        owned.tokens + (rate + burst_rate) *
+                           (group.share_seconds - owned.filled_share_seconds));
     owned.filled_share_seconds = group.share_seconds;
     return owned;
 }
 
+std::uint32_t take_tokens(limit_state& state, std::uint64_t account,
+                          double rate, double burst, std::uint32_t wanted,
+                          time_point now)
+{
+    owned_account& owned = fill_owned(state, account, rate, burst, now);
+    double allowed = std::floor(owned.tokens);
+    drop_old_grants(owned, state.window, now);
+    if (state.window.count() > 0)
+    {
+        double const limit =
+            delegated_share(state.owned_groups[group_of(account)]) *
+            (rate * seconds(state.window) + burst + fraction_allowance);
+        allowed = std::min(allowed, std::floor(limit) - owned.granted_sum);
+    }
+    auto const taken =
+        static_cast<std::uint32_t>(std::clamp<double>(allowed, 0, wanted));
+    owned.tokens -= taken;
+    if (taken > 0 && state.window.count() > 0)
+        record_grant(owned, taken, now);
+    return taken;
+}
+
 duration time_to_token(limit_state const& state, std::uint64_t account)
 {
     auto const found = state.owned.find(account);
@@ -258,7 +329,7 @@
     sum_shares(group, now);
     lease& kept = group.leases[daemon];
     if (kept.until == time_point() || kept.entitled != given.entitled)
-        ++group.version;
+        note_change(group, now);
     kept = given;
 }
 
@@ -266,7 +337,7 @@
 {
     sum_shares(group, now);
     if (group.leases.erase(daemon) > 0)
-        ++group.version;
+        note_change(group, now);
 }
 
 void delegate_to_self(limit_state& state, std::uint32_t group, time_point now)
@@ -318,7 +389,7 @@
         std::erase_if(group.leases, [&](auto const& entry)
                       { return entry.first != state.own_daemon.id; });
         group.summed_at = now;
-        ++group.version;
+        note_change(group, now);
     }
     for (auto& [account, owned] : state.owned)
         owned.tokens = 0;
--- a/src/account_limit/entitlement.hpp
+++ b/src/account_limit/entitlement.hpp
@@ -31,6 +31,12 @@
 owned_account& fill_owned(limit_state& state, std::uint64_t account,
                           double rate, double burst, time_point now);
 
+/// Takes up to \p wanted whole tokens of an owned account and returns their
+/// number.
+std::uint32_t take_tokens(limit_state& state, std::uint64_t account,
+                          double rate, double burst, std::uint32_t wanted,
+                          time_point now);
+
 /// Time until the bucket of an owned account holds a whole token.
 duration time_to_token(limit_state const& state, std::uint64_t account);
 
--- a/src/account_limit/owner.cpp
+++ b/src/account_limit/owner.cpp
@@ -55,13 +55,10 @@
 grant_entry answer(limit_state& state, report_entry const& entry,
                    time_point gathering_until, time_point now)
 {
-    owned_account& owned =
-        fill_owned(state, entry.account, entry.rate, entry.burst, now);
     grant_entry out;
     out.account = entry.account;
-    out.tokens = static_cast<std::uint32_t>(
-        std::min<double>(entry.wanted, std::floor(owned.tokens)));
-    owned.tokens -= out.tokens;
+    out.tokens = take_tokens(state, entry.account, entry.rate, entry.burst,
+                             entry.wanted, now);
     if (out.tokens < entry.wanted && now >= gathering_until)
         out.retry_after = time_to_token(state, entry.account);
     return out;
--- a/src/account_limit/simulation_test.cpp
+++ b/src/account_limit/simulation_test.cpp
@@ -124,9 +124,10 @@
 
 /// Plays a drawn history of separations, restarts and pauses of 12 daemons.
 /// \param max_groups  parts into which the fleet may be separated
-void check_history(int seed, double rate, double burst, std::size_t max_groups)
+void check_history(int seed, double rate, double burst, std::size_t max_groups,
+                   duration window)
 {
-    simulation fleet(12, rate, burst, static_cast<unsigned>(seed));
+    simulation fleet(12, rate, burst, static_cast<unsigned>(seed), window);
     fleet.loss = seed % 3 == 0 ? 0.2 : 0;
     fleet.repetition = 0.1;
     fleet.max_delay = seed % 4 == 0 ? milliseconds(1500) : milliseconds(20);
@@ -175,7 +176,7 @@
 TEST_CASE("No fault lets an account exceed its limit")
 {
     check_history(GENERATE(range(0, 20)), GENERATE(10.0, 150.0),
-                  GENERATE(1.0, 200.0), 6);
+                  GENERATE(1.0, 200.0), 6, GENERATE(seconds(0), seconds(5)));
 }
 
 // The same where a daemon may also be separated from all others and then start
@@ -185,7 +186,7 @@
           "[!mayfail]")
 {
     check_history(GENERATE(range(0, 20)), GENERATE(10.0, 150.0),
-                  GENERATE(1.0, 200.0), 12);
+                  GENERATE(1.0, 200.0), 12, seconds(0));
 }
 
 // Guards against a lowered limit that old buckets exceed.
@@ -211,6 +212,18 @@
     CHECK(static_cast<double>(fleet.most_in_window()) <= bound(50, 50));
 }
 
+// Guards against an account that gets its rate alone although the limit is
+// about a window, in which it may also send its burst.
+TEST_CASE("A window permits the rate and the burst, and no more")
+{
+    simulation fleet(76, 15, 15, 8, seconds(5));
+    fleet.run(seconds(12), [](simulation&) {});
+    fleet.run(seconds(10), from_all(17));
+    CHECK(fleet.granted() >= fleet.sent() * 97 / 100);
+    fleet.run(seconds(20), from_all(100));
+    CHECK(static_cast<double>(fleet.most_in_window()) <= bound(15, 15));
+}
+
 // Guards against daemons that are counted for too short or too long a time.
 TEST_CASE("A dead daemon counts for 60 s, one that was leaving does not")
 {
--- a/src/account_limit/simulation_test.hpp
+++ b/src/account_limit/simulation_test.hpp
@@ -19,8 +19,9 @@
 class simulation
 {
 public:
-    simulation(std::size_t count, double rate, double burst, unsigned seed)
-        : m_rate(rate), m_burst(burst), m_random(seed)
+    simulation(std::size_t count, double rate, double burst, unsigned seed,
+               duration window = duration(0))
+        : m_rate(rate), m_burst(burst), m_window(window), m_random(seed)
     {
         for (std::size_t index = 0; index < count; ++index)
             m_daemons.push_back({start(index, 1), 0, true, duration(0), {}});
@@ -139,8 +140,8 @@
 
     limit_state start(std::size_t index, std::uint64_t incarnation) const
     {
-        limit_state state =
-            make_state({index, incarnation}, std::to_string(index), m_now);
+        limit_state state = make_state({index, incarnation},
+                                       std::to_string(index), m_now, m_window);
         on_configured(state, {true});
         return state;
     }
@@ -234,6 +235,7 @@
 
     double m_rate;
     double m_burst;
+    duration m_window;
     std::mt19937 m_random;
     time_point m_now{std::chrono::seconds(1000)};
     std::vector<node> m_daemons;
--- a/src/account_limit/state.hpp
+++ b/src/account_limit/state.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -78,6 +79,7 @@
     time_point summed_at;
     /// Increases with each change of the delegated shares.
     std::uint64_t version = 1;
+    time_point changed_at;
     /// Until then, entitlements of other daemons are still expected, and a
     /// request that finds no token waits.
     time_point gathering_until;
@@ -95,6 +97,9 @@
     double size = 0;
     std::uint64_t size_group_version = 0;
     std::uint64_t size_fleet_version = 0;
+    /// Tokens granted in the past window, in slices by their start.
+    std::deque<std::pair<time_point, std::uint32_t>> granted;
+    std::uint32_t granted_sum = 0;
 };
 
 /// What this daemon has delegated of a group.
@@ -184,6 +189,8 @@
     bool has_joined = false;
     /// An account has a rate, so that entitlements are delegated.
     bool has_limits = false;
+    /// See make_state().
+    duration window{0};
     std::map<std::uint64_t, known_daemon> daemons;
     std::map<std::uint64_t, used_account> used;
     std::map<std::uint64_t, owned_account> owned;
@@ -216,8 +223,11 @@
     std::vector<std::string_view> outcomes;
 };
 
+/// \param window  a limit is about the requests in any time of this length, in
+///                which it permits the rate times the window plus the burst; 0
+///                for a token bucket
 limit_state make_state(daemon_ref own_daemon, std::string_view own_address,
-                       time_point now);
+                       time_point now, duration window = duration(0));
 void on_configured(limit_state& state, configured const& update);
 void on_fleet(limit_state& state, fleet const& update, time_point now);
 void on_token_request(limit_state& state, token_request const& request,
--- a/src/account_limit/usage.cpp
+++ b/src/account_limit/usage.cpp
@@ -52,12 +52,7 @@
                 used_account const& used, time_point now)
 {
     delegate_to_self(state, group_of(account), now);
-    owned_account& owned =
-        fill_owned(state, account, used.rate, used.burst, now);
-    if (owned.tokens < 1)
-        return false;
-    owned.tokens -= 1;
-    return true;
+    return take_tokens(state, account, used.rate, used.burst, 1, now) == 1;
 }
 
 bool take_own(limit_state& state, std::uint64_t account, used_account& used,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -175,8 +175,11 @@
         values.real("daemon", "cross_data_centre_cost"),
         has_fleet_limits ? &account_limit : nullptr,
         values.number("daemon", "refusal_siblings") > 0});
-    account_limit_wiring = std::make_unique<account_limit::wiring>(
-        account_limit::wiring{&peer, &routing, own_daemon, address, &counts});
+    account_limit_wiring =
+        std::make_unique<account_limit::wiring>(account_limit::wiring{
+            &peer, &routing, own_daemon, address, &counts,
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                values.real("daemon", "account_limit_window")))});
     claims_wiring = std::make_unique<claims::wiring>(
         claims::wiring{&routing, &admission, &peer, &store, own_daemon, address,
                        peer_keys.current()});
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -137,6 +137,10 @@
     number_setting("refusal_siblings", "0", 0, 16,
                    "servers with free slots at other homes that a refusal of "
                    "this daemon names"),
+    real_setting("account_limit_window", "0", 60,
+                 "seconds in any of which an account may send its rate times "
+                 "this plus its burst, with account_limits fleet; at 0 the "
+                 "limit is a token bucket"),
     optional_setting(
         "undelimited_answers", setting_type::boolean, "false",
         "whether an answer of a backend server may have no length and "
