--- a/src/admission/admission_thread.cpp
+++ b/src/admission/admission_thread.cpp
@@ -1,6 +1,7 @@
 #include "admission_thread.hpp"
 
 #include "decide.hpp"
+#include "observe.hpp"
 #include <gooseberrycove/duty.hpp>
 
 #include <algorithm>
@@ -164,6 +165,13 @@
         log_info(line);
     if (out.counts && todo.malformed_statements > 0)
         out.counts->count_malformed_statements(todo.malformed_statements);
+    if (out.counts && todo.failing_call_refusals > 0)
+        out.counts->count_failing_call_refusals(todo.failing_call_refusals);
+    for (observation const refused : todo.server_refusals)
+    {
+        if (out.counts)
+            out.counts->count_server_refusal(refusal_cause(refused));
+    }
     send_all(*out.dispatch, todo.cancels, "dispatch");
     for (addressed_result& addressed : todo.results)
         send_result(out, std::move(addressed));
@@ -239,6 +247,14 @@
     {
         on_status_update(duty.state, update, now, out);
     }
+    void operator()(members::service_view_ptr&& view) const
+    {
+        if (duty.state.services.contains(view->service))
+        {
+            std::string const service = view->service;
+            duty.state.views[service] = std::move(view);
+        }
+    }
     void operator()(shutdown_notice&& notice) const
     {
         on_shutdown_notice(duty.state, notice, now, out);
@@ -252,6 +268,7 @@
 {
     duty_state duty;
     duty.state.own_daemon = out.own_daemon;
+    duty.state.max_siblings = out.max_siblings;
     duty.state.started = clock_now();
     run_duty(
         requests,
--- a/src/admission/refuse.cpp
+++ b/src/admission/refuse.cpp
@@ -1,6 +1,9 @@
 #include "refuse.hpp"
 
 #include "schedule.hpp"
+#include "siblings.hpp"
+
+#include <algorithm>
 
 namespace gooseberrycove::admission
 {
@@ -33,6 +36,18 @@
 namespace
 {
 
+constexpr std::string_view calls_failing = "calls_failing";
+
+/// Completes the newest result, a refusal that holds for all homes of its
+/// service.
+void mark_service_wide(actions& out, duration wait)
+{
+    ++out.failing_call_refusals;
+    work_result& result = out.results.back().result;
+    result.is_service_wide = true;
+    result.retry_after = std::max(result.retry_after, wait);
+}
+
 server_status status_of(homed_server_state const& server, time_point now)
 {
     server_status status = server.status;
@@ -78,6 +93,10 @@
     work_result result = make_result(state, request, kind, run_outcome, now);
     result.status = error_response_for(kind).status;
     result.detail = reason;
+    auto const view = state.views.find(request.service);
+    if (view != state.views.end() && run_outcome == outcome::not_run)
+        result.siblings = find_spare_siblings(*view->second, state.own_daemon,
+                                              state.max_siblings, now);
     auto const server = state.servers.find(request.server);
     if (server != state.servers.end())
         result.retry_after = time_to_start(server->second.stated_limit,
@@ -127,6 +146,29 @@
     }
 }
 
+void refuse_for_calls(admission_state const& state, work_request const& request,
+                      duration wait, time_point now, actions& out)
+{
+    refuse(state, request, error_kind::overloaded, calls_failing, now, out);
+    mark_service_wide(out, wait);
+}
+
+void refuse_queued_for_calls(admission_state& state, service_state& service,
+                             priority_index priority, time_point now,
+                             actions& out)
+{
+    priority_state& affected = service.priorities[priority];
+    duration const wait = time_to_trial(affected.calls, now);
+    for (std::size_t i = affected.queue.entries.size(); i > 0; --i)
+    {
+        if (affected.queue.entries[i - 1].repeatable)
+            continue;
+        refuse_queued(state, service, remove_at(affected.queue, i - 1),
+                      error_kind::overloaded, calls_failing, now, out);
+        mark_service_wide(out, wait);
+    }
+}
+
 void refuse_unservable(admission_state& state, service_state& service,
                        error_kind kind, std::string_view reason, time_point now,
                        actions& out)
--- a/src/admission/state.hpp
+++ b/src/admission/state.hpp
@@ -3,6 +3,7 @@
 
 #include "adaptive_limit.hpp"
 #include "claim_memory.hpp"
+#include "failing_calls.hpp"
 #include "failure_estimate.hpp"
 #include "queue.hpp"
 #include "retry_limit.hpp"
@@ -65,6 +66,8 @@
     adaptive_limit limit;
     server_limit stated_limit;
     failure_estimate failure;
+    /// Logged as refusing requests although it has free slots.
+    bool is_refusing = false;
     time_point announced_at;
     /// Warm-up time that the server announced, counted from `announced_at`; 0
     /// selects the warm-up time of the service.
@@ -82,6 +85,7 @@
 {
     priority_queue queue;
     service_time_estimate estimate;
+    call_outcomes calls;
 };
 
 /// A service with at least one server homed here.
@@ -122,6 +126,10 @@
     /// When the daemon ends, once its shutdown has begun.
     time_point shutdown_end = time_point::max();
     bool is_draining = false;
+    /// Servers of other homes that a refusal names; 0 names none.
+    std::size_t max_siblings = 0;
+    /// The last view of each service homed here.
+    std::map<std::string, members::service_view_ptr, std::less<>> views;
 };
 
 /// Result of an attempt and the daemon that receives it.
@@ -179,6 +187,10 @@
     std::vector<event_line> log;
     /// Answers whose statement could not be read.
     std::uint64_t malformed_statements = 0;
+    /// Requests refused because the calls of such runs fail.
+    std::uint64_t failing_call_refusals = 0;
+    /// Refusals by backend servers, for the counters.
+    std::vector<observation> server_refusals;
 };
 
 /// Interval between checks of queued requests against their deadlines.
--- a/src/claims/row.cpp
+++ b/src/claims/row.cpp
@@ -1,5 +1,7 @@
 #include "claims/row.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -82,6 +84,14 @@
     work_result result;
     result.run_outcome = outcome::ran;
     result.status = value.at("status").get<int>();
+    if (!is_final_status(result.status))
+    {
+        // Rows written by earlier versions may have such a status.
+        result.kind = error_kind::answer_cut;
+        result.run_outcome = outcome::unknown;
+        result.status = error_response_for(result.kind).status;
+        return result;
+    }
     result.content_type =
         from_base64(value.at("content_type").get<std::string>());
     // Rows written by earlier versions have no headers.
@@ -104,6 +114,12 @@
     row.claimant = to_daemon(value.at("claimant"));
     row.written = value.at("written").get<std::uint64_t>();
     row.is_done = value.at("state").get<std::string>() == "done";
+    // Absent while the store reports no era.
+    if (auto const granted = value.find("granted"); granted != value.end())
+    {
+        row.era = granted->at(0).get<std::uint64_t>();
+        row.granted_version = granted->at(1).get<std::uint64_t>();
+    }
     if (row.is_done)
         row.result = to_result(value.at("answer"));
     return row;
@@ -132,6 +148,8 @@
                   {"claimant", to_json(row.claimant)},
                   {"written", row.written},
                   {"state", row.is_done ? "done" : "claimed"}};
+    if (row.era > 0)
+        value["granted"] = json::array({row.era, row.granted_version});
     if (row.is_done)
         value["answer"] = to_json(row.result);
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -369,6 +369,18 @@
                                { return shard && !shard->entries.empty(); });
 }
 
+bool tables::has_limits() const
+{
+    return std::ranges::any_of(
+        m_data->accounts,
+        [](auto const& shard)
+        {
+            return shard && std::ranges::any_of(shard->entries,
+                                                [](account_entry const& entry)
+                                                { return entry.rate > 0; });
+        });
+}
+
 service const* tables::find_service(std::string_view name) const
 {
     return config::find_service(*m_data, name);
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -40,9 +40,13 @@
     GOOSEBERRYCOVE_EVENT(request_retried),
     GOOSEBERRYCOVE_EVENT(request_hedged),
     GOOSEBERRYCOVE_EVENT(request_answered),
+    GOOSEBERRYCOVE_EVENT(body_without_room),
+    GOOSEBERRYCOVE_EVENT(retry_withheld),
     GOOSEBERRYCOVE_EVENT(work_refused),
     GOOSEBERRYCOVE_EVENT(work_started),
     GOOSEBERRYCOVE_EVENT(server_stated),
+    GOOSEBERRYCOVE_EVENT(server_refusing),
+    GOOSEBERRYCOVE_EVENT(calls_failing),
     GOOSEBERRYCOVE_EVENT(dispatch_finished),
     GOOSEBERRYCOVE_EVENT(response_unattributed),
     GOOSEBERRYCOVE_EVENT(connection_unusable),
@@ -73,10 +77,14 @@
     GOOSEBERRYCOVE_EVENT(claim_released),
     GOOSEBERRYCOVE_EVENT(store_call_failed),
     GOOSEBERRYCOVE_EVENT(store_recovered),
+    GOOSEBERRYCOVE_EVENT(store_restored),
     GOOSEBERRYCOVE_EVENT(peer_refused),
     GOOSEBERRYCOVE_EVENT(peer_connection_lost),
     GOOSEBERRYCOVE_EVENT(admin_refused),
     GOOSEBERRYCOVE_EVENT(admin_action),
+    GOOSEBERRYCOVE_EVENT(account_limited),
+    GOOSEBERRYCOVE_EVENT(account_owner_changed),
+    GOOSEBERRYCOVE_EVENT(account_entitlement_used),
 };
 
 #undef GOOSEBERRYCOVE_EVENT
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -75,10 +75,20 @@
     prometheus::Counter& first_arrivals = arrivals.Add({{"kind", "first"}});
     prometheus::Counter& retry_arrivals = arrivals.Add({{"kind", "retry"}});
     prometheus::Counter& malformed_statements =
-        add_counter(registry, "gcove_malformed_statements_total",
-                    "Answers of backend servers whose limit or leaving could "
-                    "not be read")
+        add_counter(
+            registry, "gcove_malformed_statements_total",
+            "Answers of backend servers whose limit, leaving or load could "
+            "not be read")
             .Add({});
+    prometheus::Counter& failing_call_refusals =
+        add_counter(registry, "gcove_failing_call_refusals_total",
+                    "Requests refused here before they ran, because the calls "
+                    "of such runs fail")
+            .Add({});
+    counter_family& server_refusals =
+        add_counter(registry, "gcove_server_refusals_total",
+                    "Requests that backend servers homed here refused, by the "
+                    "load that the server stated");
     counter_family& server_responses =
         add_counter(registry, "gcove_server_responses_total",
                     "Responses of backend servers homed here by what shows "
@@ -90,6 +100,10 @@
     counter_family& health_changes =
         add_counter(registry, "gcove_health_changes_total",
                     "State changes of backend servers homed here");
+    counter_family& account_limit =
+        add_counter(registry, "gcove_account_limit_total",
+                    "Requests of accounts with a rate by how their token was "
+                    "decided");
     prometheus::Gauge& config_version =
         add_gauge(registry, "gcove_config_version",
                   "Version of the configuration in force")
@@ -140,12 +154,14 @@
 }
 
 void metrics::count_peer_bytes(direction flow, std::string_view kind,
-                               std::size_t bytes)
+                               std::string_view scope, std::size_t bytes)
 {
-    m_families->peer_bytes
-        .Add({{"direction", flow == direction::in ? "in" : "out"},
-              {"kind", std::string(kind)}})
-        .Increment(static_cast<double>(bytes));
+    prometheus::Labels labels{
+        {"direction", flow == direction::in ? "in" : "out"},
+        {"kind", std::string(kind)}};
+    if (!scope.empty())
+        labels.emplace("scope", scope);
+    m_families->peer_bytes.Add(labels).Increment(static_cast<double>(bytes));
 }
 
 void metrics::count_refusal(std::string_view place, error_kind kind)
@@ -177,6 +193,16 @@
     m_families->malformed_statements.Increment(static_cast<double>(count));
 }
 
+void metrics::count_failing_call_refusals(std::uint64_t count)
+{
+    m_families->failing_call_refusals.Increment(static_cast<double>(count));
+}
+
+void metrics::count_server_refusal(std::string_view load)
+{
+    m_families->server_refusals.Add({{"load", std::string(load)}}).Increment();
+}
+
 void metrics::count_server_response(std::string_view identified_by)
 {
     m_families->server_responses
@@ -190,6 +216,12 @@
         .Increment();
 }
 
+void metrics::count_account_limit(std::string_view outcome)
+{
+    m_families->account_limit.Add({{"outcome", std::string(outcome)}})
+        .Increment();
+}
+
 void metrics::count_health_change(std::string_view state)
 {
     m_families->health_changes.Add({{"state", std::string(state)}}).Increment();
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -100,9 +100,12 @@
                  "seconds from SIGTERM until the process is killed; reread on "
                  "SIGHUP"),
     number_setting("memory_mb", "", 16, 1e6,
-                   "MiB of memory at which the process is killed"),
+                   "MiB of memory at which the process is killed; "
+                   "bounds the answers and the request bodies that are held"),
     number_setting("descriptors", "", 1, 1e9,
-                   "file descriptors that the process may have open"),
+                   "file descriptors that the process may have open; "
+                   "bounds the requests in flight and the connections of "
+                   "callers"),
     real_setting("drain_seconds", "", 3600,
                  "seconds that a shutdown waits for requests in flight; "
                  "derived when empty; reread on SIGHUP"),
@@ -127,10 +130,25 @@
     real_setting(
         "repeat_slack", "0", 1e6,
         "repeats in 10 s beyond repeat_share, with platform_interface rows"),
+    real_setting("cross_data_centre_cost", "0", 1000,
+                 "seconds that a request waits in its data centre rather than "
+                 "send 1 MiB to another one; at 0 each request has the same "
+                 "constant cost"),
+    number_setting("refusal_siblings", "0", 0, 16,
+                   "servers with free slots at other homes that a refusal of "
+                   "this daemon names"),
+    real_setting("account_limit_window", "0", 60,
+                 "seconds in any of which an account may send its rate times "
+                 "this plus its burst, with account_limits fleet; at 0 the "
+                 "limit is a token bucket"),
     optional_setting(
         "undelimited_answers", setting_type::boolean, "false",
         "whether an answer of a backend server may have no length and "
         "end with its connection"),
+    optional_setting(
+        "account_limits", setting_type::text, "daemon",
+        "where the rate limits of accounts hold: at each daemon, or in the "
+        "whole fleet: daemon or fleet"),
     number_setting("log_level", "0", 0, 2,
                    "least severity that is logged: 0 info, 1 warning, 2 error; "
                    "reread on SIGHUP"),
@@ -173,6 +191,10 @@
         "server_leaving", "",
         "header that is 1 on the answers of a backend server that leaves; "
         "not read when empty"),
+    header_setting(
+        "server_load", "",
+        "header with the load of a backend server, `running,waiting,slots`; "
+        "not read when empty"),
 };
 
 } // namespace
--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "caller_request.hpp"
 
+#include <gooseberrycove/status.hpp>
+
 #include <array>
 #include <charconv>
 
@@ -39,7 +41,7 @@
 
 } // namespace
 
-routing::caller_request read_request(http::exchange const& exchange,
+routing::caller_request read_request(http::exchange& exchange,
                                      request_options const& options,
                                      std::mt19937_64& generator, time_point now)
 {
@@ -53,7 +55,11 @@
     if (request.caller_id.size() > max_caller_id_bytes)
         throw error(error_kind::bad_request,
                     names.request_id + ": allowed: up to 1024 bytes");
-    if (exchange.body().size() > options.max_body_bytes)
+    if (exchange.body_refusal() == error_kind::overloaded)
+        throw error(error_kind::overloaded,
+                    "no memory for the body beside those of other requests");
+    if (exchange.body_refusal() == error_kind::too_large ||
+        exchange.body().size() > options.max_body_bytes)
         throw error(error_kind::too_large,
                     "the body is larger than " +
                         std::to_string(options.max_body_bytes) + " bytes");
@@ -79,7 +85,7 @@
             names.request_id, names.time_allowed, names.expected_server,
             names.caller_service, names.account_key, names.account_name,
             "Content-Type", "Idempotency-Key", "traceparent"});
-    request.body = exchange.body();
+    request.body = exchange.take_body();
     request.idempotency_key = key;
     request.traceparent = exchange.header("traceparent");
     return request;
@@ -89,6 +95,10 @@
                            std::string_view caller_id,
                            header_names const& names)
 {
+    if (!is_final_status(response.status))
+        return to_response(
+            make_refusal(caller_id, error_kind::answer_cut, "invalid status"),
+            caller_id, names);
     http::response encoded;
     encoded.status = response.status;
     encoded.content_type = response.content_type;
@@ -97,9 +107,9 @@
     encoded.headers.push_back({names.request_id, std::string(caller_id)});
     encoded.headers.push_back(
         {"X-Outcome", std::string(to_string(response.run_outcome))});
-    if (response.retry_after_s > 0)
+    if (response.retry_after.count() > 0)
         encoded.headers.push_back(
-            {"Retry-After", std::to_string(response.retry_after_s)});
+            {"Retry-After", retry_after_text(response.retry_after)});
     return encoded;
 }
 
@@ -112,7 +122,7 @@
     refusal.content_type = "application/problem+json";
     refusal.body = problem_document(kind, detail, caller_id);
     refusal.run_outcome = properties.run_outcome;
-    refusal.retry_after_s = properties.retry_after_s;
+    refusal.retry_after = std::chrono::seconds(properties.retry_after_s);
     return refusal;
 }
 
--- a/src/include/gooseberrycove/config.hpp
+++ b/src/include/gooseberrycove/config.hpp
@@ -158,6 +158,9 @@
 
     bool has_accounts() const;
 
+    /// Whether any account has a rate.
+    bool has_limits() const;
+
     /// Returns nullptr for an unknown service.
     service const* find_service(std::string_view name) const;
 
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -30,8 +30,9 @@
     /// Time that the daemons added to the backend server's response time.
     void observe_added_latency(duration added);
     /// Bytes between daemons; \p kind is "control" or "work".
+    /// \param scope  "same" or "other" data centre; no label when empty
     void count_peer_bytes(direction flow, std::string_view kind,
-                          std::size_t bytes);
+                          std::string_view scope, std::size_t bytes);
     /// Counts a refused request of a caller or frame of a peer.
     void count_refusal(std::string_view place, error_kind kind);
     /// Counts a message dropped because the ring of \p duty was full.
@@ -40,9 +41,14 @@
     /// Counts an attempt that was sent to a backend server homed here.
     /// \param retry_weight  see work_request::retry_weight
     void count_arrival(double retry_weight);
-    /// Counts answers of backend servers whose limit or leaving could not be
-    /// read.
+    /// Counts answers of backend servers whose limit, leaving or load could not
+    /// be read.
     void count_malformed_statements(std::uint64_t count);
+    /// Counts requests refused because the calls of such runs fail.
+    void count_failing_call_refusals(std::uint64_t count);
+    /// Counts a request that a backend server refused.
+    /// \param load  free_slots, full or unknown, as the server stated
+    void count_server_refusal(std::string_view load);
     /// Counts a response of a backend server.
     /// \param identified_by  what shows that it belongs to its request, or why
     ///                       nothing does
@@ -56,6 +62,8 @@
     void set_config_version(std::uint64_t version, std::size_t entry_errors);
     void set_members(std::size_t alive, std::size_t servers,
                      std::size_t services);
+    /// Counts a request of an account with a rate by how its token was decided.
+    void count_account_limit(std::string_view outcome);
     void set_in_flight(std::size_t requests);
 
     /// All metrics in the Prometheus text format.
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -106,6 +106,8 @@
     /// Start of the time without a live home, or of the state gone; else the
     /// time of the last change.
     time_point unavailable_since;
+    /// When the load was reported; the clock's zero before the first report.
+    time_point load_at;
     float score = 0;
     std::uint32_t service_id = no_name;
     std::uint32_t slots = 0;
@@ -228,6 +230,11 @@
     time_point started;
     std::uint64_t status_sequence = 0;
     std::vector<std::string> rendezvous_addresses;
+    store::era_position rendezvous_era;
+    /// This run of the daemon has written a rendezvous row.
+    bool has_rendezvous_row = false;
+    /// The store was restored from a copy, so the row may be gone.
+    bool must_check_rendezvous = false;
 
     time_point last_tick;
     time_point next_ping;
@@ -244,6 +251,8 @@
     /// Bytes of gossip sent, decayed with a time constant of 10 s.
     double recent_gossip_bytes = 0;
     bool has_joined = false;
+    /// A synchronisation has brought records of further daemons.
+    bool has_peer_records = false;
     bool should_write_rendezvous = false;
     bool needs_sweep = false;
     bool has_liveness_changed = true;
@@ -262,6 +271,7 @@
     std::vector<config::peer_version> peer_versions;
     std::optional<config::live_peers> live_peers;
     std::optional<live_daemons> daemons;
+    std::optional<account_limit::fleet> fleet;
     /// The thread sets `deliver`.
     std::vector<store::request> store_requests;
     std::vector<std::function<void()>> replies;
--- a/src/routing/decisions.hpp
+++ b/src/routing/decisions.hpp
@@ -33,6 +33,10 @@
 void on_claim_result(routing_state& state, claims::claim_result&& result,
                      time_point now, actions& out);
 
+void on_token_decision(routing_state& state,
+                       account_limit::token_decision const& decision,
+                       time_point now, actions& out);
+
 void on_claim_released(routing_state& state,
                        claims::claim_released const& released, time_point now,
                        actions& out);
@@ -49,6 +53,7 @@
 
 /// Explains how a request would be routed, without starting it.
 explanation explain(routing_state const& state, lookup_result const& lookup,
+                    explain_request const& request, std::size_t max_body_bytes,
                     time_point now);
 
 /// Summarizes the capacity of each service that has candidates, as this daemon
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -24,6 +24,7 @@
 {
     std::deque<front::message> responses;
     std::deque<claims::message> claim_messages;
+    std::deque<account_limit::message> limit_messages;
 };
 
 front::caller_response encode(final_response&& response)
@@ -45,11 +46,9 @@
     encoded.body =
         problem_document(response.kind, response.detail, response.caller_id);
     encoded.run_outcome = row.run_outcome;
-    encoded.retry_after_s = row.retry_after_s;
+    encoded.retry_after = std::chrono::seconds(row.retry_after_s);
     if (row.retry_after_s > 0 && response.result.retry_after.count() > 0)
-        encoded.retry_after_s = static_cast<int>(
-            std::chrono::ceil<std::chrono::seconds>(response.result.retry_after)
-                .count());
+        encoded.retry_after = response.result.retry_after;
     return encoded;
 }
 
@@ -72,7 +71,8 @@
             if (unsent.is_local)
                 return links.admission->try_push(std::move(content), reserve);
             return links.peer->try_push(
-                peer::outgoing{std::move(unsent.address), std::move(content)},
+                peer::outgoing{std::move(unsent.address), std::move(content),
+                               unsent.scope},
                 reserve);
         },
         unsent.content);
@@ -123,11 +123,15 @@
         unsent.responses.emplace_back(encode(std::move(response)));
     for (claims::message& item : decided.claim_messages)
         unsent.claim_messages.push_back(std::move(item));
+    for (account_limit::message& item : decided.limit_messages)
+        unsent.limit_messages.push_back(std::move(item));
     for (event_line const& line : decided.log)
         log_info(line);
     decided = {};
     push_pending(unsent.responses, *links.front);
     push_pending(unsent.claim_messages, *links.claims);
+    if (links.account_limit)
+        push_pending(unsent.limit_messages, *links.account_limit);
 }
 
 /// Key of the configuration lookup for one request.
@@ -141,8 +145,8 @@
     std::string_view path;
 };
 
-lookup_result look_up(routing_state& state, config::in_force const& in_force,
-                      lookup_key const& key)
+lookup_result look_up(split_positions& splits, std::mt19937_64& random,
+                      config::in_force const& in_force, lookup_key const& key)
 {
     config::tables_ptr const& tables = in_force.current;
     lookup_result lookup;
@@ -159,8 +163,7 @@
     if (!lookup.route)
         return lookup;
     if (!lookup.route->split.empty())
-        lookup.route->service =
-            next_part(state.splits, *lookup.route, state.random);
+        lookup.route->service = next_part(splits, *lookup.route, random);
     if (auto const* service = tables->find_service(lookup.route->service))
     {
         lookup.floor_slots = service->floor_slots;
@@ -206,7 +209,7 @@
         if (links.finds_accounts_by_key)
             account_key = hash_secret(request.credentials);
         lookup_result const lookup = look_up(
-            state, in_force,
+            state.splits, state.random, in_force,
             {account_name(request.credentials), account_key, request.method,
              request.host, uri::path_of(request.target)});
         if (is_claim_query(request.method, uri::path_of(request.target)))
@@ -233,6 +236,10 @@
     {
         on_claim_result(state, std::move(result), now, out);
     }
+    void operator()(account_limit::token_decision const& decision) const
+    {
+        on_token_decision(state, decision, now, out);
+    }
     void operator()(claims::claim_released const& released) const
     {
         on_claim_released(state, released, now, out);
@@ -247,15 +254,21 @@
     {
         in_force = next;
         update_floors(state, *in_force.current);
+        if (state.has_fleet_limits)
+            out.limit_messages.push_back(
+                account_limit::configured{in_force.current->has_limits()});
     }
     void operator()(explain_request const& request) const
     {
+        // Copies, because choosing the part of a split route changes both.
+        split_positions splits = state.splits;
+        std::mt19937_64 random = state.random;
+        lookup_result const lookup =
+            look_up(splits, random, in_force,
+                    {request.account, std::nullopt, request.method,
+                     request.host, uri::path_of(request.path)});
         request.deliver(
-            explain(state,
-                    look_up(state, in_force,
-                            {request.account, std::nullopt, request.method,
-                             request.host, uri::path_of(request.path)}),
-                    now));
+            explain(state, lookup, request, links.max_body_bytes, now));
     }
     void operator()(refuse_unstarted const&) const
     {
@@ -275,7 +288,10 @@
     state.own_daemon = links.own_daemon;
     state.own_address = links.own_address;
     state.data_centre = links.data_centre;
+    state.cross_data_centre_cost = links.cross_data_centre_cost;
+    state.keeps_newer_loads = links.keeps_newer_loads;
     state.caller_service = links.caller_service;
+    state.has_fleet_limits = links.account_limit != nullptr;
     state.random.seed(links.own_daemon.id ^ links.own_daemon.incarnation);
     config::in_force in_force;
     outbox unsent;
@@ -291,8 +307,9 @@
         {
             time_point const next = on_tick(state, now, decided);
             perform_actions(state, decided, unsent, links, now);
-            bool const has_unsent =
-                !unsent.responses.empty() || !unsent.claim_messages.empty();
+            bool const has_unsent = !unsent.responses.empty() ||
+                                    !unsent.claim_messages.empty() ||
+                                    !unsent.limit_messages.empty();
             return has_unsent ? std::min(next, now + resend_interval) : next;
         });
 }
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_ROUTING_STATE_HPP
 
 #include "candidates.hpp"
+#include "data_centre.hpp"
 #include "rate_limit.hpp"
 #include "retry.hpp"
 #include "split.hpp"
@@ -40,6 +41,10 @@
 /// is `outcome_unknown`.
 inline constexpr duration max_release_time = std::chrono::seconds(2);
 
+/// Maximum wait for the decision on an account's token. The account limit duty
+/// decides earlier unless its thread gets no processor time.
+inline constexpr duration max_token_wait = std::chrono::milliseconds(250);
+
 /// Configuration entries for one request. The views are valid as long as the
 /// tables. A request without a route is refused, and so is one without an
 /// account unless its route is open.
@@ -72,10 +77,14 @@
     std::string home_address;
     time_point sent_at;
     bool is_open = true;
+    bool is_other_data_centre = false;
+    /// The service's retry limit covers it; see work_request::retry_weight.
+    bool is_limited = false;
 };
 
 enum class phase : std::uint8_t
 {
+    limiting,  ///< waits for account_limit::token_decision
     claiming,  ///< waits for claims::claim_result
     withdrawn, ///< answered before the claim was granted; a grant is returned
     running,   ///< waits for results of attempts
@@ -101,10 +110,16 @@
     bool needs_claim = false;
     /// On a route that is open or unclaimed.
     bool is_unclaimed = false;
+    /// Holds a token of its account, which returns when the request ends
+    /// without having reached a server.
+    bool has_token = false;
     /// Number of backend servers that the request may reach, and number of
     /// those that it has reached.
     std::uint32_t max_servers_reached = config::default_attempts;
     std::uint32_t servers_reached = 0;
+    /// Refusals that hold for the whole service; see
+    /// work_result::is_service_wide.
+    std::uint32_t service_wide_refusals = 0;
     time_point deadline;
     phase current_phase = phase::running;
     bool is_answered = false;
@@ -139,6 +154,7 @@
     reported_probabilities probability_reports;
     reported_statements statements;
     retry_budget budget;
+    retry_replies limited_replies;
     latency_histogram latency;
 };
 
@@ -147,6 +163,14 @@
     daemon_ref own_daemon;
     std::string own_address;
     std::string data_centre;
+    /// Seconds of waiting per MiB that would leave the data centre; 0 when the
+    /// bytes have no price.
+    double cross_data_centre_cost = 0;
+    /// Refusals carry loads of siblings, and a load that is newer than that of
+    /// the directory stays.
+    bool keeps_newer_loads = false;
+    route_means_map route_answers;
+    path_delays delays;
     /// Service of this VM's backend server, sent with each work request.
     std::string caller_service;
     /// Share of that server's running work that counts as retries, 0 to 1.
@@ -157,6 +181,9 @@
     std::map<std::string, service_state, std::less<>> services;
     timer_queue timers;
     rate_limiter account_limiter;
+    /// The limits of accounts hold in the whole fleet; account_limiter is not
+    /// used then.
+    bool has_fleet_limits = false;
     split_positions splits;
     home_evidence evidence;
     /// Set by refuse_unstarted: new requests are refused, and no other home is
@@ -187,6 +214,7 @@
     std::string address;
     bool is_local = false;
     std::variant<work_request, admission::cancel> content;
+    peer::scope scope = peer::scope::unknown;
 };
 
 /// Actions that a decision leaves to the thread, in order within each list.
@@ -195,6 +223,7 @@
     std::vector<final_response> responses;
     std::vector<home_message> home_messages;
     std::vector<claims::message> claim_messages;
+    std::vector<account_limit::message> limit_messages;
     std::vector<event_line> log;
 };
 
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -1,5 +1,8 @@
 #include "convert.hpp"
 
+#include "convert_account_limit.hpp"
+#include <gooseberrycove/status.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -161,7 +164,7 @@
     return out;
 }
 
-work_request from_gen(gen::Work const& in, time_point now)
+work_request from_gen(gen::Work&& in, time_point now)
 {
     work_request out;
     out.id = get_id(in);
@@ -175,7 +178,7 @@
     out.method = in.method;
     out.target = in.target;
     out.content_type = in.content_type;
-    out.body = in.body;
+    out.body = std::move(in.body);
     out.idempotency_key = in.idempotency_key;
     out.traceparent = in.traceparent;
     out.deadline =
@@ -247,6 +250,8 @@
 config::delta from_gen(gen::Delta const& in);
 members::peer_record from_gen(gen::PeerRecord const& in);
 members::server_record from_gen(gen::ServerRecord const& in);
+gen::SiblingLoad to_gen(sibling_load const& value);
+sibling_load from_gen(gen::SiblingLoad const& in);
 
 template <class To, class From>
 std::vector<To> to_gen_all(std::vector<From> const& values)
@@ -268,6 +273,23 @@
     return out;
 }
 
+gen::SiblingLoad to_gen(sibling_load const& value)
+{
+    gen::SiblingLoad out;
+    out.server = value.server;
+    out.home = to_gen(value.home);
+    out.in_flight = static_cast<std::int32_t>(value.in_flight);
+    out.queued = static_cast<std::int32_t>(value.queued);
+    out.age_us = value.age.count();
+    return out;
+}
+
+sibling_load from_gen(gen::SiblingLoad const& in)
+{
+    return {in.server, from_gen(in.home), to_count(in.in_flight),
+            to_count(in.queued), to_wait(in.age_us)};
+}
+
 gen::WorkResult to_gen(work_result const& value)
 {
     gen::WorkResult out;
@@ -286,9 +308,22 @@
     out.headers = to_gen(value.headers);
     if (value.retry_after.count() > 0)
         out.__set_retry_after_us(value.retry_after.count());
+    if (value.is_service_wide)
+        out.__set_service_wide(true);
+    if (!value.siblings.empty())
+        out.__set_siblings(to_gen_all<gen::SiblingLoad>(value.siblings));
     return out;
 }
 
+/// A response with an invalid status counts as one that was cut.
+work_result make_cut(work_result&& result)
+{
+    result.kind = error_kind::answer_cut;
+    result.run_outcome = outcome::unknown;
+    result.status = error_response_for(result.kind).status;
+    return std::move(result);
+}
+
 work_result from_gen(gen::WorkResult const& in)
 {
     work_result out;
@@ -297,6 +332,8 @@
     out.kind = to_enum<error_kind>(in.kind, error_kind_count);
     out.run_outcome = to_enum<outcome>(in.outcome, 3);
     out.status = in.status;
+    if (out.run_outcome == outcome::ran && !is_final_status(in.status))
+        return make_cut(std::move(out));
     out.content_type = in.content_type;
     out.body = in.body;
     out.server = in.server;
@@ -306,6 +343,8 @@
     out.home = from_gen(in.home);
     out.headers = from_gen(in.headers);
     out.retry_after = to_wait(in.retry_after_us);
+    out.is_service_wide = in.__isset.service_wide && in.service_wide;
+    out.siblings = from_gen_all<sibling_load>(in.siblings);
     return out;
 }
 
@@ -488,6 +527,16 @@
         out.__set_path_check(field);
     }
 
+    void operator()(account_limit::report const& value) const
+    {
+        out.__set_account_report(wire::to_gen(value));
+    }
+
+    void operator()(account_limit::grant const& value) const
+    {
+        out.__set_account_grant(wire::to_gen(value));
+    }
+
     void operator()(members::packet const& value) const
     {
         gen::Packet field;
@@ -540,10 +589,10 @@
     std::visit(payload_writer{out, now}, content);
 }
 
-peer::payload from_thrift(gen::Message const& in, time_point now)
+peer::payload from_thrift(gen::Message&& in, time_point now)
 {
     if (in.__isset.work)
-        return from_gen(in.work, now);
+        return from_gen(std::move(in.work), now);
     if (in.__isset.work_result)
         return from_gen(in.work_result);
     if (in.__isset.path_check)
@@ -579,6 +628,10 @@
         return from_gen(in.sync);
     if (in.__isset.packet)
         return from_gen(in.packet);
+    if (in.__isset.account_report)
+        return wire::from_gen(in.account_report);
+    if (in.__isset.account_grant)
+        return wire::from_gen(in.account_grant);
     return {};
 }
 
--- a/src/wire/gen-cpp/peer_types.h
+++ b/src/wire/gen-cpp/peer_types.h
@@ -33,6 +33,8 @@
 
 class ServerStatus;
 
+class SiblingLoad;
+
 class WorkResult;
 
 class Cancel;
@@ -59,6 +61,14 @@
 
 class PathCheck;
 
+class AccountReportEntry;
+
+class AccountReport;
+
+class AccountGrantEntry;
+
+class AccountGrant;
+
 class Message;
 
 typedef struct _Daemon__isset {
@@ -648,8 +658,78 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerStatus& obj);
 
+typedef struct _SiblingLoad__isset {
+  _SiblingLoad__isset() : server(false), home(false), in_flight(false), queued(false), age_us(false) {}
+  bool server :1;
+  bool home :1;
+  bool in_flight :1;
+  bool queued :1;
+  bool age_us :1;
+} _SiblingLoad__isset;
+
+class SiblingLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  SiblingLoad(const SiblingLoad&);
+  SiblingLoad& operator=(const SiblingLoad&);
+  SiblingLoad() noexcept
+              : server(),
+                in_flight(0),
+                queued(0),
+                age_us(0) {
+  }
+
+  virtual ~SiblingLoad() noexcept;
+  std::string server;
+  Daemon home;
+  int32_t in_flight;
+  int32_t queued;
+  int64_t age_us;
+
+  _SiblingLoad__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_home(const Daemon& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const SiblingLoad & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(home == rhs.home))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const SiblingLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SiblingLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SiblingLoad &a, SiblingLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const SiblingLoad& obj);
+
 typedef struct _WorkResult__isset {
-  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false) {}
+  _WorkResult__isset() : id_high(false), id_low(false), attempt(false), kind(false), outcome(false), status(false), content_type(false), body(false), server(false), detail(false), service_time_us(false), statuses(false), home(false), headers(false), retry_after_us(false), service_wide(false), siblings(false) {}
   bool id_high :1;
   bool id_low :1;
   bool attempt :1;
@@ -665,6 +745,8 @@
   bool home :1;
   bool headers :1;
   bool retry_after_us :1;
+  bool service_wide :1;
+  bool siblings :1;
 } _WorkResult__isset;
 
 class WorkResult : public virtual ::apache::thrift::TBase {
@@ -684,7 +766,8 @@
                server(),
                detail(),
                service_time_us(0),
-               retry_after_us(0) {
+               retry_after_us(0),
+               service_wide(0) {
   }
 
   virtual ~WorkResult() noexcept;
@@ -703,6 +786,8 @@
   Daemon home;
   std::vector<HeaderField>  headers;
   int64_t retry_after_us;
+  bool service_wide;
+  std::vector<SiblingLoad>  siblings;
 
   _WorkResult__isset __isset;
 
@@ -736,6 +821,10 @@
 
   void __set_retry_after_us(const int64_t val);
 
+  void __set_service_wide(const bool val);
+
+  void __set_siblings(const std::vector<SiblingLoad> & val);
+
   bool operator == (const WorkResult & rhs) const
   {
     if (!(id_high == rhs.id_high))
@@ -770,6 +859,14 @@
       return false;
     else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
       return false;
+    if (__isset.service_wide != rhs.__isset.service_wide)
+      return false;
+    else if (__isset.service_wide && !(service_wide == rhs.service_wide))
+      return false;
+    if (__isset.siblings != rhs.__isset.siblings)
+      return false;
+    else if (__isset.siblings && !(siblings == rhs.siblings))
+      return false;
     return true;
   }
   bool operator != (const WorkResult &rhs) const {
@@ -1640,8 +1737,331 @@
 
 std::ostream& operator<<(std::ostream& out, const PathCheck& obj);
 
+typedef struct _AccountReportEntry__isset {
+  _AccountReportEntry__isset() : account(false), wanted(false), returned(false), rate(false), burst(false) {}
+  bool account :1;
+  bool wanted :1;
+  bool returned :1;
+  bool rate :1;
+  bool burst :1;
+} _AccountReportEntry__isset;
+
+class AccountReportEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountReportEntry(const AccountReportEntry&) noexcept;
+  AccountReportEntry& operator=(const AccountReportEntry&) noexcept;
+  AccountReportEntry() noexcept
+                     : account(0),
+                       wanted(0),
+                       returned(0),
+                       rate(0),
+                       burst(0) {
+  }
+
+  virtual ~AccountReportEntry() noexcept;
+  int64_t account;
+  int32_t wanted;
+  double returned;
+  double rate;
+  double burst;
+
+  _AccountReportEntry__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_returned(const double val);
+
+  void __set_rate(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const AccountReportEntry & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (__isset.wanted != rhs.__isset.wanted)
+      return false;
+    else if (__isset.wanted && !(wanted == rhs.wanted))
+      return false;
+    if (__isset.returned != rhs.__isset.returned)
+      return false;
+    else if (__isset.returned && !(returned == rhs.returned))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountReportEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountReportEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountReportEntry &a, AccountReportEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountReportEntry& obj);
+
+typedef struct _AccountReport__isset {
+  _AccountReport__isset() : sender(false), sender_address(false), owner(false), number(false), stamp(false), lease_ms(false), entries(false), entitled(false), group(false), released(false) {}
+  bool sender :1;
+  bool sender_address :1;
+  bool owner :1;
+  bool number :1;
+  bool stamp :1;
+  bool lease_ms :1;
+  bool entries :1;
+  bool entitled :1;
+  bool group :1;
+  bool released :1;
+} _AccountReport__isset;
+
+class AccountReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountReport(const AccountReport&);
+  AccountReport& operator=(const AccountReport&);
+  AccountReport() noexcept
+                : sender_address(),
+                  number(0),
+                  stamp(0),
+                  lease_ms(0),
+                  entitled(0),
+                  group(0),
+                  released(0) {
+  }
+
+  virtual ~AccountReport() noexcept;
+  Daemon sender;
+  std::string sender_address;
+  Daemon owner;
+  int64_t number;
+  int64_t stamp;
+  int64_t lease_ms;
+  std::vector<AccountReportEntry>  entries;
+  int32_t entitled;
+  int32_t group;
+  bool released;
+
+  _AccountReport__isset __isset;
+
+  void __set_sender(const Daemon& val);
+
+  void __set_sender_address(const std::string& val);
+
+  void __set_owner(const Daemon& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_lease_ms(const int64_t val);
+
+  void __set_entries(const std::vector<AccountReportEntry> & val);
+
+  void __set_entitled(const int32_t val);
+
+  void __set_group(const int32_t val);
+
+  void __set_released(const bool val);
+
+  bool operator == (const AccountReport & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(sender_address == rhs.sender_address))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(lease_ms == rhs.lease_ms))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(entitled == rhs.entitled))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (__isset.released != rhs.__isset.released)
+      return false;
+    else if (__isset.released && !(released == rhs.released))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountReport &a, AccountReport &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountReport& obj);
+
+typedef struct _AccountGrantEntry__isset {
+  _AccountGrantEntry__isset() : account(false), tokens(false), retry_after_ms(false) {}
+  bool account :1;
+  bool tokens :1;
+  bool retry_after_ms :1;
+} _AccountGrantEntry__isset;
+
+class AccountGrantEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountGrantEntry(const AccountGrantEntry&) noexcept;
+  AccountGrantEntry& operator=(const AccountGrantEntry&) noexcept;
+  AccountGrantEntry() noexcept
+                    : account(0),
+                      tokens(0),
+                      retry_after_ms(0) {
+  }
+
+  virtual ~AccountGrantEntry() noexcept;
+  int64_t account;
+  int32_t tokens;
+  double retry_after_ms;
+
+  _AccountGrantEntry__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_retry_after_ms(const double val);
+
+  bool operator == (const AccountGrantEntry & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (__isset.tokens != rhs.__isset.tokens)
+      return false;
+    else if (__isset.tokens && !(tokens == rhs.tokens))
+      return false;
+    if (__isset.retry_after_ms != rhs.__isset.retry_after_ms)
+      return false;
+    else if (__isset.retry_after_ms && !(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountGrantEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountGrantEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountGrantEntry &a, AccountGrantEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountGrantEntry& obj);
+
+typedef struct _AccountGrant__isset {
+  _AccountGrant__isset() : owner(false), owner_address(false), receiver(false), number(false), stamp(false), entries(false), entitled(false) {}
+  bool owner :1;
+  bool owner_address :1;
+  bool receiver :1;
+  bool number :1;
+  bool stamp :1;
+  bool entries :1;
+  bool entitled :1;
+} _AccountGrant__isset;
+
+class AccountGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountGrant(const AccountGrant&);
+  AccountGrant& operator=(const AccountGrant&);
+  AccountGrant() noexcept
+               : owner_address(),
+                 number(0),
+                 stamp(0),
+                 entitled(0) {
+  }
+
+  virtual ~AccountGrant() noexcept;
+  Daemon owner;
+  std::string owner_address;
+  Daemon receiver;
+  int64_t number;
+  int64_t stamp;
+  std::vector<AccountGrantEntry>  entries;
+  int32_t entitled;
+
+  _AccountGrant__isset __isset;
+
+  void __set_owner(const Daemon& val);
+
+  void __set_owner_address(const std::string& val);
+
+  void __set_receiver(const Daemon& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_entries(const std::vector<AccountGrantEntry> & val);
+
+  void __set_entitled(const int32_t val);
+
+  bool operator == (const AccountGrant & rhs) const
+  {
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(owner_address == rhs.owner_address))
+      return false;
+    if (!(receiver == rhs.receiver))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(entitled == rhs.entitled))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountGrant &a, AccountGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountGrant& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false), path_check(false) {}
+  _Message__isset() : sender(false), work(false), work_result(false), cancel(false), fence(false), fence_answer(false), pull(false), deltas(false), peer_version(false), sync(false), packet(false), path_check(false), account_report(false), account_grant(false) {}
   bool sender :1;
   bool work :1;
   bool work_result :1;
@@ -1654,6 +2074,8 @@
   bool sync :1;
   bool packet :1;
   bool path_check :1;
+  bool account_report :1;
+  bool account_grant :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1677,6 +2099,8 @@
   Sync sync;
   Packet packet;
   PathCheck path_check;
+  AccountReport account_report;
+  AccountGrant account_grant;
 
   _Message__isset __isset;
 
@@ -1704,6 +2128,10 @@
 
   void __set_path_check(const PathCheck& val);
 
+  void __set_account_report(const AccountReport& val);
+
+  void __set_account_grant(const AccountGrant& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1752,6 +2180,14 @@
       return false;
     else if (__isset.path_check && !(path_check == rhs.path_check))
       return false;
+    if (__isset.account_report != rhs.__isset.account_report)
+      return false;
+    else if (__isset.account_report && !(account_report == rhs.account_report))
+      return false;
+    if (__isset.account_grant != rhs.__isset.account_grant)
+      return false;
+    else if (__isset.account_grant && !(account_grant == rhs.account_grant))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -74,6 +74,14 @@
   14: optional i64 start_wait_us
 }
 
+struct SiblingLoad {
+  1: string server
+  2: Daemon home
+  3: i32 in_flight
+  4: i32 queued
+  5: i64 age_us
+}
+
 struct WorkResult {
   1: i64 id_high
   2: i64 id_low
@@ -90,6 +98,8 @@
   13: Daemon home
   14: list<HeaderField> headers
   15: optional i64 retry_after_us
+  16: optional bool service_wide
+  17: optional list<SiblingLoad> siblings
 }
 
 struct Cancel {
@@ -190,6 +200,43 @@
   2: bool answer
 }
 
+struct AccountReportEntry {
+  1: i64 account
+  2: optional i32 wanted
+  3: optional double returned
+  4: double rate
+  5: double burst
+}
+
+struct AccountReport {
+  1: Daemon sender
+  2: string sender_address
+  3: Daemon owner
+  4: i64 number
+  5: i64 stamp
+  6: i64 lease_ms
+  7: list<AccountReportEntry> entries
+  8: i32 entitled
+  9: i32 group
+  10: optional bool released
+}
+
+struct AccountGrantEntry {
+  1: i64 account
+  2: optional i32 tokens
+  3: optional double retry_after_ms
+}
+
+struct AccountGrant {
+  1: Daemon owner
+  2: string owner_address
+  3: Daemon receiver
+  4: i64 number
+  5: i64 stamp
+  6: list<AccountGrantEntry> entries
+  7: i32 entitled
+}
+
 // Exactly one of the optional fields is set.
 struct Message {
   1: Daemon sender
@@ -204,4 +251,6 @@
   10: optional Sync sync
   11: optional Packet packet
   12: optional PathCheck path_check
+  13: optional AccountReport account_report
+  14: optional AccountGrant account_grant
 }
--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <random>
 
 using namespace gooseberrycove;
@@ -73,6 +74,8 @@
 {
     work_result result;
     result.retry_after = duration(2500);
+    result.is_service_wide = true;
+    result.siblings = {{"s9", {3, 4}, 2, 1, duration(700)}};
     result.statuses.resize(2);
     result.statuses[0].statement = {true, 9, 0, false};
     result.statuses[0].start_wait = duration(1500);
@@ -80,6 +83,13 @@
     auto const decoded = wire::decode(frame, keys, now);
     auto const& received = std::get<work_result>(decoded.content);
     CHECK(received.retry_after == duration(2500));
+    CHECK(received.is_service_wide);
+    REQUIRE(received.siblings.size() == 1);
+    CHECK(received.siblings[0].server == "s9");
+    CHECK(received.siblings[0].home == daemon_ref{3, 4});
+    CHECK(received.siblings[0].in_flight == 2);
+    CHECK(received.siblings[0].queued == 1);
+    CHECK(received.siblings[0].age == duration(700));
     CHECK(received.statuses[0].statement.is_known);
     CHECK(received.statuses[0].statement.incarnation == 9);
     CHECK(received.statuses[0].start_wait == duration(1500));
@@ -87,6 +97,22 @@
     CHECK(received.statuses[1].start_wait == duration(0));
 }
 
+TEST_CASE("a result with an invalid status is decoded as cut")
+{
+    for (int const status : {0, 99, 199, 600, 999, -1})
+    {
+        work_result result;
+        result.run_outcome = outcome::ran;
+        result.status = status;
+        auto const decoded = wire::decode(
+            wire::encode("new key", {5, 6}, result, now), keys, now);
+        auto const& received = std::get<work_result>(decoded.content);
+        CHECK(received.kind == error_kind::answer_cut);
+        CHECK(received.run_outcome == outcome::unknown);
+        CHECK(received.status == 502);
+    }
+}
+
 TEST_CASE("every kind of payload is decoded as the same kind")
 {
     std::vector<peer::payload> const payloads{
@@ -166,3 +192,39 @@
         CHECK_NOTHROW(decode_error(frame));
     }
 }
+
+// Guards against fields of account limit messages that are lost or mixed up,
+// and against amounts that are no numbers.
+TEST_CASE("reports and grants of account limits keep their fields")
+{
+    account_limit::report report{
+        {1, 2}, "10.0.0.1:1", {3, 4}, 5, 6, 3, std::chrono::seconds(2),
+        true,   12,           {}};
+    report.entries.push_back({7, 8, 9.5, 10, 11});
+    report.entries.push_back(
+        {8, 0, std::numeric_limits<double>::quiet_NaN(), 1, 1});
+    auto const sent =
+        wire::decode(wire::encode(keys[0], {1, 2}, report, now), keys, now);
+    auto const& read = std::get<account_limit::report>(sent.content);
+    CHECK((read.sender == report.sender && read.owner == report.owner));
+    CHECK(read.entitled == 12);
+    CHECK((read.number == 5 && read.stamp == 6 && read.lease == report.lease));
+    REQUIRE(read.entries.size() == 2);
+    auto const& entry = read.entries[0];
+    CHECK((entry.account == 7 && entry.wanted == 8 && entry.returned == 9.5));
+    CHECK((read.group == 3 && read.is_released));
+    CHECK((entry.rate == 10 && entry.burst == 11));
+    CHECK(read.entries[1].returned == 0);
+
+    account_limit::grant grant{{1, 2}, "10.0.0.1:1", {3, 4}, 5, 6, 13, {}};
+    grant.entries.push_back({7, 8, std::chrono::milliseconds(9)});
+    auto const answered =
+        wire::decode(wire::encode(keys[0], {1, 2}, grant, now), keys, now);
+    auto const& found = std::get<account_limit::grant>(answered.content);
+    CHECK((found.owner == grant.owner && found.receiver == grant.receiver));
+    CHECK(found.entitled == 13);
+    CHECK((found.number == 5 && found.stamp == 6));
+    REQUIRE(found.entries.size() == 1);
+    CHECK((found.entries[0].account == 7 && found.entries[0].tokens == 8));
+    CHECK(found.entries[0].retry_after == duration(9'000));
+}
