--- a/src/include/gooseberrycove/account_limit.hpp
+++ b/src/include/gooseberrycove/account_limit.hpp
@@ -90,7 +90,8 @@
     /// entitlements to all accounts of the group; 0 leaves an earlier
     /// delegation as it is.
     duration lease{0};
-    /// The sender uses its entitlements itself: an earlier delegation has ended.
+    /// The sender uses its entitlements itself: an earlier delegation has
+    /// ended.
     bool is_released = false;
     /// Daemons that the sender itself counts as entitled.
     std::uint32_t entitled = 0;
