--- a/src/account_limit/entitlement.cpp
+++ b/src/account_limit/entitlement.cpp
@@ -46,16 +46,16 @@
                    time_point now)
 {
     auto const total = static_cast<std::size_t>(burst + fraction_allowance);
-    double const whole = static_cast<double>(total / count);
+    std::size_t const whole = total / count;
     // The order among daemons that are not known is unknown as well.
     if (count != count_entitled(state, now))
-        return whole;
+        return static_cast<double>(whole);
     std::uint64_t const hash = rendezvous_hash(account, daemon);
     std::size_t rank =
         rendezvous_hash(account, state.own_daemon.id) > hash ? 1 : 0;
     for (auto const& [id, known] : state.daemons)
         rank += is_entitled(known, now) && rendezvous_hash(account, id) > hash;
-    return whole + (rank < total % count ? 1 : 0);
+    return static_cast<double>(whole + (rank < total % count ? 1 : 0));
 }
 
 /// Daemons among which this daemon divides each limit.
--- a/src/account_limit/reports.cpp
+++ b/src/account_limit/reports.cpp
@@ -122,9 +122,9 @@
         serve_waiting(state, account, used, now, out);
         group_needs& group = needs[group_of(account)];
         group.has_waiting = group.has_waiting || !used.waiting.empty();
-        report_entry entry = make_entry(account, used, now);
+        report_entry const entry = make_entry(account, used, now);
         if (entry.wanted > 0 || entry.returned > 0)
-            group.entries.push_back(std::move(entry));
+            group.entries.push_back(entry);
     }
     return needs;
 }
--- a/src/peer/delivery.cpp
+++ b/src/peer/delivery.cpp
@@ -81,8 +81,7 @@
     {
         push_limit_message(std::move(content));
     }
-    template <class Content>
-    void push_limit_message(Content&& content)
+    void push_limit_message(account_limit::message&& content)
     {
         if (to.account_limit != nullptr)
             push_or_drop(*to.account_limit, std::move(content), to,
