Count risk beyond 0.5 when a request may leave its data centre

Cause: a least cost of 0.75 kept lookups behind queues of 0.8 service times (unit.routing); with 0.25, small differences of estimates sent them across. Change: the least cost is 0.25 again, and a difference in risk counts beyond 0.5 only.

--- a/src/routing/data_centre.cpp
+++ b/src/routing/data_centre.cpp
@@ -18,9 +18,13 @@
 /// Headers, framing and statuses of a request and its result together.
 constexpr double overhead_bytes = 2048;
 constexpr double bytes_per_mib = 1024.0 * 1024.0;
-/// Without it, small differences of failure probabilities send lookups across
-/// although servers here have free slots.
-constexpr double min_cost = unpriced_crossing_cost;
+/// Loads and failure probabilities are compared with noise of up to 0.25, so a
+/// smaller difference is no reason to send any bytes across.
+constexpr double min_cost = 0.25;
+/// A smaller difference in risk is no reason to leave either: estimates of
+/// sound servers differ by as much, and lookups left although there were free
+/// slots.
+constexpr double min_risk_difference = 0.5;
 /// A difference of 2/3 in the failure probability of repeatable work costs 2,
 /// so failing servers are left whatever the price of the bytes.
 constexpr double max_cost = 2;
@@ -108,8 +112,10 @@
 
 double leaving_share(side const& local, side const& other, double cost)
 {
-    double const excess =
-        wait_at(local) + local.risk - wait_at(other) - other.risk - cost;
+    double const risk = local.risk - other.risk;
+    double const counted_risk =
+        risk > 0 ? std::max(0.0, risk - min_risk_difference) : risk;
+    double const excess = wait_at(local) - wait_at(other) + counted_risk - cost;
     if (excess <= 0)
         return 0;
     return excess >= local.load ? 1 : excess / local.load;
