--- a/src/front/caller_request_test.cpp
+++ b/src/front/caller_request_test.cpp
@@ -110,12 +110,13 @@
     ALLOW_CALL(exchange, target()).RETURN("/rides");
     ALLOW_CALL(exchange, body()).RETURN("");
     ALLOW_CALL(exchange, header(trompeloeil::_))
-        .RETURN(_1 == "Api-Key" ? "k-17" : std::string_view());
+        .RETURN(_1 == "X-Account-Key" ? "k-17" : std::string_view());
     ALLOW_CALL(exchange, headers())
-        .RETURN(std::vector<header_field>{
-            {"api-key", "k-17"}, {"X-Account", "other"}, {"X-Other", "1"}});
+        .RETURN(std::vector<header_field>{{"x-account-key", "k-17"},
+                                          {"X-Account", "other"},
+                                          {"X-Other", "1"}});
     front::request_options options;
-    options.names.account_key = "Api-Key";
+    options.names.account_key = "X-Account-Key";
     options.names.account_name = "X-Account";
     std::mt19937_64 generator(1);
     auto const request =
