Log the use of a daemon's own entitlements again

Cause: since a silent owner is avoided, the code that handled reports to one could not run any more, and with it the line E1202 was never written, though docs/events.md and OPERATIONS name it. Change: E1202 is logged where an entitlement is used; the dead branches are removed. The count of daemons, the share of a group's leases and the start of own use are computed by one function each.

--- a/src/account_limit/entitlement.cpp
+++ b/src/account_limit/entitlement.cpp
@@ -38,30 +38,25 @@
     return std::max({1.0, burst, rate * min_burst_seconds});
 }
 
+std::size_t divided_tokens(double burst)
+{
+    return static_cast<std::size_t>(burst + fraction_allowance);
+}
+
 /// Whole tokens of an account's burst to which a daemon is entitled. The parts
 /// of all daemons add up to the burst and fraction_allowance.
-/// \param count  number of daemons among which the burst is divided
+/// \param count  count_entitled() of the state
 double burst_share(limit_state const& state, std::uint64_t account,
                    std::uint64_t daemon, std::size_t count, double burst,
                    time_point now)
 {
-    auto const total = static_cast<std::size_t>(burst + fraction_allowance);
-    std::size_t const whole = total / count;
-    // The order among daemons that are not known is unknown as well.
-    if (count != count_entitled(state, now))
-        return static_cast<double>(whole);
+    std::size_t const total = divided_tokens(burst);
     std::uint64_t const hash = rendezvous_hash(account, daemon);
     std::size_t rank =
         rendezvous_hash(account, state.own_daemon.id) > hash ? 1 : 0;
     for (auto const& [id, known] : state.daemons)
         rank += is_entitled(known, now) && rendezvous_hash(account, id) > hash;
-    return static_cast<double>(whole + (rank < total % count ? 1 : 0));
-}
-
-/// Daemons among which this daemon divides each limit.
-std::size_t effective_count(limit_state const& state, time_point now)
-{
-    return std::max(count_entitled(state, now), state.heard_entitled);
+    return static_cast<double>(total / count + (rank < total % count ? 1 : 0));
 }
 
 void note_change(owned_group& group, time_point now)
@@ -228,29 +223,44 @@
     state.heard_at = now;
 }
 
+std::size_t effective_count(limit_state const& state, time_point now)
+{
+    return std::max(count_entitled(state, now), state.heard_entitled);
+}
+
 time_point entitled_from(limit_state const& state, time_point now)
 {
     return state.started +
            (state.has_joined ? lease_time(state, now) : alone_time);
 }
 
+time_point own_use_from(limit_state const& state, std::uint64_t account,
+                        time_point now)
+{
+    return std::max(entitled_from(state, now),
+                    state.delegations[group_of(account)].until);
+}
+
 entitlement own_entitlement(limit_state const& state, std::uint64_t account,
                             used_account const& used, time_point now)
 {
     if (used.rate <= 0)
         return {};
+    std::size_t const known = count_entitled(state, now);
     std::size_t const count = effective_count(state, now);
-    return {used.rate / static_cast<double>(count),
-            burst_share(state, account, state.own_daemon.id, count,
-                        total_burst(used.rate, used.burst), now)};
+    double const burst = total_burst(used.rate, used.burst);
+    // The order among daemons that are not known is unknown as well.
+    double const share =
+        count == known ? burst_share(state, account, state.own_daemon.id, known,
+                                     burst, now)
+                       : static_cast<double>(divided_tokens(burst) / count);
+    return {used.rate / static_cast<double>(count), share};
 }
 
 void fill_own(limit_state const& state, std::uint64_t account,
               used_account& used, time_point now)
 {
-    // What was gathered before a lease belongs to its holder.
-    time_point const start = std::max(
-        entitled_from(state, now), state.delegations[group_of(account)].until);
+    time_point const start = own_use_from(state, account, now);
     bucket& own = used.own;
     if (own.filled_at < start)
         own = {0, start};
@@ -312,9 +322,8 @@
     if (found == state.owned.end())
         return std::chrono::seconds(1);
     owned_account const& owned = found->second;
-    double rate = 0;
-    for (auto const& [id, part] : state.owned_groups[group_of(account)].leases)
-        rate += owned.rate / part.entitled;
+    double const rate =
+        owned.rate * delegated_share(state.owned_groups[group_of(account)]);
     double const missing = 1 - owned.tokens;
     if (rate <= 0 || missing > 60 * rate)
         return std::chrono::seconds(1);
@@ -349,6 +358,7 @@
         return;
     given.holder = state.own_daemon;
     given.until = now + lease_time(state, now);
+    given.uses_own = false;
     set_lease(
         state.owned_groups[group], state.own_daemon.id,
         {static_cast<std::uint32_t>(effective_count(state, now)), given.until},
--- a/src/account_limit/entitlement.hpp
+++ b/src/account_limit/entitlement.hpp
@@ -18,10 +18,18 @@
 entitlement own_entitlement(limit_state const& state, std::uint64_t account,
                             used_account const& used, time_point now);
 
+/// Daemons among which this daemon divides each limit.
+std::size_t effective_count(limit_state const& state, time_point now);
+
 /// From this time on, the daemon uses or delegates entitlements. Before, leases
 /// of its earlier run may be open or it may not know all daemons.
 time_point entitled_from(limit_state const& state, time_point now);
 
+/// From this time on, the daemon may use its entitlement to an account by
+/// itself: what it gathered before a lease belongs to the holder.
+time_point own_use_from(limit_state const& state, std::uint64_t account,
+                        time_point now);
+
 /// Fills the bucket of this daemon's own entitlement.
 void fill_own(limit_state const& state, std::uint64_t account,
               used_account& used, time_point now);
--- a/src/account_limit/reports.cpp
+++ b/src/account_limit/reports.cpp
@@ -13,8 +13,6 @@
 
 /// A report without answer for longer is forgotten.
 constexpr duration max_answer_time = std::chrono::seconds(5);
-/// Interval of reports to an owner that does not answer.
-constexpr duration silent_interval = std::chrono::milliseconds(500);
 /// Time for which a daemon that did not answer is not taken for an owner.
 constexpr duration avoid_time = std::chrono::seconds(10);
 /// Tokens asked for are asked for again after this time.
@@ -57,22 +55,12 @@
                   owner_link const& link, time_point now)
 {
     if (now < entitled_from(state, now) || link.stamp == 0 ||
-        given.owner != link.owner || is_silent(state, link.owner, now))
+        given.owner != link.owner)
         return false;
     // A later run of the holder has lost the leases of the earlier one.
     return now >= given.until || given.holder.id == link.owner.id;
 }
 
-void log_own_use(delegation& given, std::uint32_t group, actions& out)
-{
-    if (given.uses_own)
-        return;
-    given.uses_own = true;
-    event_line line(event::account_entitlement_used);
-    line.field("group", std::uint64_t{group}).field("owner", given.owner.id);
-    out.log.push_back(std::move(line));
-}
-
 void log_owner_change(delegation const& given, std::uint32_t group,
                       actions& out)
 {
@@ -150,8 +138,7 @@
     content.number = ++state.report_number;
     content.stamp = link.stamp;
     content.group = group;
-    content.entitled = static_cast<std::uint32_t>(
-        std::max(count_entitled(state, now), state.heard_entitled));
+    content.entitled = static_cast<std::uint32_t>(effective_count(state, now));
     duration const time = lease_time(state, now);
     if (may_delegate(state, given, link, now))
     {
@@ -161,11 +148,7 @@
         given.uses_own = false;
     }
     else if (now >= given.until && now >= entitled_from(state, now))
-    {
         content.is_released = true;
-        if (is_silent(state, link.owner, now))
-            log_own_use(given, group, out);
-    }
     given.next_report = now + time / renewals_per_lease;
     for (report_entry const& entry : needs.entries)
         note_asked(state.used[entry.account], entry.wanted, now);
@@ -183,12 +166,9 @@
 }
 
 /// When the next report of the group may be sent.
-time_point report_time(limit_state const& state, delegation const& given,
-                       group_needs const& needs, owner_link const& link,
-                       time_point now)
+time_point report_time(delegation const& given, group_needs const& needs,
+                       owner_link const& link)
 {
-    if (is_silent(state, link.owner, now))
-        return std::max(given.next_report, link.last_sent + silent_interval);
     if (needs.entries.empty())
         return given.next_report;
     return std::min(given.next_report,
@@ -217,7 +197,7 @@
                           : lease_time(state, now) / renewals_per_lease);
     }
     owner_link& link = link_to(state, target);
-    time_point due = report_time(state, given, needs, link, now);
+    time_point due = report_time(given, needs, link);
     if (due <= now)
     {
         send_report(state, group, std::move(needs), link, now, out);
@@ -291,6 +271,7 @@
 
 /// Avoids owners that do not answer. A suspect daemon counts as live for
 /// seconds, in which its accounts would have no more than each daemon's part.
+/// No report is sent to an avoided daemon, so none goes to a silent one.
 void update_avoided(limit_state& state, time_point now)
 {
     for (auto const& [id, link] : state.links)
--- a/src/account_limit/usage.cpp
+++ b/src/account_limit/usage.cpp
@@ -58,8 +58,7 @@
 bool take_own(limit_state& state, std::uint64_t account, used_account& used,
               time_point now)
 {
-    if (now < state.delegations[group_of(account)].until ||
-        now < entitled_from(state, now))
+    if (now < own_use_from(state, account, now))
         return false;
     fill_own(state, account, used, now);
     if (used.own.tokens < 1)
@@ -73,8 +72,7 @@
 {
     entitlement const part = own_entitlement(state, account, used, now);
     time_point const start =
-        std::max({used.own.filled_at, entitled_from(state, now),
-                  state.delegations[group_of(account)].until});
+        std::max(used.own.filled_at, own_use_from(state, account, now));
     double const missing = 1 - used.own.tokens;
     duration fill = std::chrono::seconds(1);
     if (part.burst >= 1 && missing < part.rate)
@@ -131,13 +129,29 @@
                    now, out);
 }
 
+/// Grants a request by this daemon's own entitlement, which is in use while no
+/// lease of its group is open.
+void grant_own(limit_state& state, std::uint64_t account,
+               used_account const& used, request_id id, actions& out)
+{
+    grant_request(used, id, "own", out);
+    std::uint32_t const group = group_of(account);
+    delegation& given = state.delegations[group];
+    if (given.uses_own)
+        return;
+    given.uses_own = true;
+    event_line line(event::account_entitlement_used);
+    line.field("group", std::uint64_t{group}).field("owner", given.owner.id);
+    out.log.push_back(std::move(line));
+}
+
 /// Decides with what this daemon is entitled to, as the owner did not answer.
 void decide_alone(limit_state& state, std::uint64_t account, used_account& used,
                   request_id id, time_point now, actions& out)
 {
     if (take_own(state, account, used, now))
     {
-        grant_request(used, id, "own", out);
+        grant_own(state, account, used, id, out);
         return;
     }
     refuse_request(used, id, time_to_own_token(state, account, used, now), now,
@@ -171,7 +185,7 @@
     }
     if (take_own(state, account, used, now))
     {
-        grant_request(used, request.id, "own", out);
+        grant_own(state, account, used, request.id, out);
         return;
     }
     if (now < used.refused_until)
@@ -228,17 +242,15 @@
         return;
     daemon_ref const target = report_target(state, group_of(account), now);
     bool const is_owner = target.id == state.own_daemon.id;
-    bool const is_alone = !is_owner && is_silent(state, target, now);
     while (!used.waiting.empty())
     {
         waiting_request const first = used.waiting.front();
-        bool const is_due = now >= first.until || is_alone;
         if (is_owner && take_owned(state, account, used, now))
             grant_request(used, first.id, "owner", out);
         else if (is_owner && !may_get_tokens(state, account, now))
             refuse_request(used, first.id, time_to_token(state, account), now,
                            out);
-        else if (is_due)
+        else if (now >= first.until)
             decide_alone(state, account, used, first.id, now, out);
         else
             return;
