Explain a placement with the price of leaving the data centre

Cause: explain chose and listed costs with the constant cost of another data centre, also where cross_data_centre_cost decides; two parts were built side by side. The costs inside and outside were told by made-up names of data centres. Change: crossing_cost_for() serves requests and explanations; the outside cost is the inside one and the price. Result: a test of explain with a price, which fails before; unit.routing passes.

--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -57,21 +57,16 @@
     return {};
 }
 
-/// Empty when bytes between data centres have no price.
 std::optional<double> crossing_cost_of(routing_state const& state,
                                        request_state const& request,
                                        time_point now)
 {
-    if (state.cross_data_centre_cost <= 0)
-        return std::nullopt;
     auto const local_failures = std::ranges::count_if(
         request.attempts, [](attempt_state const& attempt)
         { return !attempt.is_open && !attempt.is_other_data_centre; });
-    return crossing_cost({state.cross_data_centre_cost,
-                          request.original.body.size(),
-                          means_of(state.route_answers, request.route),
-                          request.deadline - now, added_seconds(state.delays),
-                          static_cast<std::size_t>(local_failures)});
+    return crossing_cost_for(state, request.route, request.original.body.size(),
+                             request.deadline - now,
+                             static_cast<std::size_t>(local_failures));
 }
 
 attempt_target next_target(routing_state& state, service_state const& service,
@@ -143,6 +138,19 @@
 
 } // namespace
 
+std::optional<double> crossing_cost_for(routing_state const& state,
+                                        std::string_view route,
+                                        std::size_t body_bytes,
+                                        duration time_left,
+                                        std::size_t local_failures)
+{
+    if (state.cross_data_centre_cost <= 0)
+        return std::nullopt;
+    return crossing_cost({state.cross_data_centre_cost, body_bytes,
+                          means_of(state.route_answers, route), time_left,
+                          added_seconds(state.delays), local_failures});
+}
+
 service_state& service_of(routing_state& state, std::string_view name)
 {
     auto const entry = state.services.find(name);
@@ -206,6 +214,7 @@
         {static_cast<std::uint32_t>(request.attempts.size() + 1),
          candidate.server, candidate.home, target.address, now, true,
          candidate.home_data_centre != state.data_centre});
+    bool const is_other = request.attempts.back().is_other_data_centre;
     ++service.outstanding[candidate.server];
     out.log.push_back(routed_line(request, id, reason, target));
     work_request work =
@@ -221,9 +230,8 @@
     work.has_other_homes = has_other_home(service, request, assessed);
     out.home_messages.push_back(
         {target.address, candidate.home == state.own_daemon, std::move(work),
-         candidate.home_data_centre == state.data_centre
-             ? peer::scope::same_data_centre
-             : peer::scope::other_data_centre});
+         is_other ? peer::scope::other_data_centre
+                  : peer::scope::same_data_centre});
     return true;
 }
 
--- a/src/routing/attempts.hpp
+++ b/src/routing/attempts.hpp
@@ -6,6 +6,14 @@
 namespace gooseberrycove::routing
 {
 
+/// See choice_input::crossing_cost.
+/// \param local_failures  attempts in the own data centre without success
+std::optional<double> crossing_cost_for(routing_state const& state,
+                                        std::string_view route,
+                                        std::size_t body_bytes,
+                                        duration time_left,
+                                        std::size_t local_failures);
+
 service_state& service_of(routing_state& state, std::string_view name);
 
 /// Applies the floor rule with the service's floor, then the reported failure
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -139,12 +139,18 @@
     return cost;
 }
 
+double cost_inside(choice_input const& input, std::size_t index)
+{
+    return load_of(input.candidates[index], input.outstanding) +
+           risk_of(input, index);
+}
+
 double cost_of(choice_input const& input, std::size_t index)
 {
-    members::candidate const& candidate = input.candidates[index];
     bool const has_constant_cost =
-        !input.crossing_cost && candidate.home_data_centre != input.data_centre;
-    return load_of(candidate, input.outstanding) + risk_of(input, index) +
+        !input.crossing_cost &&
+        input.candidates[index].home_data_centre != input.data_centre;
+    return cost_inside(input, index) +
            (has_constant_cost ? unpriced_crossing_cost : 0);
 }
 
@@ -454,13 +460,9 @@
 
 candidate_costs costs_of(choice_input const& input, std::size_t index)
 {
-    std::string const own = input.candidates[index].home_data_centre;
-    std::string const other = own + "/other";
-    choice_input inside = input;
-    inside.data_centre = own;
-    choice_input outside = input;
-    outside.data_centre = other;
-    return {cost_of(inside, index), cost_of(outside, index)};
+    double const inside = cost_inside(input, index);
+    return {inside,
+            inside + input.crossing_cost.value_or(unpriced_crossing_cost)};
 }
 
 choice choose(choice_input const& input, std::mt19937_64& random)
--- a/src/routing/explain.cpp
+++ b/src/routing/explain.cpp
@@ -88,20 +88,22 @@
 }
 
 void describe_candidates(routing_state const& state,
-                         service_state const& service, time_point now,
-                         explanation& result)
+                         service_state const& service, std::size_t body_bytes,
+                         time_point now, explanation& result)
 {
     assessment const assessed = assess(service, state.evidence, now);
     result.healthy_slots = assessed.capacity;
-    choice_input const input{service.candidates,
-                             assessed.standings,
-                             service.outstanding,
-                             {},
-                             state.data_centre,
-                             result.repeatable,
-                             result.repeatable && result.attempts > 1,
-                             assessed.failure_probabilities,
-                             assessed.start_waits};
+    choice_input const input{
+        service.candidates,
+        assessed.standings,
+        service.outstanding,
+        {},
+        state.data_centre,
+        result.repeatable,
+        result.repeatable && result.attempts > 1,
+        assessed.failure_probabilities,
+        assessed.start_waits,
+        crossing_cost_for(state, result.route, body_bytes, result.timeout, 0)};
     for (std::size_t i = 0; i < service.candidates.size(); ++i)
     {
         members::candidate const& candidate = service.candidates[i];
@@ -159,7 +161,8 @@
     }
     result.floor_slots = effective_floor(
         service->second.candidates, lookup.floor_slots, lookup.floor_share);
-    describe_candidates(state, service->second, now, result);
+    describe_candidates(state, service->second, request.body_bytes, now,
+                        result);
     return result;
 }
 
--- a/src/routing/explain_test.cpp
+++ b/src/routing/explain_test.cpp
@@ -77,6 +77,27 @@
         CHECK(entry.cost_outside > entry.cost_inside);
 }
 
+TEST_CASE("explain weighs the bytes that would leave the data centre")
+{
+    // Guards against an explanation of another choice than that for a request.
+    routing_state state = make_state();
+    state.cross_data_centre_cost = 10;
+    record_answer(state.route_answers, "r", 90'000, 500ms);
+    auto const cost = [&](std::size_t body_bytes)
+    {
+        explanation const explained = explain(
+            state, make_lookup(), make_request(body_bytes), 1'000'000, start);
+        explanation::entry const& entry = explained.candidates.at(0);
+        return entry.cost_outside - entry.cost_inside;
+    };
+    // At most a quarter of the route's timeout of 1 s, in service times.
+    CHECK(cost(0) == Approx(0.5));
+    state.route_answers.clear();
+    record_answer(state.route_answers, "r", 500, 500ms);
+    CHECK(cost(0) == Approx(0.25));
+    CHECK(cost(20'000) > 0.3);
+}
+
 TEST_CASE("explain names the rule that refuses at entry, or what is unknown")
 {
     routing_state state = make_state();
