Mend integer divisions that the linter found in account limits

Cause: the linter refuses a division of counts inside a conversion. Change: the quotient is a count first. Result: unit.account_limit passes.

--- a/src/account_limit/entitlement.cpp
+++ b/src/account_limit/entitlement.cpp
@@ -56,7 +56,8 @@
         rendezvous_hash(account, state.own_daemon.id) > hash ? 1 : 0;
     for (auto const& [id, known] : state.daemons)
         rank += is_entitled(known, now) && rendezvous_hash(account, id) > hash;
-    return static_cast<double>(total / count + (rank < total % count ? 1 : 0));
+    std::size_t const share = total / count + (rank < total % count ? 1 : 0);
+    return static_cast<double>(share);
 }
 
 void note_change(owned_group& group, time_point now)
@@ -249,12 +250,13 @@
     std::size_t const known = count_entitled(state, now);
     std::size_t const count = effective_count(state, now);
     double const burst = total_burst(used.rate, used.burst);
+    if (count == known)
+        return {used.rate / static_cast<double>(count),
+                burst_share(state, account, state.own_daemon.id, known, burst,
+                            now)};
     // The order among daemons that are not known is unknown as well.
-    double const share =
-        count == known ? burst_share(state, account, state.own_daemon.id, known,
-                                     burst, now)
-                       : static_cast<double>(divided_tokens(burst) / count);
-    return {used.rate / static_cast<double>(count), share};
+    std::size_t const share = divided_tokens(burst) / count;
+    return {used.rate / static_cast<double>(count), static_cast<double>(share)};
 }
 
 void fill_own(limit_state const& state, std::uint64_t account,
