--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -245,10 +245,12 @@
     return -1;
 }
 
-/// A port of the address at which nothing listens now.
+/// A port at which nothing listens now, another one with each call. Called by
+/// the main thread.
 inline int free_port(std::string const& ip)
 {
     static std::mt19937 random(std::random_device{}());
+    static std::set<int> given;
     for (;;)
     {
         // Below the range of ephemeral ports.
@@ -259,7 +261,7 @@
             ::bind(fd, reinterpret_cast<sockaddr const*>(&address),
                    sizeof address) == 0;
         ::close(fd);
-        if (is_free)
+        if (is_free && given.insert(port).second)
             return port;
     }
 }
@@ -785,24 +787,16 @@
             {"bounds.retry_budget_ratio", "0.2"},
             {"bounds.budget_slack", "166"},
             {"bounds.quota_window_s", "5"}};
-        std::set<int> used;
-        auto const new_port = [&]
-        {
-            int port = free_port(m_options.ip);
-            while (!used.insert(port).second)
-                port = free_port(m_options.ip);
-            return port;
-        };
-        outbound = new_port();
-        ready = new_port();
-        control = new_port();
+        outbound = free_port(m_options.ip);
+        ready = free_port(m_options.ip);
+        control = free_port(m_options.ip);
         auto const with_ip = [&](int port)
         { return m_options.ip + ":" + std::to_string(port); };
         values["bind.outbound"] = with_ip(outbound);
         values["bind.ready"] = with_ip(ready);
         values["bind.control"] = with_ip(control);
-        values["internal_ports.0"] = std::to_string(new_port());
-        values["internal_ports.1"] = std::to_string(new_port());
+        values["internal_ports.0"] = std::to_string(free_port(m_options.ip));
+        values["internal_ports.1"] = std::to_string(free_port(m_options.ip));
         std::ifstream in("deploy/daemon.ini");
         std::string const text((std::istreambuf_iterator<char>(in)), {});
         std::string out;
@@ -858,19 +852,6 @@
         m_pid = 0;
     }
 
-    /// Memory of the process without the pages of its program file.
-    std::uint64_t anonymous_kb() const
-    {
-        std::ifstream in("/proc/" + std::to_string(m_pid) + "/status");
-        std::string line;
-        while (std::getline(in, line))
-        {
-            if (line.starts_with("RssAnon:"))
-                return std::stoull(line.substr(8));
-        }
-        return 0;
-    }
-
     bool is_ready() const
     {
         int const fd = connect_to(m_options.ip, ready, 1s);
@@ -886,7 +867,6 @@
 
     std::string const& ip() const { return m_options.ip; }
     std::string const& name() const { return m_options.name; }
-    pid_t pid() const { return m_pid; }
 
     int outbound = 0;
     int ready = 0;
@@ -1016,9 +996,6 @@
 struct fleet_options
 {
     std::string service;
-    /// Service of the first machines, and their number.
-    std::string first_service = {};
-    std::size_t first_machines = 0;
     std::size_t daemons = 2;
     int memory_mb = 160;
     int slots = 5;
@@ -1035,17 +1012,14 @@
         for (std::size_t i = 0; i < options.daemons; ++i)
         {
             std::string const number = std::to_string(i + 1);
-            std::string const& service =
-                i < options.first_machines ? options.first_service
-                                           : options.service;
             daemons.push_back(std::make_unique<daemon_process>(
                 daemon_options{.name = "sidecar-a-" + number,
-                               .service = service,
+                               .service = options.service,
                                .memory_mb = options.memory_mb},
                 "127.0.0.1:" + std::to_string(store_port), folder));
             backends.push_back(std::make_unique<backend>(
                 backend_options{.id = "i-" + number,
-                                .service = service,
+                                .service = options.service,
                                 .slots = options.slots,
                                 .control_ip = "127.0.0.1",
                                 .control_port = daemons.back()->control,
