--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -59,6 +59,9 @@
     server_announced = 604,
     server_draining = 605,
     server_gone = 606,
+    withdrawals_loaded = 607,
+    withdrawal_not_stored = 608,
+    announcement_held = 609,
 
     config_in_force = 700,
     config_patch_committed = 701,
--- a/src/members/fleet_test.hpp
+++ b/src/members/fleet_test.hpp
@@ -45,7 +45,9 @@
     std::vector<node> nodes;
     std::vector<server> servers;
     std::vector<message_in_flight> messages_in_flight;
-    std::map<std::string, std::string> rows;
+    std::map<std::string, store::row> rows;
+    std::uint64_t last_row_version = 0;
+    bool is_store_down = false;
     std::uint64_t loss_percent = 0;
     /// Minimum number of servers that a daemon listed at any step of run(),
     /// beginning 15 s after its start.
@@ -110,24 +112,60 @@
                 {now + duration(1000 + random() % 2000), index,
                  std::stoul(sent.address.substr(10)) - 10000,
                  std::move(sent.content)});
+        for (std::function<void()> const& reply : out.replies)
+            reply();
         for (store::request const& request : out.store_requests)
             reply_from_store(index, request);
         out = actions{};
     }
 
-    void reply_from_store(std::size_t index, store::request const& request)
+    void apply_transaction(store::transaction const& write, store::reply& reply)
     {
-        store::reply reply;
-        reply.number = request.number;
-        reply.result = store::status::ok;
-        if (auto const* write = std::get_if<store::transaction>(&request.op))
+        for (store::condition const& item : write.conditions)
         {
-            for (store::put const& put : write->puts)
-                rows[put.key] = put.value;
+            auto const row = rows.find(item.key);
+            store::row const present =
+                row == rows.end() ? store::row{item.key, 0, {}} : row->second;
+            if (present.version != item.version)
+                reply.rows.push_back(present);
+        }
+        reply.result = reply.rows.empty() ? store::status::ok
+                                          : store::status::condition_failed;
+        if (!reply.rows.empty())
             return;
+        for (store::put const& item : write.puts)
+        {
+            rows[item.key] = {item.key, ++last_row_version, item.value};
+            reply.rows.push_back({item.key, last_row_version, {}});
         }
-        for (auto const& [key, value] : rows)
-            reply.rows.push_back({key, 1, value});
+        for (std::string const& key : write.deletes)
+            rows.erase(key);
+    }
+
+    /// The rows whose keys begin so.
+    void read_rows(std::string_view prefix, store::reply& reply) const
+    {
+        reply.result = store::status::ok;
+        for (auto const& [key, row] : rows)
+        {
+            if (key.starts_with(prefix))
+                reply.rows.push_back(row);
+        }
+    }
+
+    void reply_from_store(std::size_t index, store::request const& request)
+    {
+        store::reply reply;
+        reply.number = request.number;
+        if (is_store_down)
+            reply.result = store::status::refused;
+        else if (auto const* write =
+                     std::get_if<store::transaction>(&request.op))
+            apply_transaction(*write, reply);
+        else if (auto const* get = std::get_if<store::get_row>(&request.op))
+            read_rows(get->key, reply);
+        else
+            read_rows(std::get<store::scan_rows>(request.op).prefix, reply);
         actions out;
         on_store_reply(nodes[index].state, reply, now, out);
         perform(index, out);
--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -2,7 +2,9 @@
 
 #include "members/directory.hpp"
 #include "members/gossip.hpp"
+#include "members/held_announcements.hpp"
 #include "members/peers.hpp"
+#include "members/stored_withdrawals.hpp"
 #include "members/withdrawal.hpp"
 
 #include <algorithm>
@@ -98,14 +100,6 @@
     publish_gone(state, name, service, departed, now);
 }
 
-duration granted_lease(membership_state const& state, duration requested)
-{
-    if (requested <= duration(0))
-        return state.parameters.default_lease;
-    return std::clamp(requested, state.parameters.min_lease,
-                      state.parameters.max_lease);
-}
-
 /// Whether a later announcement of the server, its departure or a later server
 /// at its address has already been recorded.
 bool is_outdated(membership_state const& state, announcement const& details,
@@ -163,11 +157,25 @@
     return departed;
 }
 
-void note_own_withdrawal(membership_state& state, std::string_view server,
+/// Returns false when a later withdrawal of the server is known.
+bool note_own_withdrawal(membership_state& state, std::string_view server,
                          withdrawal noted, time_point now)
 {
     noted.home = state.own_record.daemon;
-    note_withdrawal(state, server, noted, now);
+    return note_withdrawal(state, server, noted, now);
+}
+
+/// The server was replaced or departed; no earlier announcement of it may be
+/// taken, also by the next run of this home.
+void record_departure(membership_state& state, std::string_view server,
+                      announcement_number departed, time_point now)
+{
+    bool const is_new =
+        note_own_withdrawal(state, server, {departed, server_state::gone}, now);
+    bool const was_drained =
+        state.stored.drained_servers.erase(std::string(server)) != 0;
+    if (is_new || was_drained)
+        note_stored_change(state);
 }
 
 /// Records the announcement and sets \p homed to its server. Returns whether
@@ -199,6 +207,14 @@
 
 } // namespace
 
+duration granted_lease(membership_state const& state, duration requested)
+{
+    if (requested <= duration(0))
+        return state.parameters.default_lease;
+    return std::clamp(requested, state.parameters.min_lease,
+                      state.parameters.max_lease);
+}
+
 announcement_number number_of(announcement const& details)
 {
     return {details.incarnation, details.sequence};
@@ -321,48 +337,74 @@
     publish_change(state, *homed, now, out);
 }
 
-void on_announce_request(membership_state& state,
-                         announce_request const& request, time_point now,
-                         actions& out)
+namespace
 {
-    duration const lease = granted_lease(state, request.details.lease);
-    if (request.deliver)
-        out.replies.emplace_back([deliver = request.deliver, lease]
-                                 { deliver(lease); });
-    if (request.details.state == server_state::gone)
-    {
-        homed_server_state const* const homed =
-            find_homed_server(state, request.details.server);
-        // A delayed departure of an earlier incarnation is ignored.
-        if (homed != nullptr && request.details.incarnation != 0 &&
-            homed->details.incarnation > request.details.incarnation)
-            return;
-        announcement_number const departed =
-            departure_of(state, request.details);
-        note_own_withdrawal(state, request.details.server,
-                            {departed, server_state::gone}, now);
-        if (homed != nullptr)
-            remove_homed_server(state, request.details.server, "announced",
-                                departed, now, out);
-        // The peers must know before this daemon can restart.
-        push_updates(state, max_withdrawal_messages, out);
+
+void apply_departure(membership_state& state, announcement const& details,
+                     time_point now, actions& out)
+{
+    homed_server_state const* const homed =
+        find_homed_server(state, details.server);
+    // A delayed departure of an earlier incarnation is ignored.
+    if (homed != nullptr && details.incarnation != 0 &&
+        homed->details.incarnation > details.incarnation)
         return;
-    }
-    if (is_outdated(state, request.details, now))
+    announcement_number const departed = departure_of(state, details);
+    record_departure(state, details.server, departed, now);
+    if (homed != nullptr)
+        remove_homed_server(state, details.server, "announced", departed, now,
+                            out);
+    // The peers must know before this daemon can restart.
+    push_updates(state, max_withdrawal_messages, out);
+}
+
+void apply_announcement(membership_state& state, announcement const& details,
+                        time_point now, actions& out)
+{
+    if (is_outdated(state, details, now) ||
+        hold_announcement(state, details, now, out))
         return;
-    for (announcement const& replaced :
-         servers_replaced_by(state, request.details))
+    for (announcement const& replaced : servers_replaced_by(state, details))
+    {
+        announcement_number const departed{replaced.incarnation,
+                                           departure_sequence};
+        record_departure(state, replaced.server, departed, now);
         remove_homed_server(state, replaced.server, "replaced at its address",
-                            {replaced.incarnation, departure_sequence}, now,
-                            out);
+                            departed, now, out);
+    }
     homed_server_state* homed = nullptr;
-    bool const is_changed = store_announcement(state, request.details, homed);
-    homed->lease_until = now + lease;
+    bool const is_changed = store_announcement(state, details, homed);
+    homed->lease_until = now + granted_lease(state, details.lease);
     if (!is_changed)
         return;
     publish_change(state, *homed, now, out);
-    if (request.details.state == server_state::draining)
-        push_updates(state, max_withdrawal_messages, out);
+    if (details.state != server_state::draining)
+        return;
+    note_stored_change(state);
+    push_updates(state, max_withdrawal_messages, out);
+}
+
+} // namespace
+
+void on_announce_request(membership_state& state,
+                         announce_request const& request, time_point now,
+                         actions& out)
+{
+    announcement const& details = request.details;
+    if (details.state == server_state::gone)
+        apply_departure(state, details, now, out);
+    else
+        apply_announcement(state, details, now, out);
+    if (!request.deliver)
+        return;
+    auto reply =
+        [deliver = request.deliver, lease = granted_lease(state, details.lease)]
+    { deliver(lease); };
+    if (details.state == server_state::serving)
+        out.replies.emplace_back(std::move(reply));
+    else
+        acknowledge_when_stored(state, details.server, std::move(reply), now,
+                                out);
 }
 
 void set_leaving(membership_state& state, homed_server_state& homed,
@@ -381,16 +423,24 @@
 {
     homed_server_state const* const homed =
         find_homed_server(state, request.server);
-    if (request.deliver)
-        out.replies.emplace_back(
-            [deliver = request.deliver, found = homed != nullptr]
-            { deliver(found); });
-    if (homed == nullptr || is_drained(state, request.server) == request.drain)
+    bool const is_found = homed != nullptr;
+    if (is_found && is_drained(state, request.server) != request.drain)
+    {
+        ++state.drain_changes[request.server];
+        state.stored.drained_servers.insert(request.server);
+        note_stored_change(state);
+        publish_change(state, *homed, now, out);
+        // Sent at once, because this daemon may stop before its next pings.
+        push_updates(state, max_withdrawal_messages, out);
+    }
+    if (!request.deliver)
         return;
-    ++state.drain_changes[request.server];
-    publish_change(state, *homed, now, out);
-    // Sent at once, because this daemon may stop before its next pings.
-    push_updates(state, max_withdrawal_messages, out);
+    auto reply = [deliver = request.deliver, is_found] { deliver(is_found); };
+    if (is_found)
+        acknowledge_when_stored(state, request.server, std::move(reply), now,
+                                out);
+    else
+        out.replies.emplace_back(std::move(reply));
 }
 
 } // namespace gooseberrycove::members
--- a/src/members/lease.hpp
+++ b/src/members/lease.hpp
@@ -34,6 +34,10 @@
                   std::string_view service, announcement_number departed,
                   time_point now);
 
+/// The lease for an announcement that requests \p requested; 0 requests the
+/// default.
+duration granted_lease(membership_state const& state, duration requested);
+
 announcement_number number_of(announcement const& details);
 
 /// Drains or removes a server homed here, which \p record states to have
--- a/src/members/members_test.cpp
+++ b/src/members/members_test.cpp
@@ -2,6 +2,7 @@
 #include "members/gossip.hpp"
 #include "members/peers.hpp"
 #include "members/state.hpp"
+#include "members/stored_withdrawals.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -52,8 +53,29 @@
         make_state(record_of(own_daemon), {}, 1, start_time);
     time_point now = start_time;
     actions out;
+    std::uint64_t row_version = 0;
 
-    daemon_fixture() { receive(other_daemon); }
+    daemon_fixture()
+    {
+        receive(other_daemon);
+        reply_from_store(read_withdrawals_number, store::status::not_found);
+    }
+
+    void reply_from_store(std::uint64_t number, store::status result,
+                          std::vector<store::row> rows = {})
+    {
+        on_store_reply(state, {number, result, std::move(rows), {}}, now, out);
+    }
+
+    /// The store applies the write of the withdrawals that is due.
+    void store_withdrawals()
+    {
+        run_stored_withdrawals(state, now, out);
+        if (!std::exchange(out.store_requests, {}).empty())
+            reply_from_store(write_withdrawals_number, store::status::ok,
+                             {{"", ++row_version, {}}});
+        run_stored_withdrawals(state, now, out);
+    }
 
     packet packet_from(daemon_ref sender)
     {
@@ -388,6 +410,7 @@
         on_announce_request(daemon.state,
                             {details, [&](duration) { ++acknowledged; }},
                             daemon.now, daemon.out);
+        daemon.store_withdrawals();
         for (auto const& reply : std::exchange(daemon.out.replies, {}))
             reply();
     };
@@ -452,12 +475,17 @@
         make_state(record_of(own_daemon), {}, 1, start_time);
     actions out;
     time_point now = start_time;
-    for (; out.store_requests.empty() && now < start_time + seconds(2);
+    auto const has_scan = [&]
+    {
+        return std::ranges::count(out.store_requests, scan_rendezvous_number,
+                                  &store::request::number) == 1;
+    };
+    for (; !has_scan() && now < start_time + seconds(2);
          now += duration(50'000))
         on_tick(state, now, out);
-    REQUIRE(out.store_requests.size() == 1);
+    REQUIRE(has_scan());
     store::reply rows;
-    rows.number = out.store_requests[0].number;
+    rows.number = scan_rendezvous_number;
     rows.result = store::status::ok;
     rows.rows.push_back({"rendezvous/03", 7, record_of(other_daemon).address});
     now += duration(50'000);
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -1,4 +1,6 @@
 #include "members/peers.hpp"
+#include "members/row_cleanup.hpp"
+#include "members/stored_withdrawals.hpp"
 #include "members/sync.hpp"
 
 #include <fmt/format.h>
@@ -11,8 +13,6 @@
 namespace
 {
 
-constexpr std::uint64_t scan_number = 1;
-constexpr std::uint64_t write_number = 2;
 constexpr unsigned slot_count = 16;
 constexpr std::string_view row_prefix = "rendezvous/";
 /// After a restart of all daemons at once the fleet serves no requests until
@@ -61,7 +61,7 @@
         write.conditions.push_back({key, 0});
     write.puts.push_back({key, state.own_record.address});
     store::request request;
-    request.number = write_number;
+    request.number = write_rendezvous_number;
     request.op = std::move(write);
     out.store_requests.push_back(std::move(request));
 }
@@ -73,7 +73,10 @@
     store::era_change const change =
         store::observe_era(state.rendezvous_era, reply);
     if (change == store::era_change::newer)
+    {
         state.must_check_rendezvous = state.has_rendezvous_row;
+        rewrite_stored_withdrawals(state);
+    }
     return change != store::era_change::older;
 }
 
@@ -82,7 +85,11 @@
 void check_rendezvous_era(membership_state& state, std::uint64_t store_era,
                           time_point now)
 {
-    if (store_era <= state.rendezvous_era.era || !state.has_rendezvous_row)
+    if (store_era <= state.rendezvous_era.era)
+        return;
+    if (state.stored.version)
+        rewrite_stored_withdrawals(state);
+    if (!state.has_rendezvous_row)
         return;
     state.must_check_rendezvous = true;
     state.next_rendezvous =
@@ -110,7 +117,7 @@
         return;
     state.should_write_rendezvous = is_chosen;
     store::request request;
-    request.number = scan_number;
+    request.number = scan_rendezvous_number;
     request.op = store::scan_rows{std::string(row_prefix), {}, slot_count};
     out.store_requests.push_back(std::move(request));
 }
@@ -119,10 +126,22 @@
                     time_point now, actions& out)
 {
     bool const is_usable = accept_reply(state, reply);
-    if (reply.number == write_number && reply.result == store::status::ok)
-        state.has_rendezvous_row = true;
-    if (reply.number != scan_number)
+    switch (reply.number)
+    {
+    case read_withdrawals_number:
+    case write_withdrawals_number:
+        return on_stored_withdrawals_reply(state, reply, is_usable, now, out);
+    case scan_withdrawals_number:
+        return delete_abandoned_rows(state, reply, now, out);
+    case write_rendezvous_number:
+        state.has_rendezvous_row =
+            state.has_rendezvous_row || reply.result == store::status::ok;
+        return;
+    case scan_rendezvous_number:
+        break;
+    default:
         return;
+    }
     if (!is_usable || reply.result != store::status::ok)
     {
         // The next regular scan is minutes away.
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -185,6 +186,58 @@
     time_point recorded_at{};
 };
 
+/// Numbers of the store requests of this duty.
+inline constexpr std::uint64_t scan_rendezvous_number = 1;
+inline constexpr std::uint64_t write_rendezvous_number = 2;
+inline constexpr std::uint64_t read_withdrawals_number = 3;
+inline constexpr std::uint64_t write_withdrawals_number = 4;
+inline constexpr std::uint64_t scan_withdrawals_number = 5;
+inline constexpr std::uint64_t delete_withdrawals_number = 6;
+
+/// An acknowledgement of a withdrawal that waits for the store.
+struct pending_acknowledgement
+{
+    std::string server;
+    /// stored_withdrawals_state::last_change at the withdrawal.
+    std::uint64_t change = 0;
+    time_point deadline;
+    std::function<void()> reply;
+};
+
+/// The row of the store that keeps what this home has acknowledged for its next
+/// run. Peers keep it too, but all daemons may end at the same time.
+struct stored_withdrawals_state
+{
+    /// Version of the row, 0 for an absent one; unknown before the first read
+    /// and after a write without a reply.
+    std::optional<std::uint64_t> version;
+    /// This run has read the row.
+    bool is_loaded = false;
+    bool is_call_pending = false;
+    time_point call_deadline;
+    time_point next_call;
+    /// Changes are numbered; the row holds those up to `stored_change`, and the
+    /// pending write those up to `sent_change`.
+    std::uint64_t last_change = 0;
+    std::uint64_t sent_change = 0;
+    std::uint64_t stored_change = 0;
+    std::vector<pending_acknowledgement> acknowledgements;
+    /// Servers homed here that an operator has drained or undrained.
+    std::set<std::string, std::less<>> drained_servers;
+    /// Next deletion of rows that other homes left behind.
+    time_point next_cleanup;
+};
+
+/// A serving announcement that may have been sent before a withdrawal which
+/// this run does not know.
+struct held_announcement
+{
+    /// The latest one that was held of this start of the server.
+    announcement details;
+    time_point first_received_at;
+    time_point last_received_at;
+};
+
 /// A daemon that requested the present statuses of a service.
 struct status_requester
 {
@@ -217,6 +270,8 @@
     /// Recent withdrawals by server, to reject delayed announcements. Those at
     /// other homes are kept too: a home that restarts has lost its own.
     std::map<std::string, withdrawal, std::less<>> withdrawals;
+    stored_withdrawals_state stored;
+    std::vector<held_announcement> held_announcements;
     std::vector<status_requester> status_requesters;
     /// server_record::drain_changes of each server that an operator has
     /// drained, at any home; kept when a lease lapses.
--- a/src/members/tick.cpp
+++ b/src/members/tick.cpp
@@ -1,8 +1,11 @@
 #include "members/directory.hpp"
+#include "members/held_announcements.hpp"
 #include "members/lease.hpp"
 #include "members/peers.hpp"
 #include "members/probe.hpp"
+#include "members/row_cleanup.hpp"
 #include "members/status.hpp"
+#include "members/stored_withdrawals.hpp"
 #include "members/sync.hpp"
 
 #include <algorithm>
@@ -69,9 +72,12 @@
         expire_leases(state, now, out);
         run_sync(state, now, out);
         run_rendezvous(state, now, out);
+        run_row_cleanup(state, now, out);
+        release_announcements(state, now, out);
         run_sweep(state, now);
         flush_live_daemons(state, now, out);
     }
+    run_stored_withdrawals(state, now, out);
     send_due_statuses(state, now, out);
     flush_views(state, now, out);
     return state.last_tick + tick_period;
--- a/src/members/withdrawal.cpp
+++ b/src/members/withdrawal.cpp
@@ -9,16 +9,11 @@
 namespace
 {
 
-/// Expected maximum delay of an announcement in the network. A withdrawal is
-/// kept for this time, to reject announcements sent before it.
-constexpr duration max_announcement_delay = std::chrono::minutes(2);
-
 /// A departure may name no start of the server, and a home that has restarted
 /// does not know it either. For this time after such a departure, only the
 /// first announcements of a start are accepted; others were sent before the
 /// departure.
 constexpr duration unnumbered_departure_time = std::chrono::seconds(10);
-constexpr std::uint64_t max_first_sequence = 2;
 
 server_record record_of(std::string_view server, withdrawal const& known)
 {
--- a/src/members/withdrawal.hpp
+++ b/src/members/withdrawal.hpp
@@ -8,6 +8,14 @@
 namespace gooseberrycove::members
 {
 
+/// Expected maximum delay of an announcement in the network. A withdrawal is
+/// kept for this time, to reject announcements sent before it.
+inline constexpr duration max_announcement_delay = std::chrono::minutes(2);
+
+/// Number of the announcements of a start that are taken without knowledge of
+/// earlier ones.
+inline constexpr std::uint64_t max_first_sequence = 2;
+
 /// Records that the server takes no more work since an announcement. Returns
 /// false when a later one is known.
 bool note_withdrawal(membership_state& state, std::string_view server,
--- a/src/members/withdrawal_test.cpp
+++ b/src/members/withdrawal_test.cpp
@@ -1,105 +1,12 @@
+#include "members/withdrawal_test.hpp"
+
 #include "members/directory.hpp"
-#include "members/fleet_test.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace gooseberrycove;
 using namespace gooseberrycove::members;
 
-namespace
-{
-
-constexpr std::size_t daemon_count = 5;
-constexpr std::size_t home = 3;
-constexpr std::uint64_t start_of_server = 100;
-
-announcement numbered(std::uint64_t sequence,
-                      server_state state = server_state::serving,
-                      std::uint64_t incarnation = start_of_server)
-{
-    announcement details;
-    details.server = "leaver";
-    details.service = "service-0";
-    details.address = "127.0.0.1:9";
-    details.slots = 4;
-    details.incarnation = incarnation;
-    details.sequence = sequence;
-    details.state = state;
-    details.lease = duration(6'000'000);
-    return details;
-}
-
-/// A converged fleet with a server that does not announce itself regularly.
-struct fleet_fixture
-{
-    simulated_fleet fleet{1};
-
-    fleet_fixture()
-    {
-        fleet.build(daemon_count, 2);
-        fleet.run(20);
-        announce(numbered(1));
-        fleet.run(2);
-        REQUIRE(count_sending(daemon_count) == daemon_count);
-    }
-
-    void announce(announcement const& details)
-    {
-        actions out;
-        on_announce_request(fleet.nodes[home].state, {details, {}}, fleet.now,
-                            out);
-        fleet.perform(home, out);
-    }
-
-    void restart_home()
-    {
-        daemon_ref run = fleet.nodes[home].state.own_record.daemon;
-        ++run.incarnation;
-        fleet.start(home, run);
-    }
-
-    void restart_home_without_store()
-    {
-        restart_home();
-        fleet.nodes[home].state.seeds.clear();
-        fleet.rows.clear();
-    }
-
-    /// Number of daemons, without \p ignored, that may send work to the server.
-    std::size_t count_sending(std::size_t ignored) const
-    {
-        std::size_t count = 0;
-        for (std::size_t index = 0; index < fleet.nodes.size(); ++index)
-        {
-            auto const view = fleet.nodes[index].views.find("service-0");
-            if (index == ignored || view == fleet.nodes[index].views.end())
-                continue;
-            count += std::ranges::count_if(
-                view->second->candidates,
-                [](candidate const& entry)
-                {
-                    return entry.server == "leaver" && entry.is_home_alive &&
-                           entry.state == server_state::serving;
-                });
-        }
-        return count;
-    }
-
-    /// The highest count_sending() of the other daemons in this time.
-    std::size_t max_sending_during(int steps)
-    {
-        std::size_t highest = 0;
-        for (; steps > 0; --steps)
-        {
-            fleet.step();
-            highest = std::max(highest, count_sending(home));
-        }
-        return highest;
-    }
-};
-
-} // namespace
-
 TEST_CASE("a restarted home does not undo the withdrawal of a server")
 {
     // Guards against requests to a server that has departed or drains: the home
