--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -175,7 +175,7 @@
         values.real("daemon", "cross_data_centre_cost"),
         has_fleet_limits ? &account_limit : nullptr,
         values.number("daemon", "refusal_siblings") > 0,
-        values.number("daemon", "max_body_bytes")});
+        values.number("daemon", "max_body_bytes"), !uses_row_store(values)});
     account_limit_wiring =
         std::make_unique<account_limit::wiring>(account_limit::wiring{
             &peer, &routing, own_daemon, address, &counts,
--- a/src/routing/claim_queries.cpp
+++ b/src/routing/claim_queries.cpp
@@ -43,8 +43,11 @@
 
 } // namespace
 
-bool is_claim_query(std::string_view method, std::string_view path)
+bool is_claim_query(std::string_view method, std::string_view path,
+                    lookup_result const& lookup)
 {
+    if (lookup.route)
+        return false;
     return (method == "POST" && path == mint_path) ||
            (method == "GET" && path.starts_with(outcome_path));
 }
--- a/src/routing/claim_queries.hpp
+++ b/src/routing/claim_queries.hpp
@@ -10,8 +10,10 @@
 
 /// Whether a request is a query to claims instead of work for a backend server:
 /// `POST /keys` mints an idempotency key, `GET /outcome/KEY` returns the state
-/// of the request with that key. These paths cannot be routed.
-bool is_claim_query(std::string_view method, std::string_view path);
+/// of the request with that key. A request that a route matches is never one:
+/// the caller would take the daemon's answer for that of a backend server.
+bool is_claim_query(std::string_view method, std::string_view path,
+                    lookup_result const& lookup);
 
 /// Delivers a response to the caller. Called on the claims thread.
 using deliver_response = std::function<void(final_response&&)>;
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -1,4 +1,5 @@
 #include "authenticate.hpp"
+#include "claim_queries.hpp"
 #include "decisions.hpp"
 
 #include <catch2/catch.hpp>
@@ -650,6 +651,29 @@
     CHECK(out.responses.back().kind == error_kind::no_route);
 }
 
+TEST_CASE("a routed request to /keys or /outcome/ is no query to the daemon")
+{
+    // Guards against an order that the daemon answers with 200 and that never
+    // reaches a backend server (review/6).
+    struct path_case
+    {
+        char const* method;
+        char const* path;
+        bool is_query;
+    };
+    for (path_case const& item : {path_case{"POST", "/keys", true},
+                                  path_case{"GET", "/outcome/k", true},
+                                  path_case{"GET", "/keys", false},
+                                  path_case{"POST", "/orders", false}})
+    {
+        INFO(item.method << ' ' << item.path);
+        lookup_result lookup = lookup_for(false);
+        CHECK_FALSE(is_claim_query(item.method, item.path, lookup));
+        lookup.route.reset();
+        CHECK(is_claim_query(item.method, item.path, lookup) == item.is_query);
+    }
+}
+
 TEST_CASE("a request counts as a retry by the share of retries at its VM")
 {
     routing_state state = make_state();
--- a/src/routing/routing_thread.cpp
+++ b/src/routing/routing_thread.cpp
@@ -212,7 +212,9 @@
             state.splits, state.random, in_force,
             {account_name(request.credentials), account_key, request.method,
              request.host, uri::path_of(request.target)});
-        if (is_claim_query(request.method, uri::path_of(request.target)))
+        if (links.answers_claim_queries &&
+            is_claim_query(request.method, uri::path_of(request.target),
+                           lookup))
         {
             auto const deliver =
                 [front = links.front](final_response&& response)
--- a/src/routing/routing_thread.hpp
+++ b/src/routing/routing_thread.hpp
@@ -36,6 +36,8 @@
     bool keeps_newer_loads = false;
     /// Larger bodies are refused at the front; 0 when not told.
     std::size_t max_body_bytes = 0;
+    /// Callers may mint idempotency keys and ask for outcomes.
+    bool answers_claim_queries = true;
 };
 
 /// Runs until \p messages is closed and empty.
