--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -246,7 +246,11 @@
         if (depth > max_nesting)
             return false;
         if (event == json::parse_event_t::key && depth == 1)
+        {
             section = value.get<std::string>();
+            // The entries of an array have no names.
+            name.clear();
+        }
         if (event == json::parse_event_t::key && depth == 2)
             name = value.get<std::string>();
         if (event == json::parse_event_t::object_end && depth == 1 &&
@@ -276,8 +280,8 @@
 };
 
 /// Reads the sections of a document. Adds an error for each one that is no
-/// object of objects.
-void read_sections(document_reader& reader, std::string_view document)
+/// object of objects. Returns false when the document is no JSON object.
+bool read_sections(document_reader& reader, std::string_view document)
 {
     json const remainder = json::parse(
         document,
@@ -285,7 +289,10 @@
         { return reader.on_event(depth, event, value); },
         false);
     if (!remainder.is_object())
-        return reader.errors.push_back({"", "must be a JSON object"});
+    {
+        reader.errors.push_back({"", "must be a JSON object"});
+        return false;
+    }
     check_sections(remainder, reader.errors);
     for (auto const& [name, unread] : remainder.items())
     {
@@ -295,13 +302,13 @@
                 {pointer_to("", name), "must be an object of objects"});
     }
     flush(reader.edit);
+    return true;
 }
 
 /// Replaces the routes whose service or priority does not exist by routes that
-/// refuse their requests. Returns whether any other route is left.
-bool refuse_unresolved_routes(table_edit& edit, error_list& errors)
+/// refuse their requests.
+void refuse_unresolved_routes(table_edit& edit, error_list& errors)
 {
-    bool has_usable_route = false;
     for_each_route(edit.data,
                    [&](route const& checked)
                    {
@@ -309,14 +316,11 @@
                            return;
                        std::size_t const errors_before = errors.size();
                        check_route(edit.data, checked, errors);
-                       if (errors.size() == errors_before)
-                           has_usable_route = true;
-                       else
+                       if (errors.size() != errors_before)
                            edit.routes.push_back(
                                {checked.name, make_refusing_route(checked)});
                    });
     flush(edit);
-    return has_usable_route;
 }
 
 /// Adds an error for each account that has a key of another one. Where accounts
@@ -409,12 +413,10 @@
 {
     document_reader reader;
     reader.keeps_usable_entries = true;
-    read_sections(reader, document);
-    bool const has_usable_route =
-        refuse_unresolved_routes(reader.edit, reader.errors);
-    check_account_keys(reader.edit.data, reader.errors);
-    if (!has_usable_route && !reader.errors.empty())
+    if (!read_sections(reader, document))
         return {nullptr, std::move(reader.errors)};
+    refuse_unresolved_routes(reader.edit, reader.errors);
+    check_account_keys(reader.edit.data, reader.errors);
     parse_result result = make_result(std::move(reader.edit), {}, version);
     result.errors = std::move(reader.errors);
     return result;
