Accept every key of an account

Callers saw: 401 for the 17th and later keys of a tenant.

Change: 4,096 keys, more than a row of the store can hold.

--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -299,6 +299,33 @@
     CHECK(one.account_by_key(b)->name == "lee");
 }
 
+TEST_CASE("every key of an account with many keys is found")
+{
+    // Guards against callers with a valid key that are refused as unknown: the
+    // 17th and later keys of an account were dropped.
+    std::string hashes;
+    for (int i = 0; i < 2000; ++i)
+        hashes += fmt::format("{}\"{:032x}\"", i == 0 ? "" : ",", i + 1);
+    std::string const text = fmt::format(
+        R"({{"accounts":{{"a":{{"key_hashes":[{}]}},
+                          "b":{{"key_hashes":["{:032x}"]}}}}}})",
+        hashes, 5000);
+    parse_result const read = parse_usable_entries(text, 1);
+    REQUIRE(read.data);
+    CHECK(read.errors.empty());
+    tables const in_force(read.data);
+    for (int i = 0; i < 2000; ++i)
+    {
+        key_hash hash{};
+        hash[14] = static_cast<std::uint8_t>((i + 1) / 256);
+        hash[15] = static_cast<std::uint8_t>((i + 1) % 256);
+        auto const found = in_force.account_by_key(hash);
+        REQUIRE(found);
+        REQUIRE(found->name == "a");
+        REQUIRE(has_key(*found, hash));
+    }
+}
+
 TEST_CASE("an account with unusable fields keeps its usable keys")
 {
     // Guards against callers that are refused as unknown because this daemon
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -35,8 +35,9 @@
 /// index. Never part of a version in force.
 inline constexpr priority_index removed_priority = 128;
 
-/// Maximum number of keys of an account.
-inline constexpr std::size_t max_account_keys = 16;
+/// Maximum number of keys of an account. The operator's document has no limit;
+/// a row of 64 KB holds fewer keys than this.
+inline constexpr std::size_t max_account_keys = 4096;
 
 struct account
 {
