--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -41,15 +41,27 @@
     return result;
 }
 
+struct name_rule
+{
+    bool (*is_allowed)(std::string_view) = is_name;
+    std::string_view allowed = "1 to 128 letters, digits and . _ @ -";
+};
+
+/// For accounts that callers address by a key alone. Where callers send the
+/// name as well, it ends at the first colon.
+constexpr name_rule key_account_names{
+    is_account_name,
+    "1 to 4096 bytes without control characters, no blank at an end"};
+
 /// Returns whether the name is allowed; adds an error when it is not.
 bool check_name(std::string_view name, std::string_view path,
-                error_list& errors)
+                error_list& errors, name_rule const& rule = {})
 {
-    if (is_name(name))
+    if (rule.is_allowed(name))
         return true;
-    errors.push_back({std::string(path),
-                      "name not allowed, allowed: 1 to 128 letters, digits "
-                      "and . _ @ -"});
+    errors.push_back(
+        {std::string(path),
+         fmt::format("name not allowed, allowed: {}", rule.allowed)});
     return false;
 }
 
@@ -96,12 +108,13 @@
 }
 
 void set_account(table_edit& edit, table_data const& base,
-                 std::string_view name, json const& patch, error_list& errors)
+                 std::string_view name, json const& patch,
+                 name_rule const& rule, error_list& errors)
 {
     std::string const path = pointer_to("/accounts", name);
     if (patch.is_null())
         return edit.accounts.push_back({std::string(name), std::nullopt});
-    if (!check_name(name, path, errors))
+    if (!check_name(name, path, errors, rule))
         return;
     std::optional<json> before;
     if (auto const old = find_account(base, name))
@@ -177,14 +190,15 @@
 
 void set_entry(table_edit& edit, table_data const& base,
                std::string_view section, std::string_view name,
-               json const& value, error_list& errors)
+               json const& value, name_rule const& account_names,
+               error_list& errors)
 {
     if (section == "services")
         set_service(edit, base, name, value, errors);
     else if (section == "routes")
         set_route(edit, base, name, value, errors);
     else
-        set_account(edit, base, name, value, errors);
+        set_account(edit, base, name, value, account_names, errors);
 }
 
 void set_section(table_edit& edit, table_data const& base,
@@ -201,7 +215,7 @@
     if (patch.is_null())
         return clear_section(edit, section);
     for (auto const& [name, value] : patch.items())
-        set_entry(edit, base, section, name, value, errors);
+        set_entry(edit, base, section, name, value, {}, errors);
 }
 
 /// Adds an error for each unknown section.
@@ -270,7 +284,9 @@
     void read_entry(json const& value)
     {
         std::size_t const errors_before = errors.size();
-        set_entry(edit, empty_base, section, name, value, errors);
+        set_entry(edit, empty_base, section, name, value,
+                  keeps_usable_entries ? key_account_names : name_rule{},
+                  errors);
         if (errors.size() == errors_before || !keeps_usable_entries ||
             section != "routes" || !is_name(name))
             return;
@@ -347,9 +363,8 @@
 {
     out += first ? "\n" : ",\n";
     first = false;
-    out += '"';
-    out += name;
-    out += "\":";
+    out += json(std::string(name)).dump();
+    out += ':';
     out += value.dump();
 }
 
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -35,9 +35,9 @@
 /// all daemons must read alike. An entry that cannot be used does not affect
 /// the others: it is left out. A route that cannot be used keeps its host and
 /// path when these can be read, and refuses its requests; without it they could
-/// match a shorter path and reach the service of another route. Only a text that
-/// is no JSON object is refused: what the document does not hold must not stay
-/// in force because of errors in the rest of it.
+/// match a shorter path and reach the service of another route. Only a text
+/// that is no JSON object is refused: what the document does not hold must not
+/// stay in force because of errors in the rest of it.
 parse_result parse_usable_entries(std::string_view document,
                                   std::uint64_t version);
 
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -317,6 +317,15 @@
     return result;
 }
 
+bool is_account_name(std::string_view name)
+{
+    constexpr unsigned char del = 0x7f;
+    return !name.empty() && name.size() <= max_account_name_size &&
+           name.front() != ' ' && name.back() != ' ' &&
+           std::all_of(name.begin(), name.end(),
+                       [](unsigned char c) { return c >= ' ' && c != del; });
+}
+
 bool is_name(std::string_view name)
 {
     return !name.empty() && name.size() <= max_name_size &&
--- a/src/config/entry_json.hpp
+++ b/src/config/entry_json.hpp
@@ -16,6 +16,7 @@
 
 /// Limits of the document; error messages state them.
 inline constexpr std::size_t max_name_size = 128;
+inline constexpr std::size_t max_account_name_size = 4096;
 inline constexpr std::size_t max_method_size = 16;
 
 using error_list = std::vector<patch_error>;
@@ -27,6 +28,11 @@
 /// letters, digits and `._@-`.
 bool is_name(std::string_view name);
 
+/// Whether \p name is allowed as the name of an account that callers address by
+/// a key alone: 1 to max_account_name_size bytes without control characters and
+/// without blanks at its ends. A header can hold such a name as it is.
+bool is_account_name(std::string_view name);
+
 // Entry to JSON. Some optional fields are left out when they have their
 // default.
 nlohmann::json to_json(priority const& value);
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -446,7 +446,7 @@
         result.entries.push_back(
             {static_cast<std::uint32_t>(result.text.size()), value.hash,
              value.rate, value.burst,
-             static_cast<std::uint8_t>(value.name.size()),
+             static_cast<std::uint16_t>(value.name.size()),
              static_cast<std::int16_t>(value.tier.value_or(no_tier))});
         result.text += value.name;
         for (key_hash const& hash : value.further_hashes)
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -86,7 +86,7 @@
     key_hash hash{};
     float rate = 0;
     float burst = 0;
-    std::uint8_t name_size = 0;
+    std::uint16_t name_size = 0;
     std::int16_t tier = no_tier;
 };
 
