Decode the name of a server in a path

Callers saw: nothing from a server whose id is escaped in the path of its announcements; it refuses each request, since the header names the escaped id.

Cause: the administration interface used the segment as it stands.

Change: the segment is decoded; names that no header can hold get 400.

Test: unit.admin "the name of a server in a path is decoded"; it failed before. 7 of 7 cases pass.

--- a/src/admin/admin_thread.cpp
+++ b/src/admin/admin_thread.cpp
@@ -33,11 +33,12 @@
 
 /// Returns NAME of `/announce/NAME` and `/withdraw/NAME`; empty for
 /// `/announce`.
-std::string_view server_in_path(std::string_view target)
+std::string server_in_path(std::string_view target)
 {
     std::string_view const path = uri::path_of(target);
     auto const slash = path.find('/', 1);
-    return slash == path.npos ? std::string_view{} : path.substr(slash + 1);
+    return slash == path.npos ? std::string()
+                              : uri::decode_segment(path.substr(slash + 1));
 }
 
 /// Listeners of the administration endpoints; gets the data for responses from
@@ -402,7 +403,7 @@
         return refuse(exchange, error_kind::no_route,
                       "allowed: /servers/NAME/drain, /servers/NAME/undrain");
     members::drain_request request;
-    request.server = server_and_action.substr(0, slash);
+    request.server = uri::decode_segment(server_and_action.substr(0, slash));
     request.drain = action == "drain";
     log_info(event_line(event::admin_action)
                  .field("action", action)
--- a/src/admin/admin_thread_test.cpp
+++ b/src/admin/admin_thread_test.cpp
@@ -59,8 +59,10 @@
             m_thread.join();
     }
 
-    /// Sends a request for the servers on a new connection.
-    void send_request(asio::ip::tcp::socket& socket) const
+    /// Sends a request on a new connection.
+    void send_request(asio::ip::tcp::socket& socket,
+                      std::string const& line = "GET /servers",
+                      std::string const& body = "") const
     {
         auto const [host, port] = split_address(m_setup.address);
         time_point const end = clock_now() + wait_limit;
@@ -71,17 +73,21 @@
             socket.connect({asio::ip::make_address(host), port}, failure);
         } while (failure && clock_now() < end);
         REQUIRE_FALSE(failure);
-        asio::write(socket, asio::buffer(std::string(
-                                "GET /servers HTTP/1.1\r\nHost: admin\r\n"
-                                "Authorization: Bearer secret\r\n\r\n")));
+        std::string const text =
+            line +
+            " HTTP/1.1\r\nHost: admin\r\n"
+            "Authorization: Bearer secret\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body;
+        asio::write(socket, asio::buffer(text));
     }
 
-    members::list_request take_request()
+    template <class Request = members::list_request>
+    Request take_request()
     {
         std::vector<members::message> batch;
         members.pop_until(batch, clock_now() + wait_limit);
         REQUIRE(batch.size() == 1);
-        return std::get<members::list_request>(std::move(batch.front()));
+        return std::get<Request>(std::move(batch.front()));
     }
 
     admin::inbox messages{16};
@@ -117,6 +123,33 @@
     CHECK(bytes.starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("the name of a server in a path is decoded")
+{
+    // Guards against a server that refuses each request because the name in its
+    // header is the escaped one of the path.
+    test_admin admin;
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    admin.send_request(socket, "POST /announce/desk%207%2Fa+b%C3%BC",
+                       R"({"service":"s","address":"127.0.0.1:9","slots":1,
+                           "state":"serving"})");
+    CHECK(admin.take_request<members::announce_request>().details.server ==
+          "desk 7/a+b\u00fc");
+    admin.send_request(socket, "POST /withdraw/desk%207");
+    CHECK(admin.take_request<members::announce_request>().details.server ==
+          "desk 7");
+    admin.send_request(socket, "POST /servers/desk%207/drain");
+    CHECK(admin.take_request<members::drain_request>().server == "desk 7");
+    // A line end in the name would start a header of its own.
+    for (char const* const name : {"a%0D%0AX:b", "a%0A", "a%7F", "%20a"})
+    {
+        admin.send_request(socket, std::string("POST /withdraw/") + name);
+        std::string bytes;
+        asio::read_until(socket, asio::dynamic_buffer(bytes), "\r\n");
+        CHECK(bytes.starts_with("HTTP/1.1 400"));
+    }
+}
+
 TEST_CASE("a reply that comes after the admin thread has ended is dropped")
 {
     // Guards against a reply of a duty that is stopped later, which was posted
--- a/src/admin/documents.cpp
+++ b/src/admin/documents.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace gooseberrycove::admin
@@ -20,6 +21,7 @@
 constexpr std::uint32_t min_lease_ms = 1'000;
 constexpr std::uint32_t max_lease_ms = 60'000;
 constexpr std::size_t max_name_length = 128;
+constexpr std::size_t max_server_name_length = 1024;
 /// One hour; a larger value is probably given in the wrong unit.
 constexpr std::uint64_t max_warmup_ms = 3'600'000;
 
@@ -106,6 +108,22 @@
     return value;
 }
 
+/// The name of a server from a path. Each request to the server names it in a
+/// header.
+std::string_view check_server_name(std::string_view name)
+{
+    constexpr unsigned char del = 0x7f;
+    bool const has_control = std::ranges::any_of(
+        name, [](unsigned char c) { return c < ' ' || c == del; });
+    if (has_control || name.size() > max_server_name_length ||
+        name.starts_with(' ') || name.ends_with(' '))
+        throw error(error_kind::bad_request,
+                    fmt::format("name of the server: allowed: up to {} bytes "
+                                "without control characters and outer blanks",
+                                max_server_name_length));
+    return name;
+}
+
 std::uint64_t read_number(json const& document, char const* member,
                           std::uint64_t min, std::uint64_t max,
                           std::uint64_t default_value)
@@ -305,8 +323,8 @@
     if (!server.empty() &&
         !(document.contains("slots") && document.contains("state")))
         throw_invalid_member("", "an object with slots and state");
-    out.server =
-        server.empty() ? read_name(document, "name") : std::string(server);
+    out.server = server.empty() ? read_name(document, "name")
+                                : std::string(check_server_name(server));
     out.service = read_name(document, "service");
     out.address = read_name(document, "address");
     if (!is_address(out.address))
@@ -340,7 +358,7 @@
                                       std::string_view server)
 {
     members::announcement out;
-    out.server = server;
+    out.server = check_server_name(server);
     out.state = members::server_state::gone;
     json const document = json::parse(body, nullptr, false);
     if (document.is_object())
--- a/src/core/uri.cpp
+++ b/src/core/uri.cpp
@@ -21,7 +21,7 @@
     return -1;
 }
 
-std::string percent_decode(std::string_view text)
+std::string percent_decode(std::string_view text, char plus)
 {
     std::string out;
     for (std::size_t i = 0; i < text.size(); ++i)
@@ -31,7 +31,7 @@
                                hex_value(text[i + 2]) >= 0;
         if (!is_escape)
         {
-            out += text[i] == '+' ? ' ' : text[i];
+            out += text[i] == '+' ? plus : text[i];
             continue;
         }
         out += static_cast<char>(hex_value(text[i + 1]) * 16 +
@@ -61,11 +61,16 @@
         rest.remove_prefix(std::min(end + 1, rest.size()));
         auto const equals_sign = pair.find('=');
         if (equals_sign != pair.npos && pair.substr(0, equals_sign) == name)
-            return percent_decode(pair.substr(equals_sign + 1));
+            return percent_decode(pair.substr(equals_sign + 1), ' ');
     }
     return {};
 }
 
+std::string decode_segment(std::string_view segment)
+{
+    return percent_decode(segment, '+');
+}
+
 std::string percent_encode(std::string_view text)
 {
     std::string result;
