Bound the row of withdrawals by its size

Cause: names of servers may have 1,024 bytes since they are decoded, and 128 of them exceed the 64 KB of a row; the store would refuse the write each time, and each acknowledgement would wait in vain.

Change: the row holds the latest withdrawals whose names fit. The time of day is computed in one place, and the reply to the scan of rendezvous rows has a function of its own.

--- a/src/members/lease.cpp
+++ b/src/members/lease.cpp
@@ -37,11 +37,8 @@
 std::uint64_t next_sequence(membership_state& state, std::string_view server,
                             time_point now)
 {
-    auto const elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - state.started);
-    state.record_sequence = std::max(
-        state.record_sequence + 1,
-        state.unix_start_ms + static_cast<std::uint64_t>(elapsed.count()));
+    state.record_sequence =
+        std::max(state.record_sequence + 1, unix_ms_at(state, now));
     if (server_entry const* const entry = find_entry(state, server))
         state.record_sequence =
             std::max(state.record_sequence, entry->sequence + 1);
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -80,6 +80,33 @@
     return change != store::era_change::older;
 }
 
+void on_rendezvous_rows(membership_state& state, store::reply const& reply,
+                        bool is_usable, time_point now, actions& out)
+{
+    if (!is_usable || reply.result != store::status::ok)
+    {
+        // The next regular scan is minutes away.
+        if (state.must_check_rendezvous)
+            state.next_rendezvous = now + alone_scan_period;
+        return;
+    }
+    state.should_write_rendezvous =
+        state.should_write_rendezvous || state.must_check_rendezvous;
+    state.must_check_rendezvous = false;
+    state.rendezvous_addresses.clear();
+    for (store::row const& row : reply.rows)
+        state.rendezvous_addresses.push_back(row.value);
+    // Joins at once: after a restart of all daemons the fleet refuses requests
+    // until they have peers.
+    if (live_peer_count(state) == 0)
+        state.next_join = now;
+    bool const is_listed = std::ranges::find(state.rendezvous_addresses,
+                                             state.own_record.address) !=
+                           state.rendezvous_addresses.end();
+    if (state.should_write_rendezvous && !is_listed)
+        write_row(state, reply.rows, out);
+}
+
 } // namespace
 
 void check_rendezvous_era(membership_state& state, std::uint64_t store_era,
@@ -132,38 +159,18 @@
     case write_withdrawals_number:
         return on_stored_withdrawals_reply(state, reply, is_usable, now, out);
     case scan_withdrawals_number:
-        return delete_abandoned_rows(state, reply, now, out);
+        if (is_usable)
+            delete_abandoned_rows(state, reply, now, out);
+        return;
     case write_rendezvous_number:
         state.has_rendezvous_row =
             state.has_rendezvous_row || reply.result == store::status::ok;
         return;
     case scan_rendezvous_number:
-        break;
+        return on_rendezvous_rows(state, reply, is_usable, now, out);
     default:
         return;
     }
-    if (!is_usable || reply.result != store::status::ok)
-    {
-        // The next regular scan is minutes away.
-        if (state.must_check_rendezvous)
-            state.next_rendezvous = now + alone_scan_period;
-        return;
-    }
-    state.should_write_rendezvous =
-        state.should_write_rendezvous || state.must_check_rendezvous;
-    state.must_check_rendezvous = false;
-    state.rendezvous_addresses.clear();
-    for (store::row const& row : reply.rows)
-        state.rendezvous_addresses.push_back(row.value);
-    // Joins at once: after a restart of all daemons the fleet refuses requests
-    // until they have peers.
-    if (live_peer_count(state) == 0)
-        state.next_join = now;
-    bool const is_listed = std::ranges::find(state.rendezvous_addresses,
-                                             state.own_record.address) !=
-                           state.rendezvous_addresses.end();
-    if (state.should_write_rendezvous && !is_listed)
-        write_row(state, reply.rows, out);
 }
 
 } // namespace gooseberrycove::members
--- a/src/members/row_cleanup.cpp
+++ b/src/members/row_cleanup.cpp
@@ -53,10 +53,7 @@
 void delete_abandoned_rows(membership_state& state, store::reply const& reply,
                            time_point now, actions& out)
 {
-    auto const elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - state.started);
-    std::uint64_t const present_ms =
-        state.unix_start_ms + static_cast<std::uint64_t>(elapsed.count());
+    std::uint64_t const present_ms = unix_ms_at(state, now);
     store::transaction removal;
     for (store::row const& row : reply.rows)
     {
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -68,6 +68,13 @@
     return state;
 }
 
+std::uint64_t unix_ms_at(membership_state const& state, time_point now)
+{
+    auto const elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - state.started);
+    return state.unix_start_ms + static_cast<std::uint64_t>(elapsed.count());
+}
+
 void on_packet(membership_state& state, packet const& received, time_point now,
                actions& out)
 {
--- a/src/members/state.hpp
+++ b/src/members/state.hpp
@@ -339,6 +339,9 @@
                             std::vector<std::string> seeds, std::uint64_t seed,
                             time_point now);
 
+/// Unix time in milliseconds at \p now, by the time of day at the start.
+std::uint64_t unix_ms_at(membership_state const& state, time_point now);
+
 void on_announce_request(membership_state& state,
                          announce_request const& request, time_point now,
                          actions& out);
--- a/src/members/stored_withdrawals.cpp
+++ b/src/members/stored_withdrawals.cpp
@@ -16,15 +16,10 @@
 constexpr duration max_acknowledgement_wait{500'000};
 constexpr duration call_timeout{2'000'000};
 constexpr duration retry_period{500'000};
-/// Keeps the row below the platform's 64 KB with the longest names.
-constexpr std::size_t max_stored_withdrawals = 128;
-
-std::uint64_t unix_ms_at(membership_state const& state, time_point now)
-{
-    auto const elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - state.started);
-    return state.unix_start_ms + static_cast<std::uint64_t>(elapsed.count());
-}
+/// Keeps the row below the platform's 64 KB. A write over it is refused again
+/// and again, and each acknowledgement would wait in vain.
+constexpr std::size_t max_names_bytes = 8'000;
+constexpr std::size_t max_stored_entries = 128;
 
 /// At least half of the period, so that homes whose calls failed together do
 /// not retry together.
@@ -34,6 +29,22 @@
     return duration(static_cast<duration::rep>(half + state.random() % half));
 }
 
+/// Removes the last entries beyond what the row can hold.
+template <class Entry>
+void limit_entries(std::vector<Entry>& entries)
+{
+    std::size_t names_bytes = 0;
+    std::size_t count = 0;
+    for (Entry const& entry : entries)
+    {
+        names_bytes += entry.server.size();
+        if (names_bytes > max_names_bytes || count == max_stored_entries)
+            break;
+        ++count;
+    }
+    entries.resize(count);
+}
+
 /// Withdrawals that this or an earlier run of this home received, the latest
 /// first.
 std::vector<stored_withdrawal> own_withdrawals(membership_state const& state)
@@ -47,7 +58,7 @@
                           unix_ms_at(state, known.recorded_at)});
     }
     std::ranges::sort(result, std::greater{}, &stored_withdrawal::unix_ms);
-    result.resize(std::min(result.size(), max_stored_withdrawals));
+    limit_entries(result);
     return result;
 }
 
@@ -59,6 +70,7 @@
     record.withdrawals = own_withdrawals(state);
     for (std::string const& server : state.stored.drained_servers)
         record.drains.push_back({server, drain_changes_of(state, server)});
+    limit_entries(record.drains);
     return record;
 }
 
--- a/src/members/stored_withdrawals_test.cpp
+++ b/src/members/stored_withdrawals_test.cpp
@@ -192,6 +192,26 @@
     CHECK(record->withdrawals.size() == 40);
 }
 
+TEST_CASE("the row of a home stays below the platform's limit")
+{
+    // Guards against a write that is refused for its size again and again, so
+    // that no withdrawal is stored.
+    fleet_fixture fixture;
+    actions out;
+    for (int number = 0; number < 400; ++number)
+    {
+        announcement details = numbered(7, server_state::gone);
+        details.server = fmt::format("{}{}", number, std::string(1000, '"'));
+        on_announce_request(fixture.fleet.nodes[home].state, {details, {}},
+                            fixture.fleet.now, out);
+    }
+    fixture.fleet.perform(home, out);
+    fixture.fleet.run(1);
+    std::string const& value = fixture.fleet.rows.at(home_row_key()).value;
+    CHECK(value.size() < 60'000);
+    CHECK(parse_withdrawal_record(value)->withdrawals.size() >= 5);
+}
+
 TEST_CASE("rows of homes that have ended for good are deleted")
 {
     // Guards against a table that grows with each VM that is replaced.
