--- a/src/members/row_cleanup.cpp
+++ b/src/members/row_cleanup.cpp
@@ -18,7 +18,7 @@
 /// of day of two machines may differ.
 constexpr std::uint64_t withdrawal_retention_ms = 3'600'000;
 /// A VM may be down for days and must then still know the operator's drain.
-constexpr std::uint64_t drain_retention_ms = 30 * 24 * withdrawal_retention_ms;
+constexpr std::uint64_t drain_retention_ms = withdrawal_retention_ms * 24 * 30;
 
 bool is_abandoned(store::row const& row, std::uint64_t present_ms)
 {
