Check in one place whether a header can hold a name

Change: is_header_text() beside the other functions on headers; the limits of size stay where they were. Behaviour is unchanged.

--- a/src/admin/documents.cpp
+++ b/src/admin/documents.cpp
@@ -1,11 +1,11 @@
 #include "documents.hpp"
 
+#include <gooseberrycove/header.hpp>
 #include <gooseberrycove/settings.hpp>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <charconv>
 
 namespace gooseberrycove::admin
@@ -112,11 +112,7 @@
 /// header.
 std::string_view check_server_name(std::string_view name)
 {
-    constexpr unsigned char del = 0x7f;
-    bool const has_control = std::ranges::any_of(
-        name, [](unsigned char c) { return c < ' ' || c == del; });
-    if (has_control || name.size() > max_server_name_length ||
-        name.starts_with(' ') || name.ends_with(' '))
+    if (name.size() > max_server_name_length || !is_header_text(name))
         throw error(error_kind::bad_request,
                     fmt::format("name of the server: allowed: up to {} bytes "
                                 "without control characters and outer blanks",
--- a/src/config/entry_json.cpp
+++ b/src/config/entry_json.cpp
@@ -1,5 +1,7 @@
 #include "config/entry_json.hpp"
 
+#include <gooseberrycove/header.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -319,11 +321,8 @@
 
 bool is_account_name(std::string_view name)
 {
-    constexpr unsigned char del = 0x7f;
     return !name.empty() && name.size() <= max_account_name_size &&
-           name.front() != ' ' && name.back() != ' ' &&
-           std::all_of(name.begin(), name.end(),
-                       [](unsigned char c) { return c >= ' ' && c != del; });
+           is_header_text(name);
 }
 
 bool is_name(std::string_view name)
--- a/src/core/header.cpp
+++ b/src/core/header.cpp
@@ -70,6 +70,14 @@
            strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
+bool is_header_text(std::string_view text)
+{
+    constexpr unsigned char del = 0x7f;
+    bool const has_control = std::ranges::any_of(
+        text, [](unsigned char c) { return c < ' ' || c == del; });
+    return !has_control && !text.starts_with(' ') && !text.ends_with(' ');
+}
+
 std::vector<header_field>
 forwarded_headers(std::span<header_field const> headers,
                   std::span<std::string_view const> excluded)
--- a/src/include/gooseberrycove/header.hpp
+++ b/src/include/gooseberrycove/header.hpp
@@ -62,6 +62,10 @@
 /// Compares header names case-insensitively.
 bool is_same_header(std::string_view left, std::string_view right);
 
+/// Whether a header can hold the text so that its receiver reads the same: no
+/// control characters and no blank at an end, which a receiver removes.
+bool is_header_text(std::string_view text);
+
 /// The headers to forward to the next hop: all but hop-by-hop headers,
 /// Content-Length and the names in \p excluded.
 std::vector<header_field>
