Judge each held announcement once, and set the cleanup's timer with the others

Cause: released announcements were judged twice, and the first cleanup of rows was told by a time of zero.

Change: one pass over the held announcements; make_state() sets the time of the first cleanup.

--- a/src/members/held_announcements.cpp
+++ b/src/members/held_announcements.cpp
@@ -5,6 +5,7 @@
 #include "members/withdrawal.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberrycove::members
 {
@@ -72,16 +73,13 @@
 void release_announcements(membership_state& state, time_point now,
                            actions& out)
 {
-    std::vector<held_announcement> released;
-    for (held_announcement const& held : state.held_announcements)
-    {
-        if (is_confirmed(state, held.details, now))
-            released.push_back(held);
-    }
-    std::erase_if(state.held_announcements, [&](held_announcement const& held)
-                  { return is_confirmed(state, held.details, now); });
-    for (held_announcement const& held : released)
+    for (held_announcement& held : std::exchange(state.held_announcements, {}))
     {
+        if (!is_confirmed(state, held.details, now))
+        {
+            state.held_announcements.push_back(std::move(held));
+            continue;
+        }
         if (now - held.last_received_at >=
             granted_lease(state, held.details.lease))
             continue;
--- a/src/members/row_cleanup.cpp
+++ b/src/members/row_cleanup.cpp
@@ -37,10 +37,8 @@
 {
     if (now < state.stored.next_cleanup)
         return;
-    bool const is_first = state.stored.next_cleanup == time_point{};
     state.stored.next_cleanup = now + state.parameters.rendezvous_period;
-    if (is_first ||
-        state.random() % (live_peer_count(state) + 1) >= cleaners_per_period)
+    if (state.random() % (live_peer_count(state) + 1) >= cleaners_per_period)
         return;
     store::request request;
     request.number = scan_withdrawals_number;
--- a/src/members/state.cpp
+++ b/src/members/state.cpp
@@ -64,6 +64,7 @@
     state.next_sync = now + duration(3'000'000) + (within(5000) - now);
     state.next_join = now;
     state.next_rendezvous = within(state.seeds.empty() ? 200 : 2000);
+    state.stored.next_cleanup = now + state.parameters.rendezvous_period;
     state.last_sweep = state.next_load_views = state.next_live_daemons = now;
     return state;
 }
