Tell from logs and metrics why a request ran without an account

No line told which build ran, what was read of the operator's document, what was in force, or the account of a request, so that a wrong build, a document without tenants and unread tenants looked alike.

Change: E0100 has the commit and a digest of the sources, written at each build. E0706 tells what was read of the document, in which form each member, whether keys are required, and the version in force before it. E0700 counts services, routes, open and refusing routes, and accounts; three gauges do the same. E0200 has the account.

--- a/src/config/config_thread.cpp
+++ b/src/config/config_thread.cpp
@@ -64,8 +64,8 @@
     // only after the check above.
     std::uint64_t const version = current->version();
     if (thread.wires.counters)
-        thread.wires.counters->set_config_version(version,
-                                                  thread.duty.entry_errors);
+        thread.wires.counters->set_config_version(
+            version, thread.duty.entry_errors, thread.duty.counts);
     bool const is_sent = thread.last_sent.members == version &&
                          thread.last_sent.members_era == era;
     if (!is_sent && thread.wires.members.try_push(
--- a/src/config/document_watch.cpp
+++ b/src/config/document_watch.cpp
@@ -70,18 +70,36 @@
                                  .field("why", reason)});
 }
 
+/// Tells what was read of the text that the operator wrote. Compared with the
+/// entries in force (E0700), it separates a text that lacks a member from one
+/// whose member was not read or was read with errors.
+void log_source(state const& duty, stored_document const& stored,
+                std::uint64_t revision, actions& out)
+{
+    event_line line(event::config_document_read);
+    line.field("version", stored.version)
+        .field("in_force", duty.current->version())
+        .field("revision", revision);
+    for (source_field const& field : stored.source)
+        line.field(field.name, field.value);
+    out.log.push_back({false, std::move(line)});
+}
+
 void apply_stored_document(state& duty, store::row const& row, time_point now,
                            actions& out)
 {
     auto const stored = parse_stored_document(row.value);
     if (!stored)
         return refuse_document(row.version, "", "cannot be parsed", out);
+    // A watch returns a row once for each change, so that few lines tell of
+    // versions that are not above the one in force.
     if (stored->version <= duty.current->version())
-        return;
+        return log_source(duty, *stored, row.version, out);
     parse_result parsed = parse_usable_entries(stored->text, stored->version);
     if (!parsed.data)
         return refuse_document(row.version, parsed.errors.front().path,
                                parsed.errors.front().detail, out);
+    log_source(duty, *stored, row.version, out);
     replace_version(duty, std::move(parsed), out);
     on_version_increase(duty, now, out);
 }
--- a/src/config/document_watch_test.cpp
+++ b/src/config/document_watch_test.cpp
@@ -287,3 +287,39 @@
     CHECK(is_current(daemon.duty, daemon.now + 4s));
     CHECK_FALSE(is_current(daemon.duty, daemon.now + 6s));
 }
+
+TEST_CASE("the log tells what was read of a document and what is in force")
+{
+    // Guards against a request that ran without an account for a reason that no
+    // log line tells: the document lacked the accounts, they were not read, or
+    // an older version is in force.
+    daemon_fixture daemon;
+    daemon.next_call();
+    daemon.reply(store::status::ok, 12, R"({"version":5,
+        "source":{"members":"tenants:table:1","left_out":0,"no_text":[1]},
+        "document":{
+            "priorities":{"p":{"rank":0,"target_ms":50}},
+            "services":{"s":{"floor_slots":0,"priorities":{"p":{}}}},
+            "accounts":{"a":{"key_hashes":["00112233445566778899aabbccddeeff"]}},
+            "routes":{
+                "open":{"service":"s","method":"*","path":"/o*",
+                    "priority":"p","repeatable":true,"timeout_ms":100,"open":true},
+                "closed":{"service":"s","method":"*","path":"/c*",
+                    "priority":"p","repeatable":true,"timeout_ms":100},
+                "unusable":{"method":"*","path":"/u*"}}}})");
+    REQUIRE(daemon.out.log.size() >= 2);
+    CHECK(daemon.out.log.front().line.text() ==
+          "E0706 config_document_read version=5 in_force=0 revision=12 "
+          "left_out=0 members=tenants:table:1");
+    CHECK(daemon.out.log.back().line.text() ==
+          "E0700 config_in_force version=5 services=1 routes=3 open_routes=1 "
+          "refusing_routes=1 accounts=1 entry_errors=" +
+              std::to_string(daemon.duty.entry_errors));
+    // A document that is not put in force is told apart from an unread one.
+    daemon.next_call();
+    daemon.reply(store::status::ok, 13, stored_text(4));
+    REQUIRE(daemon.out.log.size() == 1);
+    CHECK(daemon.out.log[0].line.text() ==
+          "E0706 config_document_read version=4 in_force=5 revision=13");
+    CHECK(daemon.duty.current->version() == 5);
+}
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -12,6 +12,24 @@
 using nlohmann::json;
 
 /// Patch ids and authors come from headers and may hold invalid UTF-8.
+std::vector<source_field> read_source(json const& row)
+{
+    std::vector<source_field> fields;
+    auto const source = row.find("source");
+    if (source == row.end())
+        return fields;
+    for (auto const& [name, value] : source->items())
+    {
+        if (fields.size() == max_source_fields)
+            break;
+        if (value.is_string())
+            fields.push_back({name, value.get<std::string>()});
+        else if (value.is_number())
+            fields.push_back({name, value.dump()});
+    }
+    return fields;
+}
+
 std::string dump(json const& value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -49,7 +67,8 @@
 try
 {
     json const row = json::parse(text);
-    return stored_document{row.at("version"), row.at("document").dump()};
+    return stored_document{row.at("version"), row.at("document").dump(),
+                           read_source(row)};
 }
 catch (json::exception const&)
 {
--- a/src/config/records.hpp
+++ b/src/config/records.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrycove::config
 {
@@ -37,15 +38,27 @@
 std::string render_head(head_record const& head);
 std::optional<head_record> parse_head(std::string_view text);
 
+inline constexpr std::size_t max_source_fields = 16;
+
+struct source_field
+{
+    std::string name;
+    std::string value;
+};
+
 /// Content of the row document_key.
 struct stored_document
 {
     std::uint64_t version = 0;
     /// See parse_document().
     std::string text;
+    /// What an adapter tells of the text that it has translated, for the log.
+    std::vector<source_field> source = {};
 };
 
-/// `{"version": NUMBER, "document": OBJECT}`; nothing for other text.
+/// `{"version": NUMBER, "document": OBJECT}`, and optionally `"source"` with
+/// texts and numbers, of which at most max_source_fields are kept; nothing for
+/// other text.
 std::optional<stored_document> parse_stored_document(std::string_view text);
 
 std::string render_delta(delta const& record);
--- a/src/config/state.hpp
+++ b/src/config/state.hpp
@@ -4,6 +4,7 @@
 #include "config/records.hpp"
 #include <gooseberrycove/config.hpp>
 #include <gooseberrycove/event.hpp>
+#include <gooseberrycove/metrics.hpp>
 #include <gooseberrycove/peer.hpp>
 
 #include <deque>
@@ -150,6 +151,7 @@
     tables_ptr current = std::make_shared<tables const>();
     /// Errors of the entries of this version that cannot be used.
     std::size_t entry_errors = 0;
+    config_counts counts;
     /// Patches up to the version in force, without gaps.
     std::deque<delta> history;
     std::size_t history_bytes = 0;
--- a/src/config/table_data.cpp
+++ b/src/config/table_data.cpp
@@ -432,6 +432,29 @@
     return result;
 }
 
+config_counts count_entries(table_data const& data)
+{
+    config_counts counts;
+    for (auto const& shard : data.services)
+        counts.services += shard ? shard->size() : 0;
+    for (auto const& shard : data.accounts)
+        counts.accounts += shard ? shard->entries.size() : 0;
+    for (auto const& shard : data.routes)
+    {
+        if (!shard)
+            continue;
+        for (route_entry const& entry : shard->entries)
+        {
+            bool const is_refusing =
+                entry.service_size == 0 && entry.split_size == 0;
+            ++counts.routes;
+            counts.refusing_routes += is_refusing ? 1 : 0;
+            counts.open_routes += entry.is_open && !is_refusing ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 account_block pack(std::vector<account> const& values)
 {
     account_block result;
--- a/src/config/table_data.hpp
+++ b/src/config/table_data.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYCOVE_CONFIG_TABLE_DATA_HPP
 
 #include <gooseberrycove/config.hpp>
+#include <gooseberrycove/metrics.hpp>
 
 #include <array>
 #include <cstdint>
@@ -165,6 +166,8 @@
     std::vector<std::uint32_t> wildcard_lengths;
 };
 
+config_counts count_entries(table_data const& data);
+
 account unpack(account_block const& accounts, std::size_t index);
 route unpack(route_block const& routes, std::size_t index);
 
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -221,8 +221,17 @@
     std::uint64_t const version = duty.current->version();
     duty.highest_seen_version = std::max(duty.highest_seen_version, version);
     out.has_version_changed = true;
+    duty.counts = count_entries(duty.current->data());
     out.log.push_back(
-        {false, event_line(event::config_in_force).field("version", version)});
+        {false, event_line(event::config_in_force)
+                    .field("version", version)
+                    .field("services", duty.counts.services)
+                    .field("routes", duty.counts.routes)
+                    .field("open_routes", duty.counts.open_routes)
+                    .field("refusing_routes", duty.counts.refusing_routes)
+                    .field("accounts", duty.counts.accounts)
+                    .field("entry_errors",
+                           static_cast<std::uint64_t>(duty.entry_errors))});
     resolve_from_history(duty, now, out);
     update_readiness(duty, out);
     // Daemons that watch the store receive the document from there; the others
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -71,6 +71,7 @@
     GOOSEBERRYCOVE_EVENT(config_pulled),
     GOOSEBERRYCOVE_EVENT(config_ambiguous),
     GOOSEBERRYCOVE_EVENT(config_entry_unusable),
+    GOOSEBERRYCOVE_EVENT(config_document_read),
     GOOSEBERRYCOVE_EVENT(claim_taken),
     GOOSEBERRYCOVE_EVENT(claim_refused),
     GOOSEBERRYCOVE_EVENT(claim_replayed),
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -113,6 +113,19 @@
                   "Errors of entries of the version in force that cannot be "
                   "used")
             .Add({});
+    prometheus::Gauge& config_routes =
+        add_gauge(registry, "gcove_config_routes",
+                  "Routes of the version in force")
+            .Add({});
+    prometheus::Gauge& config_open_routes =
+        add_gauge(registry, "gcove_config_open_routes",
+                  "Routes of the version in force whose callers need no "
+                  "account")
+            .Add({});
+    prometheus::Gauge& config_accounts =
+        add_gauge(registry, "gcove_config_accounts",
+                  "Client accounts of the version in force")
+            .Add({});
     prometheus::Gauge& members_alive =
         add_gauge(registry, "gcove_members", "Daemons known to be alive")
             .Add({});
@@ -228,10 +241,14 @@
 }
 
 void metrics::set_config_version(std::uint64_t version,
-                                 std::size_t entry_errors)
+                                 std::size_t entry_errors,
+                                 config_counts const& counts)
 {
     m_families->config_version.Set(static_cast<double>(version));
     m_families->config_entry_errors.Set(static_cast<double>(entry_errors));
+    m_families->config_routes.Set(static_cast<double>(counts.routes));
+    m_families->config_open_routes.Set(static_cast<double>(counts.open_routes));
+    m_families->config_accounts.Set(static_cast<double>(counts.accounts));
 }
 
 void metrics::set_members(std::size_t alive, std::size_t servers,
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon.hpp"
 #include "daemon_settings.hpp"
+#include "revision.hpp"
 #include "tool_settings/tool_settings.hpp"
 #include <gooseberrycove/log.hpp>
 
@@ -154,7 +155,9 @@
     auto const process = make_daemon(values);
     std::atomic<bool> has_failed{false};
     log_info(event_line(event::process_started)
-                 .field("name", values.text("daemon", "name")));
+                 .field("name", values.text("daemon", "name"))
+                 .field("revision", build_revision)
+                 .field("sources", build_sources));
     log_bounds(given, bounds);
     process->start(
         [&has_failed](std::string_view reason)
--- a/src/include/gooseberrycove/event.hpp
+++ b/src/include/gooseberrycove/event.hpp
@@ -69,6 +69,7 @@
     config_pulled = 703,
     config_ambiguous = 704,
     config_entry_unusable = 705,
+    config_document_read = 706,
 
     claim_taken = 800,
     claim_refused = 801,
--- a/src/include/gooseberrycove/metrics.hpp
+++ b/src/include/gooseberrycove/metrics.hpp
@@ -4,6 +4,7 @@
 #include <gooseberrycove/error.hpp>
 #include <gooseberrycove/types.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -17,6 +18,18 @@
     out
 };
 
+/// Entries of the configuration in force.
+struct config_counts
+{
+    std::uint64_t services = 0;
+    std::uint64_t routes = 0;
+    /// Routes whose callers need no account.
+    std::uint64_t open_routes = 0;
+    /// Routes that cannot be used and refuse their requests.
+    std::uint64_t refusing_routes = 0;
+    std::uint64_t accounts = 0;
+};
+
 /// Metrics of one process in the Prometheus text format. Thread-safe. Labels
 /// have bounded sets of values: none is per account or per request.
 class metrics
@@ -59,7 +72,8 @@
     void count_health_change(std::string_view state);
     /// \param entry_errors  errors of entries of this version that cannot be
     ///                      used
-    void set_config_version(std::uint64_t version, std::size_t entry_errors);
+    void set_config_version(std::uint64_t version, std::size_t entry_errors,
+                            config_counts const& counts);
     void set_members(std::size_t alive, std::size_t servers,
                      std::size_t services);
     /// Counts a request of an account with a rate by how its token was decided.
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -125,6 +125,7 @@
     line.field("request", request.original.caller_id)
         .field("service", request.service)
         .field("priority", request.priority_name)
+        .field("account", request.account)
         .field("server", target.chosen.candidate->server)
         .field("home", target.address)
         .field("attempt", static_cast<unsigned>(request.attempts.size()))
