--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-/// Patch ids and authors come from headers and may hold invalid UTF-8.
 std::vector<source_field> read_source(json const& row)
 {
     std::vector<source_field> fields;
@@ -30,6 +29,7 @@
     return fields;
 }
 
+/// Patch ids and authors come from headers and may hold invalid UTF-8.
 std::string dump(json const& value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
