--- a/src/cmake/changed_sources.cmake
+++ b/src/cmake/changed_sources.cmake
@@ -4,6 +4,7 @@
 # sources with that of the last one and touches those that differ. Objects that
 # were built by another kind of machine or compiler, or in another folder, are
 # replaced in the same way.
+include(${CMAKE_CURRENT_LIST_DIR}/source_files.cmake)
 set(manifest_file ${CMAKE_BINARY_DIR}/source_digests.txt)
 set(manifest "${CMAKE_SYSTEM_PROCESSOR} ${CMAKE_CXX_COMPILER_ID} \
 ${CMAKE_CXX_COMPILER_VERSION} ${CMAKE_SOURCE_DIR}")
@@ -16,10 +17,7 @@
     endif()
 endif()
 
-file(GLOB_RECURSE sources RELATIVE ${CMAKE_SOURCE_DIR}
-    ${CMAKE_SOURCE_DIR}/src/*.cpp ${CMAKE_SOURCE_DIR}/src/*.hpp
-    ${CMAKE_SOURCE_DIR}/src/*.h ${CMAKE_SOURCE_DIR}/platform/*.cpp
-    ${CMAKE_SOURCE_DIR}/platform/*.hpp)
+gcove_list_sources(${CMAKE_SOURCE_DIR} sources)
 set(changed_sources "")
 foreach(source IN LISTS sources)
     file(SHA256 ${CMAKE_SOURCE_DIR}/${source} digest)
@@ -29,7 +27,10 @@
         list(APPEND changed_sources ${CMAKE_SOURCE_DIR}/${source})
     endif()
 endforeach()
-if(changed_sources)
+# In a folder without objects nothing can be stale, and touched sources would
+# be built again in the other build folders.
+file(GLOB_RECURSE objects ${CMAKE_BINARY_DIR}/*.o)
+if(changed_sources AND objects)
     execute_process(
         COMMAND ${CMAKE_COMMAND} -E touch_nocreate ${changed_sources}
         RESULT_VARIABLE touch_failed)
--- a/src/cmake/revision.cmake
+++ b/src/cmake/revision.cmake
@@ -12,10 +12,8 @@
     endif()
 endif()
 
-file(GLOB_RECURSE sources RELATIVE ${SOURCE_DIR} ${SOURCE_DIR}/src/*.cpp
-    ${SOURCE_DIR}/src/*.hpp ${SOURCE_DIR}/src/*.h ${SOURCE_DIR}/platform/*.cpp
-    ${SOURCE_DIR}/platform/*.hpp)
-list(SORT sources)
+include(${CMAKE_CURRENT_LIST_DIR}/source_files.cmake)
+gcove_list_sources(${SOURCE_DIR} sources)
 foreach(source IN LISTS sources)
     file(SHA256 ${SOURCE_DIR}/${source} content)
     string(SHA256 digest "${digest}${source}${content}")
--- a/src/config/document_watch_test.cpp
+++ b/src/config/document_watch_test.cpp
@@ -296,7 +296,7 @@
     daemon_fixture daemon;
     daemon.next_call();
     daemon.reply(store::status::ok, 12, R"({"version":5,
-        "source":{"members":"tenants:table:1","left_out":0,"no_text":[1]},
+        "source":{"members":"accounts:table:1","left_out":0,"no_text":[1]},
         "document":{
             "priorities":{"p":{"rank":0,"target_ms":50}},
             "services":{"s":{"floor_slots":0,"priorities":{"p":{}}}},
@@ -310,7 +310,7 @@
     REQUIRE(daemon.out.log.size() >= 2);
     CHECK(daemon.out.log.front().line.text() ==
           "E0706 config_document_read version=5 in_force=0 revision=12 "
-          "left_out=0 members=tenants:table:1");
+          "left_out=0 members=accounts:table:1");
     CHECK(daemon.out.log.back().line.text() ==
           "E0700 config_in_force version=5 services=1 routes=3 open_routes=1 "
           "refusing_routes=1 accounts=1 entry_errors=" +
